--- /dev/null
+++ b/packages/daemon/src/jobs/index.ts
@@ -0,0 +1,1 @@
+export type * from './types.js'
--- /dev/null
+++ b/packages/daemon/src/routing/types.ts
@@ -0,0 +1,70 @@
+import type { Readable } from 'node:stream'
+import type { Result } from 'ts-results'
+import type { Failure } from '../errors.js'
+
+/** A caller's request to a service. */
+export interface ServiceRequest {
+  readonly requestId: string
+  readonly service: string
+  readonly team: string
+  readonly method: string
+  /** Path and query below the service. */
+  readonly path: string
+  readonly headers: ReadonlyArray<readonly [string, string]>
+  readonly body: Buffer
+  /** Monotonic time in milliseconds at which the caller's deadline passes. */
+  readonly deadline: number
+  readonly idempotencyKey?: string
+  /** Aborts when the caller has gone away. */
+  readonly signal: AbortSignal
+}
+
+/** Head of a backend server's answer, and its body as it arrives. An error of the stream means that the answer is cut. */
+export interface ServiceResponse {
+  readonly status: number
+  readonly headers: ReadonlyArray<readonly [string, string]>
+  readonly body: Readable
+  readonly workerId: string
+}
+
+/** One replica of a service, on a worker of an owned shard. */
+export interface ServiceEndpoint {
+  readonly service: string
+  readonly taskId: string
+  readonly workerId: string
+  readonly address: string
+  /** Leaving endpoints get no new requests. */
+  readonly leaving: boolean
+}
+
+/** Free room of a service in one shard, as gossip shows it. */
+export interface ServiceRoom {
+  readonly shardId: string
+  readonly service: string
+  readonly backendServers: number
+  readonly freeSlots: number
+  readonly queuedRequests: number
+}
+
+/** Entry side: takes callers' requests to the owner of a shard with a free backend server. */
+export interface RequestRouter {
+  /** Fails with a verdict; a failure after the head shows as an error of the body stream. */
+  handle (req: ServiceRequest): Promise<Result<ServiceResponse, Failure>>
+  /** Resolves when no request is in flight. */
+  drained (): Promise<void>
+}
+
+/** Owner side: forwards requests to the backend servers of owned shards, within their slots. */
+export interface BackendPool {
+  /** Replaces the endpoints of a shard; an endpoint that is gone finishes what it has in flight. */
+  setEndpoints (shardId: string, endpoints: readonly ServiceEndpoint[]): void
+  /** The shard is no longer owned: queued requests fail as not run, requests in flight finish. */
+  dropShard (shardId: string): void
+  /** Requests in flight at each backend server's address. */
+  inFlight (shardId: string): ReadonlyMap<string, number>
+  /** Slots that a former owner may still use, by address. `all` limits every endpoint to a share of its slots. */
+  setReserved (shardId: string, reserved: { readonly byAddress: ReadonlyMap<string, number>, readonly halveAll: boolean }): void
+  forward (shardId: string, req: ServiceRequest): Promise<Result<ServiceResponse, Failure>>
+  room (): readonly ServiceRoom[]
+  drained (): Promise<void>
+}
--- /dev/null
+++ b/packages/daemon/src/timeline/index.ts
@@ -0,0 +1,3 @@
+export { HybridClock } from './hybridClock.js'
+export { Timeline } from './timeline.js'
+export type { TimelineOptions } from './timeline.js'
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,5 @@
+export * from './events.js'
+export * from './jobs.js'
+export * from './operators.js'
+export * from './peer.js'
+export * from './verdict.js'
