fix(protocol): export ts-results' constructors from one module

Cause: Node finds no named exports in the CommonJS build of ts-results, so that an import of Ok or Err fails at start.

--- a/packages/daemon/src/platform/types.ts
+++ b/packages/daemon/src/platform/types.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'ts-results'
+import type { Result } from '@citronnotch/protocol'
 import type { Failure } from '../errors.js'
 
 /** A row of the table service. `version` grows with every write and never repeats, also after a delete. */
--- a/packages/daemon/src/routing/types.ts
+++ b/packages/daemon/src/routing/types.ts
@@ -1,5 +1,5 @@
 import type { Readable } from 'node:stream'
-import type { Result } from 'ts-results'
+import type { Result } from '@citronnotch/protocol'
 import type { Failure } from '../errors.js'
 
 /** A caller's request to a service. */
--- a/packages/daemon/src/workers/types.ts
+++ b/packages/daemon/src/workers/types.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'ts-results'
+import type { Result } from '@citronnotch/protocol'
 import type { Failure } from '../errors.js'
 
 /** Amounts of what a worker has or a task needs. */
