feat(standins): add platform, worker and backend stand-ins and the HTTP clients

The daemon needs clients of the table service, object store, VM list and workers, and its tests need something that answers them.

--- a/packages/daemon/src/workers/index.ts
+++ b/packages/daemon/src/workers/index.ts
@@ -1,1 +1,2 @@
 export type * from './types.js'
+export * from './httpWorkerClient.js'
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,8 @@
-export {}
+export * from './auditCell.js'
+export * from './backendServerStandIn.js'
+export * from './cellStandIn.js'
+export * from './platformStandIn.js'
+export * from './tableStore.js'
+export * from './truthLog.js'
+export * from './vmRegistry.js'
+export * from './workerStandIn.js'
