--- a/packages/daemon/src/membership/types.ts
+++ b/packages/daemon/src/membership/types.ts
@@ -28,16 +28,18 @@
   readonly released: boolean
   readonly holdMs: number
   readonly taskLeaseMs: number
-  /** The owner before this one, unless its authority was known to have ended. */
-  readonly predecessor?: Predecessor
+  /** Former owners whose authority was not known to have ended at the takeover, latest first. */
+  readonly predecessors: readonly Predecessor[]
 }
 
-/** A former owner that may still hold detached authority. */
+/** A former owner that may still hold detached authority, or finish requests in flight. */
 export interface Predecessor {
   readonly member: Member
   readonly epoch: number
   readonly holdMs: number
   readonly taskLeaseMs: number
+  /** Set when it gave up its authority in a planned stop, and may only finish requests in flight. */
+  readonly released: boolean
 }
 
 /** Authority over a shard at the moment when it was asked for. */
@@ -76,8 +78,8 @@
   predecessor (shardId: string): Predecessor | undefined
   /** Takes note that a former owner has confirmed that it has given up. */
   predecessorGaveUp (shardId: string, epoch: number): void
-  /** Takes note of an epoch learned from a peer; gives up a shard that has a higher one. */
-  observeEpoch (shardId: string, epoch: number): void
+  /** Takes note of an epoch, and its owner if known, learned from a peer; gives up a shard that has a higher one. */
+  observeEpoch (shardId: string, epoch: number, owner?: Member): void
   /** Last known owner of each shard, from the table service or peers. */
   owners (): ReadonlyMap<string, { readonly epoch: number, readonly owner: Member }>
   /** Daemons whose sessions look live, without this one. */
