--- a/packages/daemon/src/workers/httpWorkerClient.ts
+++ b/packages/daemon/src/workers/httpWorkerClient.ts
@@ -19,6 +19,7 @@
 })
 const reportSchema = z.object({
   incarnation: z.string().min(1),
+  time: z.number(),
   capacity: resourcesSchema,
   tasks: z.array(z.object({
     taskId: z.string().min(1),
@@ -67,12 +68,12 @@
     return this.command('adopt', { fencingToken })
   }
 
-  start (grant: Grant, tasks: readonly StartTask[], leaseMs: number): Promise<Result<CommandOutcome, Failure>> {
-    return this.command('start', { ...grant, tasks, leaseMs })
+  start (grant: Grant, tasks: readonly StartTask[], leaseUntil: number): Promise<Result<CommandOutcome, Failure>> {
+    return this.command('start', { ...grant, tasks, leaseUntil })
   }
 
-  renew (grant: Grant, taskIds: readonly string[], leaseMs: number): Promise<Result<CommandOutcome, Failure>> {
-    return this.command('renew', { ...grant, taskIds, leaseMs })
+  renew (grant: Grant, taskIds: readonly string[], leaseUntil: number): Promise<Result<CommandOutcome, Failure>> {
+    return this.command('renew', { ...grant, taskIds, leaseUntil })
   }
 
   stop (grant: Grant, taskIds: readonly string[], graceMs: number): Promise<Result<CommandOutcome, Failure>> {
--- a/packages/standins/src/taskRun.ts
+++ b/packages/standins/src/taskRun.ts
@@ -7,7 +7,8 @@
   readonly clock: Clock
   readonly log: TruthLog
   readonly workerId: string
-  readonly leaseMs: number
+  /** End of the lease in the worker's monotonic time. */
+  readonly leaseUntil: number
   /** Declared seconds that pass in one second. */
   readonly speed: number
   /** Work already done before a checkpoint, in milliseconds of the declared run time. */
@@ -30,10 +31,10 @@
   private readonly runNumber: number
 
   private constructor (readonly task: StartTask, private readonly options: TaskRunOptions) {
-    const { clock, log, workerId, leaseMs, doneMs } = options
+    const { clock, log, workerId, leaseUntil, doneMs } = options
     this.startedAt = clock.now()
     this.progressAt = this.startedAt
-    this.leaseUntil = this.startedAt + leaseMs
+    this.leaseUntil = leaseUntil
     this.doneMs = doneMs
     this.runNumber = log.nextRun()
     const { taskId, attempt, resources } = task
@@ -60,8 +61,8 @@
     return this.doneMs + (until - this.progressAt) * this.options.speed * this.rate
   }
 
-  renew (leaseMs: number): void {
-    this.leaseUntil = this.options.clock.now() + leaseMs
+  renew (leaseUntil: number): void {
+    this.leaseUntil = Math.max(this.leaseUntil, leaseUntil)
     this.wake()
   }
 
--- a/packages/standins/src/workerStandIn.ts
+++ b/packages/standins/src/workerStandIn.ts
@@ -55,7 +55,7 @@
   readonly tasks: readonly StartTask[]
   readonly taskIds: readonly string[]
   readonly taskId: string
-  readonly leaseMs: number
+  readonly leaseUntil: number
   readonly graceMs: number
   readonly cores: number
 }
@@ -142,6 +142,7 @@
     this.expireRuns()
     return {
       incarnation: this.incarnation,
+      time: this.options.clock.now(),
       capacity: this.options.capacity,
       tasks: [...this.entries.values()].map(entry => this.reportOf(entry))
     }
@@ -184,11 +185,11 @@
 
   private readonly commands: Readonly<Record<string, (command: Command) => Promise<void>>> = {
     adopt: async () => {},
-    start: async ({ tasks, leaseMs }) => {
-      await Promise.all(tasks.map(task => this.start(task, leaseMs)))
+    start: async ({ tasks, leaseUntil }) => {
+      await Promise.all(tasks.map(task => this.start(task, leaseUntil)))
     },
-    renew: async ({ taskIds, leaseMs }) => {
-      for (const { run } of this.entriesOf(taskIds)) if (run?.running() === true) run.renew(leaseMs)
+    renew: async ({ taskIds, leaseUntil }) => {
+      for (const { run } of this.entriesOf(taskIds)) if (run?.running() === true) run.renew(leaseUntil)
     },
     stop: async ({ taskIds, graceMs }) => {
       for (const { run } of this.entriesOf(taskIds)) if (run !== undefined) stopRun(run, graceMs)
@@ -204,18 +205,18 @@
     }
   }
 
-  /** A repeated start of the same attempt changes nothing, also after the attempt ended. */
-  private async start (task: StartTask, leaseMs: number) {
+  /** A repeated start of the same attempt changes nothing, also after the attempt ended, nor does one that arrives after its lease. */
+  private async start (task: StartTask, leaseUntil: number) {
     const id = entryId(task)
-    if (this.entries.has(id)) return
     const { clock, log, workerId, speed, backend } = this.options
+    if (this.entries.has(id) || leaseUntil <= clock.now()) return
     if (this.currentFaults.failStarts) {
       this.entries.set(id, { task })
       log.record({ type: 'task-start-failed', workerId, taskId: task.taskId, attempt: task.attempt })
       return
     }
     const doneMs = this.progressAt(task.checkpoint)
-    const run = TaskRun.create(task, { clock, log, workerId, leaseMs, speed, doneMs })
+    const run = TaskRun.create(task, { clock, log, workerId, leaseUntil, speed, doneMs })
     this.entries.set(id, { task, run })
     if (task.service === undefined) return
     const server = await BackendServerStandIn.create({ clock, log, service: task.service, gate: this.gate, ...backend })
@@ -305,8 +306,8 @@
 /** Fields that a command needs beside the fencing token and the incarnation. */
 const requiredFields: Readonly<Record<string, Readonly<Partial<Record<keyof Command, (value: unknown) => boolean>>>>> = {
   adopt: {},
-  start: { tasks: Array.isArray, leaseMs: Number.isFinite },
-  renew: { taskIds: Array.isArray, leaseMs: Number.isFinite },
+  start: { tasks: Array.isArray, leaseUntil: Number.isFinite },
+  renew: { taskIds: Array.isArray, leaseUntil: Number.isFinite },
   stop: { taskIds: Array.isArray, graceMs: Number.isFinite },
   checkpoint: { taskIds: Array.isArray },
   throttle: { taskId: value => typeof value === 'string', cores: Number.isFinite },
