--- a/packages/daemon/src/routing/types.ts
+++ b/packages/daemon/src/routing/types.ts
@@ -1,6 +1,7 @@
 import type { Readable } from 'node:stream'
 import type { Result } from '@citronnotch/protocol'
 import type { Failure } from '../errors.js'
+import type { Member } from '../membership/types.js'
 
 /** A caller's request to a service. */
 export interface ServiceRequest {
@@ -15,6 +16,8 @@
   /** Monotonic time in milliseconds at which the caller's deadline passes. */
   readonly deadline: number
   readonly idempotencyKey?: string
+  /** Identity of the caller for concurrency limits, such as its IP address. */
+  readonly caller?: string
   /** Aborts when the caller has gone away. */
   readonly signal: AbortSignal
 }
@@ -46,6 +49,27 @@
   readonly queuedRequests: number
 }
 
+/** Room of a service together with the owner of its shard. */
+export interface OwnedRoom extends ServiceRoom {
+  readonly owner: Member
+  /** True when this daemon owns the shard. */
+  readonly local: boolean
+}
+
+/** Limits of a service, from the configuration in force. */
+export interface ResolvedServiceConfig {
+  /** Requests at one backend server at the same time. */
+  readonly slots: number
+  /** Connections to one backend server. */
+  readonly connections: number
+  /** Methods that may be repeated, beside GET, HEAD and OPTIONS. */
+  readonly idempotentMethods: readonly string[]
+  readonly timeoutMs: number
+  /** Requests that may wait in one shard. */
+  readonly queueLength: number
+  readonly maxWaitMs: number
+}
+
 /** Entry side: takes callers' requests to the owner of a shard with a free backend server. */
 export interface RequestRouter {
   /** Fails with a verdict; a failure after the head shows as an error of the body stream. */
