--- a/packages/daemon/src/placement/types.ts
+++ b/packages/daemon/src/placement/types.ts
@@ -75,6 +75,28 @@
    * @default 3
    */
   readonly suspendAfterFailures?: number
+  /**
+   * First suspension of a worker in milliseconds; doubles with each failed probe.
+   * @default 10000
+   */
+  readonly suspendBackoffMs?: number
+  /**
+   * Longest suspension of a worker in milliseconds.
+   * @default 600000
+   */
+  readonly suspendBackoffMaxMs?: number
+  /**
+   * Time in milliseconds that a task of a team below its share waits before batch tasks
+   * of teams above their share are preempted for it.
+   * @default 3000
+   */
+  readonly returnShareAfterMs?: number
+  /**
+   * Time in milliseconds for which the set of workers must be unchanged before a task is parked.
+   * Longer than a call to a worker, so that a new owner has tried to adopt all its workers.
+   * @default 5000
+   */
+  readonly parkAfterMs?: number
 }
 
 /** Placement policy of one shard: a ledger of workers and tasks, no I/O. Times are monotonic milliseconds. */
