--- a/packages/protocol/gen/peer.d.ts
+++ b/packages/protocol/gen/peer.d.ts
@@ -497,6 +497,30 @@
 
             /** ShardState largestFreeMemoryMb */
             largestFreeMemoryMb?: (number|null);
+
+            /** ShardState capacityCores */
+            capacityCores?: (number|null);
+
+            /** ShardState capacityMemoryMb */
+            capacityMemoryMb?: (number|null);
+
+            /** ShardState capacityAccelerators */
+            capacityAccelerators?: (number|null);
+
+            /** ShardState workerCores */
+            workerCores?: (number|null);
+
+            /** ShardState workerMemoryMb */
+            workerMemoryMb?: (number|null);
+
+            /** ShardState workerAccelerators */
+            workerAccelerators?: (number|null);
+
+            /** ShardState region */
+            region?: (string|null);
+
+            /** ShardState failureDomain */
+            failureDomain?: (string|null);
         }
 
         /** Represents a ShardState. */
@@ -538,6 +562,30 @@
             /** ShardState largestFreeMemoryMb. */
             public largestFreeMemoryMb: number;
 
+            /** ShardState capacityCores. */
+            public capacityCores: number;
+
+            /** ShardState capacityMemoryMb. */
+            public capacityMemoryMb: number;
+
+            /** ShardState capacityAccelerators. */
+            public capacityAccelerators: number;
+
+            /** ShardState workerCores. */
+            public workerCores: number;
+
+            /** ShardState workerMemoryMb. */
+            public workerMemoryMb: number;
+
+            /** ShardState workerAccelerators. */
+            public workerAccelerators: number;
+
+            /** ShardState region. */
+            public region: string;
+
+            /** ShardState failureDomain. */
+            public failureDomain: string;
+
             /**
              * Creates a new ShardState instance using the specified properties.
              * @param [properties] Properties to set
--- a/packages/protocol/gen/peer.js
+++ b/packages/protocol/gen/peer.js
@@ -1188,6 +1188,14 @@
              * @property {Array.<citronnotch.peer.IServiceState>|null} [services] ShardState services
              * @property {number|null} [largestFreeCores] ShardState largestFreeCores
              * @property {number|null} [largestFreeMemoryMb] ShardState largestFreeMemoryMb
+             * @property {number|null} [capacityCores] ShardState capacityCores
+             * @property {number|null} [capacityMemoryMb] ShardState capacityMemoryMb
+             * @property {number|null} [capacityAccelerators] ShardState capacityAccelerators
+             * @property {number|null} [workerCores] ShardState workerCores
+             * @property {number|null} [workerMemoryMb] ShardState workerMemoryMb
+             * @property {number|null} [workerAccelerators] ShardState workerAccelerators
+             * @property {string|null} [region] ShardState region
+             * @property {string|null} [failureDomain] ShardState failureDomain
              */
 
             /**
@@ -1286,6 +1294,70 @@
              */
             ShardState.prototype.largestFreeMemoryMb = 0;
 
+            /**
+             * ShardState capacityCores.
+             * @member {number} capacityCores
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.capacityCores = 0;
+
+            /**
+             * ShardState capacityMemoryMb.
+             * @member {number} capacityMemoryMb
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.capacityMemoryMb = 0;
+
+            /**
+             * ShardState capacityAccelerators.
+             * @member {number} capacityAccelerators
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.capacityAccelerators = 0;
+
+            /**
+             * ShardState workerCores.
+             * @member {number} workerCores
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.workerCores = 0;
+
+            /**
+             * ShardState workerMemoryMb.
+             * @member {number} workerMemoryMb
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.workerMemoryMb = 0;
+
+            /**
+             * ShardState workerAccelerators.
+             * @member {number} workerAccelerators
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.workerAccelerators = 0;
+
+            /**
+             * ShardState region.
+             * @member {string} region
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.region = "";
+
+            /**
+             * ShardState failureDomain.
+             * @member {string} failureDomain
+             * @memberof citronnotch.peer.ShardState
+             * @instance
+             */
+            ShardState.prototype.failureDomain = "";
+
             /**
              * Creates a new ShardState instance using the specified properties.
              * @function create
@@ -1335,6 +1407,22 @@
                     writer.uint32(/* id 9, wireType 1 =*/73).double(message.largestFreeCores);
                 if (message.largestFreeMemoryMb != null && Object.hasOwnProperty.call(message, "largestFreeMemoryMb"))
                     writer.uint32(/* id 10, wireType 1 =*/81).double(message.largestFreeMemoryMb);
+                if (message.capacityCores != null && Object.hasOwnProperty.call(message, "capacityCores"))
+                    writer.uint32(/* id 20, wireType 1 =*/161).double(message.capacityCores);
+                if (message.capacityMemoryMb != null && Object.hasOwnProperty.call(message, "capacityMemoryMb"))
+                    writer.uint32(/* id 21, wireType 1 =*/169).double(message.capacityMemoryMb);
+                if (message.capacityAccelerators != null && Object.hasOwnProperty.call(message, "capacityAccelerators"))
+                    writer.uint32(/* id 22, wireType 0 =*/176).uint32(message.capacityAccelerators);
+                if (message.workerCores != null && Object.hasOwnProperty.call(message, "workerCores"))
+                    writer.uint32(/* id 23, wireType 1 =*/185).double(message.workerCores);
+                if (message.workerMemoryMb != null && Object.hasOwnProperty.call(message, "workerMemoryMb"))
+                    writer.uint32(/* id 24, wireType 1 =*/193).double(message.workerMemoryMb);
+                if (message.workerAccelerators != null && Object.hasOwnProperty.call(message, "workerAccelerators"))
+                    writer.uint32(/* id 25, wireType 0 =*/200).uint32(message.workerAccelerators);
+                if (message.region != null && Object.hasOwnProperty.call(message, "region"))
+                    writer.uint32(/* id 26, wireType 2 =*/210).string(message.region);
+                if (message.failureDomain != null && Object.hasOwnProperty.call(message, "failureDomain"))
+                    writer.uint32(/* id 27, wireType 2 =*/218).string(message.failureDomain);
                 return writer;
             };
 
@@ -1414,6 +1502,38 @@
                             message.largestFreeMemoryMb = reader.double();
                             break;
                         }
+                    case 20: {
+                            message.capacityCores = reader.double();
+                            break;
+                        }
+                    case 21: {
+                            message.capacityMemoryMb = reader.double();
+                            break;
+                        }
+                    case 22: {
+                            message.capacityAccelerators = reader.uint32();
+                            break;
+                        }
+                    case 23: {
+                            message.workerCores = reader.double();
+                            break;
+                        }
+                    case 24: {
+                            message.workerMemoryMb = reader.double();
+                            break;
+                        }
+                    case 25: {
+                            message.workerAccelerators = reader.uint32();
+                            break;
+                        }
+                    case 26: {
+                            message.region = reader.string();
+                            break;
+                        }
+                    case 27: {
+                            message.failureDomain = reader.string();
+                            break;
+                        }
                     default:
                         reader.skipType(tag & 7, long);
                         break;
@@ -1473,6 +1593,22 @@
                     message.largestFreeCores = Number(object.largestFreeCores);
                 if (object.largestFreeMemoryMb != null)
                     message.largestFreeMemoryMb = Number(object.largestFreeMemoryMb);
+                if (object.capacityCores != null)
+                    message.capacityCores = Number(object.capacityCores);
+                if (object.capacityMemoryMb != null)
+                    message.capacityMemoryMb = Number(object.capacityMemoryMb);
+                if (object.capacityAccelerators != null)
+                    message.capacityAccelerators = object.capacityAccelerators >>> 0;
+                if (object.workerCores != null)
+                    message.workerCores = Number(object.workerCores);
+                if (object.workerMemoryMb != null)
+                    message.workerMemoryMb = Number(object.workerMemoryMb);
+                if (object.workerAccelerators != null)
+                    message.workerAccelerators = object.workerAccelerators >>> 0;
+                if (object.region != null)
+                    message.region = String(object.region);
+                if (object.failureDomain != null)
+                    message.failureDomain = String(object.failureDomain);
                 return message;
             };
 
@@ -1505,6 +1641,14 @@
                     object.runningTasks = 0;
                     object.largestFreeCores = 0;
                     object.largestFreeMemoryMb = 0;
+                    object.capacityCores = 0;
+                    object.capacityMemoryMb = 0;
+                    object.capacityAccelerators = 0;
+                    object.workerCores = 0;
+                    object.workerMemoryMb = 0;
+                    object.workerAccelerators = 0;
+                    object.region = "";
+                    object.failureDomain = "";
                 }
                 if (message.shardId != null && Object.hasOwnProperty.call(message, "shardId"))
                     object.shardId = message.shardId;
@@ -1529,6 +1673,22 @@
                     object.largestFreeCores = options.json && !isFinite(message.largestFreeCores) ? String(message.largestFreeCores) : message.largestFreeCores;
                 if (message.largestFreeMemoryMb != null && Object.hasOwnProperty.call(message, "largestFreeMemoryMb"))
                     object.largestFreeMemoryMb = options.json && !isFinite(message.largestFreeMemoryMb) ? String(message.largestFreeMemoryMb) : message.largestFreeMemoryMb;
+                if (message.capacityCores != null && Object.hasOwnProperty.call(message, "capacityCores"))
+                    object.capacityCores = options.json && !isFinite(message.capacityCores) ? String(message.capacityCores) : message.capacityCores;
+                if (message.capacityMemoryMb != null && Object.hasOwnProperty.call(message, "capacityMemoryMb"))
+                    object.capacityMemoryMb = options.json && !isFinite(message.capacityMemoryMb) ? String(message.capacityMemoryMb) : message.capacityMemoryMb;
+                if (message.capacityAccelerators != null && Object.hasOwnProperty.call(message, "capacityAccelerators"))
+                    object.capacityAccelerators = message.capacityAccelerators;
+                if (message.workerCores != null && Object.hasOwnProperty.call(message, "workerCores"))
+                    object.workerCores = options.json && !isFinite(message.workerCores) ? String(message.workerCores) : message.workerCores;
+                if (message.workerMemoryMb != null && Object.hasOwnProperty.call(message, "workerMemoryMb"))
+                    object.workerMemoryMb = options.json && !isFinite(message.workerMemoryMb) ? String(message.workerMemoryMb) : message.workerMemoryMb;
+                if (message.workerAccelerators != null && Object.hasOwnProperty.call(message, "workerAccelerators"))
+                    object.workerAccelerators = message.workerAccelerators;
+                if (message.region != null && Object.hasOwnProperty.call(message, "region"))
+                    object.region = message.region;
+                if (message.failureDomain != null && Object.hasOwnProperty.call(message, "failureDomain"))
+                    object.failureDomain = message.failureDomain;
                 return object;
             };
 
