--- a/packages/daemon/src/jobs/jobAdmission.ts
+++ b/packages/daemon/src/jobs/jobAdmission.ts
@@ -25,6 +25,8 @@
   readonly metrics: Metrics
   /** Undefined while no configuration is in force. */
   teamRules (): TeamRules | undefined
+  /** Fills in what the configuration gives for a job of its kind. */
+  applyDefaults (input: unknown): unknown
   shards (): readonly ShardRoom[]
   /** Tells the owner of the shard about a new part. */
   notify (shardId: string, jobId: string): void
@@ -69,7 +71,7 @@
     if (rules === undefined) {
       return Err(Failure.notRun('no-configuration', 'No configuration is in force on this daemon.', 'Apply one with "citronnotch apply <folder>".'))
     }
-    const parsed = jobSpecSchema.safeParse(input)
+    const parsed = jobSpecSchema.safeParse(this.deps.applyDefaults(input))
     if (!parsed.success) {
       const issues = parsed.error.issues.map(issue => `${issue.path.join('.') || 'job'}: ${issue.message}`)
       return Err(Failure.notRun('invalid-job', `The job is not valid: ${issues.join('; ')}.`, 'Correct the fields and submit it again.'))
--- a/packages/daemon/src/scheduler/shardScheduler.ts
+++ b/packages/daemon/src/scheduler/shardScheduler.ts
@@ -1,5 +1,5 @@
 import { parseTaskId } from '@citronnotch/protocol'
-import type { EventSubject, EventType } from '@citronnotch/protocol'
+import type { EventSubject, EventType, WorkerView } from '@citronnotch/protocol'
 import type { Clock } from '../clock.js'
 import { COMPLETION_COMMIT_MS, LEASE_DRIFT, POLL_MS } from '../constants.js'
 import type { PartRow } from '../jobs/index.js'
@@ -63,6 +63,16 @@
   requestsInFlight (address: string): number
 }
 
+/** A worker of the shard as operators see it. */
+export interface ListedWorker {
+  readonly vm: RosterWorker
+  readonly state: WorkerView['state']
+  /** Undefined until the worker has been adopted. */
+  readonly capacity: Resources | undefined
+  readonly used: Resources
+  readonly tasks: number
+}
+
 interface KnownWorker {
   readonly vm: RosterWorker
   readonly session: WorkerSession
@@ -134,7 +144,7 @@
     }
   }
 
-  listWorkers (): ReadonlyArray<{ readonly vm: RosterWorker, readonly state: string, readonly capacity: Resources | undefined, readonly used: Resources, readonly tasks: number }> {
+  listWorkers (): readonly ListedWorker[] {
     const now = this.deps.clock.now()
     return [...this.workers.values()].map(({ vm, session, leaving }) => ({
       vm,
@@ -699,7 +709,8 @@
     this.deps.endpointsChanged(endpoints)
   }
 
-  private workerName (address: string): string {
+  /** Name of the worker at an address, as the VM list gives it. */
+  workerName (address: string): string {
     return this.workers.get(address)?.vm.id ?? address
   }
 
