--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', 'packages/protocol/gen/**'] }),
+  ...neostandard({ ts: true, noStyle: true, ignores: ['**/dist/**', 'target/**', 'journal/**', 'packages/protocol/gen/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -3,7 +3,7 @@
 // Formatting rules of Standard style only; eslint.config.js holds the other rules.
 const formatRules = ([name]) => name.startsWith('@stylistic/')
 
-export default neostandard({ ts: true, ignores: ['**/dist/**', 'packages/protocol/gen/**'] })
+export default neostandard({ ts: true, ignores: ['**/dist/**', 'target/**', 'journal/**', 'packages/protocol/gen/**'] })
   .map(config => config.rules
     ? { ...config, rules: Object.fromEntries(Object.entries(config.rules).filter(formatRules)) }
     : config)
--- /dev/null
+++ b/packages/cell/src/cellDaemon.ts
@@ -0,0 +1,254 @@
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log, LogFactory } from '@citronnotch/daemon/logger'
+import { Err, Ok } from '@citronnotch/protocol'
+import { Failure } from '@citronnotch/daemon/errors'
+import type { AdviceAgent } from './advice.js'
+import { ConfigWatch } from './configWatch.js'
+import { PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { JobService } from './jobService.js'
+import type { LeaderContact } from './jobService.js'
+import { Leader } from './leader.js'
+import { LeaderLease } from './leaderLease.js'
+import { MemoryMetrics } from './metrics.js'
+import { PeerClients, PeerServer } from './peers.js'
+import type { PeerHandlers } from './peers.js'
+import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
+import type { StoreHealth } from './storeHealth.js'
+
+/** Interval between reads of the addresses of the other daemons. */
+const PEERS_POLL_MS = 2_000
+const REGISTER_RETRY_MS = 500
+/** Time that a call for advice may take on the way to another daemon and back. */
+const AGENT_WAY_MS = 200
+
+export interface CellDaemonOptions {
+  readonly name: string
+  /** `ip:port` of the listener for other daemons. */
+  readonly peerAddress: string
+  /** Longest lease that a worker grants, in milliseconds. */
+  readonly maxTaskLeaseMs: number
+  readonly statusRetentionMs: number
+  readonly store: RowStore
+  readonly storeHealth: StoreHealth
+  readonly directory: Directory
+  readonly clients: WorkerClients
+  readonly policyService: PolicyService | undefined
+  readonly clock: Clock
+  readonly logs: LogFactory
+}
+
+/** One daemon of a cell: serves callers, and leads the cell while it holds the lease. */
+export class CellDaemon {
+  readonly config: ConfigWatch
+  readonly jobs: JobService
+  readonly metrics = MemoryMetrics.create()
+
+  private readonly log: Log
+  private readonly lease: LeaderLease
+  private readonly peers = PeerClients.create()
+  private readonly stopping = new AbortController()
+  private agents: readonly AdviceAgent[] = []
+  private leader: Leader | undefined
+  private peerServer: PeerServer | undefined
+
+  private constructor (private readonly options: CellDaemonOptions) {
+    const { clock, logs, store, directory, storeHealth, peerAddress, name } = options
+    this.log = logs.for('daemon')
+    this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
+    this.lease = LeaderLease.create({
+      holder: `${name}/${randomUUID()}`,
+      peerAddress,
+      store,
+      clock,
+      log: logs.for('lease'),
+      onGained: (epoch, epochVersion) => this.lead(epoch, epochVersion),
+      onLost: () => this.stopLeading()
+    })
+    this.agents = [this.ownAgent()]
+    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderContact(), clock, log: logs.for('jobs'), metrics: this.metrics })
+  }
+
+  static create (options: CellDaemonOptions): CellDaemon {
+    return new CellDaemon(options)
+  }
+
+  /** Rejects when the peer address can't be bound. */
+  async start (): Promise<void> {
+    const { signal } = this.stopping
+    this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), this.options.logs.for('peers'))
+    this.runPart('config', this.config.run(signal))
+    this.runPart('lease', this.lease.run(signal))
+    this.runPart('peers', this.watchPeers(signal))
+    this.runPart('register', this.register(signal))
+  }
+
+  /** Whether callers are well served here. */
+  isReady (): boolean {
+    return this.config.current() !== undefined && !this.options.storeHealth.isAway()
+  }
+
+  isLeader (): boolean {
+    return this.leader !== undefined
+  }
+
+  /** Hands the leadership over, so that a successor takes over without delay. */
+  async handOver (): Promise<void> {
+    await this.lease.release()
+  }
+
+  stop (): void {
+    this.stopping.abort()
+    this.stopLeading()
+    this.peerServer?.close()
+    this.peers.close()
+  }
+
+  private runPart (part: string, run: Promise<void>) {
+    run.catch((err: unknown) => this.log.error('A part of the daemon failed.', { part, err }))
+  }
+
+  // Leadership
+
+  private lead (epoch: number, epochVersion: number) {
+    const { store, directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs } = this.options
+    this.stopLeading()
+    this.leader = Leader.create({
+      epoch,
+      epochVersion,
+      store,
+      directory,
+      clients,
+      agents: () => this.agents,
+      queue: name => this.config.queue(name),
+      mayOrder: () => this.lease.isValid(),
+      onDeposed: () => this.stopLeading(),
+      taskLeaseMs: Math.min(TASK_LEASE_MS, maxTaskLeaseMs),
+      statusRetentionMs,
+      clock,
+      logs,
+      metrics: this.metrics
+    })
+    this.runPart('leader', this.leader.run())
+  }
+
+  private stopLeading () {
+    this.leader?.stop()
+    this.leader = undefined
+  }
+
+  private leaderContact (): LeaderContact {
+    return {
+      admitted: (jobId, record, version) => {
+        if (this.leader !== undefined) this.leader.admitted(jobId, record, version)
+        else this.callLeader('admitted', { jobId, record, version })
+      },
+      cancelled: jobId => {
+        if (this.leader !== undefined) this.leader.cancelled(jobId)
+        else this.callLeader('cancelled', { jobId })
+      },
+      stateOf: async jobId => {
+        if (this.leader !== undefined) return this.leader.stateOf(jobId)
+        return (await this.callLeader('jobState', { jobId }))?.state
+      },
+      pendingOf: async queue => {
+        if (this.leader !== undefined) return this.leader.pendingOf(queue)
+        return (await this.callLeader('pending', { queue }))?.pending
+      }
+    }
+  }
+
+  private async callLeader<M extends 'admitted' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
+    const address = this.lease.leaderAddress()
+    if (address === undefined || address === this.options.peerAddress) return undefined
+    const res = await this.peers.call(address, method, req, PEER_TIMEOUT_MS)
+    if (res.ok) return res.val
+    this.metrics.count(`leader_unreachable_${method}`)
+    return undefined
+  }
+
+  // Peers
+
+  private peerHandlers (): PeerHandlers {
+    return {
+      admitted: ({ jobId, record, version }) => {
+        this.leader?.admitted(jobId, record, version)
+        return {}
+      },
+      cancelled: ({ jobId }) => {
+        this.leader?.cancelled(jobId)
+        return {}
+      },
+      jobState: ({ jobId }) => {
+        const state = this.lease.isValid() ? this.leader?.stateOf(jobId) : undefined
+        return state === undefined ? {} : { state }
+      },
+      pending: ({ queue }) => {
+        const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
+        return pending === undefined ? {} : { pending }
+      },
+      advise: async ({ step, workerIds, timeoutMs }) => {
+        const res = await this.ownAgent().approve(step, workerIds, timeoutMs)
+        return res.ok ? { approved: [...res.val] } : { reason: res.val.reason }
+      }
+    }
+  }
+
+  private ownAgent (): AdviceAgent {
+    const { policyService, name } = this.options
+    return {
+      name,
+      approve: async (step, workerIds, timeoutMs) => policyService === undefined
+        ? Err(Failure.notRun('no-policy-service', 'No placement policy service is set.'))
+        : policyService.approve(step, workerIds, timeoutMs)
+    }
+  }
+
+  private peerAgent (name: string, address: string): AdviceAgent {
+    return {
+      name,
+      approve: async (step, workerIds, timeoutMs) => {
+        const res = await this.peers.call(address, 'advise', { step, workerIds, timeoutMs }, timeoutMs + AGENT_WAY_MS)
+        if (res.err) return res
+        const { approved, reason } = res.val
+        return approved === undefined ? Err(Failure.mayHaveRun('advice-failed', reason ?? 'The daemon gave no advice.')) : Ok(new Map(approved))
+      }
+    }
+  }
+
+  /** Makes this daemon known to the others. */
+  private async register (signal: AbortSignal) {
+    const { store, name, peerAddress, clock } = this.options
+    while (!signal.aborted) {
+      const res = await store.transact({
+        partition: PARTITION,
+        expect: [],
+        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress } }],
+        removes: []
+      }, STORE_TIMEOUT_MS)
+      if (res.ok) return
+      this.log.warn('Daemon is not registered yet.', { verdict: res.val.verdict, reason: res.val.reason })
+      await clock.sleep(REGISTER_RETRY_MS, signal)
+    }
+  }
+
+  /** The leader reads which daemons can be asked for advice. */
+  private async watchPeers (signal: AbortSignal) {
+    const { store, name, clock } = this.options
+    while (!signal.aborted) {
+      if (this.leader !== undefined) {
+        const page = await store.range({ table: TABLES.daemons, partition: PARTITION }, STORE_TIMEOUT_MS)
+        if (page.ok) {
+          const others = page.val.rows.filter(({ key }) => key !== name)
+          const known = new Map(this.agents.map(agent => [agent.name, agent]))
+          this.agents = [this.ownAgent(), ...others.map(({ key, value }) => {
+            const address = String((value as { peerAddress?: unknown } | undefined)?.peerAddress ?? '')
+            const agentName = `${key} ${address}`
+            return known.get(agentName) ?? this.peerAgent(agentName, address)
+          })]
+        }
+      }
+      await clock.sleep(this.leader !== undefined && this.agents.length > 1 ? PEERS_POLL_MS : PEERS_POLL_MS / 10, signal)
+    }
+  }
+}
--- /dev/null
+++ b/packages/cell/src/configWatch.ts
@@ -0,0 +1,78 @@
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log } from '@citronnotch/daemon/logger'
+import { CONFIG_WATCH_MS } from './constants.js'
+import type { Directory } from './ports.js'
+import type { CellConfig, Queue } from './types.js'
+
+const RETRY_MS = 150
+
+export interface ConfigWatchOptions {
+  readonly directory: Directory
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/** Follows the configuration; never goes back to an older version. */
+export class ConfigWatch {
+  private config: CellConfig | undefined
+  private queuesByName: ReadonlyMap<string, Queue> = new Map()
+  private queuesByHost: ReadonlyMap<string, readonly Queue[]> = new Map()
+
+  private constructor (private readonly options: ConfigWatchOptions) {}
+
+  static create (options: ConfigWatchOptions): ConfigWatch {
+    return new ConfigWatch(options)
+  }
+
+  current (): CellConfig | undefined {
+    return this.config
+  }
+
+  queue (name: string): Queue | undefined {
+    return this.queuesByName.get(name)
+  }
+
+  /** The queue with the longest prefix that the path begins with. */
+  match (host: string, path: string): Queue | undefined {
+    return this.queuesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+  }
+
+  async run (signal: AbortSignal): Promise<void> {
+    const { directory, clock, log } = this.options
+    let version: number | undefined
+    while (!signal.aborted) {
+      if (version === undefined) {
+        const read = await directory.readConfig()
+        if (read.err) {
+          log.warn('Configuration could not be read.', { verdict: read.val.verdict, reason: read.val.reason, inForce: this.config?.version })
+          await clock.sleep(RETRY_MS, signal)
+          continue
+        }
+        this.apply(read.val.config)
+        version = read.val.version
+      }
+      const change = await directory.watchConfig(version, CONFIG_WATCH_MS)
+      // After a failed watch the row itself is read, over another connection.
+      if (change.err || change.val === 'history-lost') {
+        log.info('Configuration is read again.', { reason: change.err ? change.val.reason : 'history lost', inForce: this.config?.version })
+        version = undefined
+        await clock.sleep(change.err ? RETRY_MS : 0, signal)
+        continue
+      }
+      this.apply(change.val.config)
+      version = change.val.version
+    }
+  }
+
+  private apply (config: CellConfig | undefined) {
+    if (config === undefined || config.version <= (this.config?.version ?? -1)) return
+    this.config = config
+    // Jobs of a queue that was removed go on under its last settings.
+    this.queuesByName = new Map([...this.queuesByName, ...config.queues.map(queue => [queue.name, queue] as const)])
+    const byHost = new Map<string, Queue[]>()
+    for (const queue of config.queues) byHost.set(queue.host, [...(byHost.get(queue.host) ?? []), queue])
+    for (const queues of byHost.values()) queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    this.queuesByHost = byHost
+    this.options.log.info('Configuration in force.', { version: config.version, queues: config.queues.length })
+  }
+}
--- /dev/null
+++ b/packages/cell/src/constants.ts
@@ -0,0 +1,74 @@
+/** Partition of all rows of a cell; the store handles one partition's transactions one after another. */
+export const PARTITION = 'cell'
+
+export const TABLES = {
+  /** Live jobs: `ID`, `ID.cancel` and `ID.progress`. */
+  jobs: 'jobs',
+  /** Outcomes of ended jobs, by job id. */
+  ended: 'ended',
+  /** `lease` and `epoch` of the leader, and `roster`, the workers that may run something. */
+  leader: 'leader',
+  /** Peer addresses of the daemons. */
+  daemons: 'daemons'
+} as const
+
+/** Validity of the leader's lease from the moment its renewal was sent, in milliseconds. */
+export const LEASE_TTL_MS = 2_500
+/** Time for which a candidate must see the lease unchanged before it takes over: the TTL and 10% for clock drift. */
+export const TAKEOVER_AFTER_MS = 2_750
+export const LEASE_RENEW_MS = 700
+export const LEASE_OBSERVE_MS = 600
+/** Bound on one call that renews or reads the lease; two calls fit into the TTL. */
+export const LEASE_CALL_TIMEOUT_MS = 900
+
+/** Bound on one call to the store, in milliseconds. A slow store answers in about 300 ms. */
+export const STORE_TIMEOUT_MS = 900
+/** Pause between two reads of the changes that notifications may have missed. */
+export const CHANGES_POLL_MS = 1_000
+/** Pause that lets further changes join a transaction of the leader. */
+export const COMMIT_GAP_MS = 8
+export const COMMIT_RETRY_MS = 150
+/** Entries of one transaction that the store allows, less one for the epoch. */
+export const MAX_TRANSACTION_ENTRIES = 99
+
+/** Interval between reads of the worker registry; half of the time in which a draining worker must be left alone. */
+export const REGISTRY_POLL_MS = 700
+export const CONFIG_WATCH_MS = 1_000
+
+/** Length of the lease on everything that runs on a worker, in milliseconds, unless the worker allows less. */
+export const TASK_LEASE_MS = 5_000
+/** Rate of a worker's clock against ours at its slowest. */
+export const WORKER_CLOCK_RATE = 0.98
+/** Added to the computed end of a lease before its runs count as dead. */
+export const LAPSE_MARGIN_MS = 250
+/** Time that a worker may wait for the end of a run before it answers a hold. */
+export const HOLD_WAIT_MS = 800
+/** Shortest time between two holds, so that ends that come close together share one call. */
+export const HOLD_GAP_MS = 25
+/** Time for the answer of a worker beyond what it was told to wait. */
+export const WORKER_TIMEOUT_MS = 900
+export const WORKER_RETRY_MS = 300
+/** Pause between repetitions of a stop whose run is still listed. */
+export const STOP_RETRY_MS = 600
+/** Ends that a worker lists in one answer; a full list may leave out ends. */
+export const MAX_ENDS_LISTED = 500
+
+/** Run numbers reserved for one leader epoch, so that two leaders never use the same one. */
+export const RUNS_PER_EPOCH = 1_000
+/** Fencing tokens reserved for one leader epoch. */
+export const TOKENS_PER_EPOCH = 2 ** 20
+
+/** Bound on a call to another daemon, in milliseconds; regions are 40 ms apart and back. */
+export const PEER_TIMEOUT_MS = 400
+/** Time taken off the validity of a ticket for the ways to the leader and to the worker. */
+export const TICKET_SLACK_MS = 150
+/** Workers named in one call for advice. */
+export const MAX_ADVICE_WORKERS = 40
+/** Bound on a call for advice beyond its computed time. */
+export const ADVICE_TIMEOUT_MS = 1_500
+export const AGENT_BACKOFF_MS = 1_500
+
+/** Interval of the pass that no event triggered; bounds the delay of anything that depends on time. */
+export const IDLE_PASS_MS = 200
+/** Time for which the outcome of an ended job is kept beyond what callers are promised. */
+export const ENDED_RETENTION_SLACK_MS = 60_000
--- /dev/null
+++ b/packages/cell/src/index.ts
@@ -0,0 +1,5 @@
+export { CellDaemon } from './cellDaemon.js'
+export type { CellDaemonOptions } from './cellDaemon.js'
+export { StoreHealth } from './storeHealth.js'
+export * from './types.js'
+export type * from './ports.js'
--- /dev/null
+++ b/packages/cell/src/leader.ts
@@ -0,0 +1,447 @@
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log, LogFactory } from '@citronnotch/daemon/logger'
+import { AdviceBook } from './advice.js'
+import type { AdviceAgent } from './advice.js'
+import { CommitQueue } from './commitQueue.js'
+import {
+  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, PARTITION, REGISTRY_POLL_MS, STORE_TIMEOUT_MS,
+  TABLES, WORKER_CLOCK_RATE, WORKER_RETRY_MS
+} from './constants.js'
+import { Dispatcher } from './dispatcher.js'
+import { Job } from './jobs.js'
+import type { JobProgress, JobRecord, Run, Step } from './jobs.js'
+import type { CellMetrics } from './metrics.js'
+import type { Directory, RefusalReason, RowStore, StoredRow, WorkerClients } from './ports.js'
+import { Roster } from './roster.js'
+import { formatTaskId } from './types.js'
+import type { EndedRun, JobOutcome, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
+import { WorkerHealth } from './workerHealth.js'
+import { WorkerLink } from './workerLink.js'
+import type { LossReason, WorkerEvents } from './workerLink.js'
+
+/** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
+const STALL_MS = 2_500
+/** Pause of a step after a refused start, so that refusals don't come in a tight loop. */
+const REFUSAL_PAUSE_MS = 60
+/** Pause of a worker that said it had no room or was unhealthy. */
+const WORKER_PAUSE_MS = 500
+const PAGE_ROWS = 500
+
+export interface LeaderOptions {
+  readonly epoch: number
+  readonly epochVersion: number
+  readonly store: RowStore
+  readonly directory: Directory
+  readonly clients: WorkerClients
+  readonly agents: () => readonly AdviceAgent[]
+  readonly queue: (name: string) => Queue | undefined
+  readonly mayOrder: () => boolean
+  readonly onDeposed: () => void
+  readonly taskLeaseMs: number
+  /** Time for which the outcome of an ended job must be known, in milliseconds. */
+  readonly statusRetentionMs: number
+  readonly clock: Clock
+  readonly logs: LogFactory
+  readonly metrics: CellMetrics
+}
+
+interface RecentEnd {
+  readonly outcome: JobOutcome
+  readonly endedAt: number
+}
+
+/** One epoch of leadership: knows all live jobs, holds all workers, and decides what runs where. */
+export class Leader implements WorkerEvents {
+  private readonly jobs = new Map<string, Job>()
+  private readonly recent = new Map<string, RecentEnd>()
+  private readonly links = new Map<string, WorkerLink>()
+  private readonly commits: CommitQueue
+  private readonly advice: AdviceBook
+  private readonly dispatcher: Dispatcher
+  private readonly health: WorkerHealth
+  private readonly roster: Roster
+  private readonly log: Log
+  private readonly stopping = new AbortController()
+  private changesVersion = 0
+  private isLoaded = false
+  private isGateOpen = false
+  private passScheduled = false
+
+  private constructor (private readonly options: LeaderOptions) {
+    const { clock, logs, store, epoch, epochVersion, mayOrder, onDeposed } = options
+    this.log = logs.for('leader')
+    this.health = WorkerHealth.create(clock, this.log)
+    this.commits = CommitQueue.create({ store, epochVersion, mayOrder, onDeposed, clock, log: logs.for('commits') })
+    this.advice = AdviceBook.create({ agents: options.agents, onAnswer: () => this.schedulePass(), clock, log: logs.for('advice') })
+    this.roster = Roster.create({ store, epochVersion, log: this.log })
+    this.dispatcher = Dispatcher.create({
+      epoch,
+      workers: () => this.links.values(),
+      queue: options.queue,
+      advice: this.advice,
+      isSuspended: worker => !this.roster.has(worker.entry) || this.health.isSuspended(worker.id),
+      clock,
+      onStart: run => this.started(run)
+    })
+  }
+
+  static create (options: LeaderOptions): Leader {
+    return new Leader(options)
+  }
+
+  stop (): void {
+    this.stopping.abort()
+  }
+
+  async run (): Promise<void> {
+    const { signal } = this.stopping
+    const { clock, taskLeaseMs } = this.options
+    const gateAt = clock.now() + taskLeaseMs / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
+    await this.load(signal)
+    if (signal.aborted) return
+    await Promise.all([
+      this.commits.run(signal),
+      this.watchRegistry(signal),
+      this.watchChanges(signal),
+      this.openGate(gateAt, signal),
+      this.tick(signal)
+    ])
+  }
+
+  // Queries
+
+  /** State of a job, or undefined when this leader doesn't know it. */
+  stateOf (jobId: string): JobState | undefined {
+    const job = this.jobs.get(jobId)
+    if (job === undefined) return this.recent.get(jobId)?.outcome
+    if (job.isCancelled) return 'cancelled'
+    if (job.outcome !== undefined && job.isStored) return job.outcome
+    return job.hasStarted ? 'active' : 'queued'
+  }
+
+  /** Number of accepted jobs of a queue of which no task has started; undefined while that isn't known. */
+  pendingOf (queue: string): number | undefined {
+    if (!this.isLoaded) return undefined
+    let pending = 0
+    for (const job of this.jobs.values()) if (job.record.queue === queue && !job.hasStarted && job.outcome === undefined) pending++
+    return pending
+  }
+
+  // Commands
+
+  admitted (jobId: string, record: JobRecord, version: number): void {
+    if (!this.isLoaded || this.jobs.has(jobId) || this.recent.has(jobId)) return
+    this.jobs.set(jobId, Job.create(jobId, record, version))
+    this.schedulePass()
+  }
+
+  cancelled (jobId: string): void {
+    const job = this.jobs.get(jobId)
+    if (job === undefined || job.isCancelled) return
+    job.isCancelled = true
+    this.log.info('Job cancelled.', { job: jobId, version: job.version })
+    if (job.outcome === undefined) this.end(job, 'cancelled')
+  }
+
+  // Events of workers
+
+  async ended (link: WorkerLink, { task: id, run, end, checkpoint }: EndedRun): Promise<void> {
+    this.options.metrics.count(`runs_${end}`)
+    const job = this.jobs.get(id.jobId)
+    const task = job?.task(id)
+    this.schedulePass()
+    if (job === undefined || task === undefined) return
+    task.step.saveCheckpoint(task, checkpoint)
+    if (end !== 'done') this.log.info('Run ended.', { task: formatTaskId(id), run, worker: link.id, end })
+    if (job.outcome !== undefined) return
+    if (end === 'done') this.taskDone(link, job, task.step, task, run)
+    else if (end === 'failed') this.taskFailed(link, job, task.step, task, run)
+    await this.commits.stage(job)
+  }
+
+  lost (link: WorkerLink, run: Run, reason: LossReason): void {
+    this.log.info('Run lost.', { task: formatTaskId(run.id), run: run.number, worker: link.id, reason })
+    this.options.metrics.count('runs_lost')
+    this.abandonGang(run)
+    this.schedulePass()
+  }
+
+  refused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void {
+    const { clock, metrics } = this.options
+    metrics.count(`starts_refused_${reason}`)
+    const step = run.task?.step
+    if (step !== undefined) {
+      step.notBefore = clock.now() + REFUSAL_PAUSE_MS
+      if (reason === 'ticket-invalid') this.advice.dropTicket(step, link)
+    }
+    if (reason === 'no-room' || reason === 'unhealthy') link.notBefore = clock.now() + WORKER_PAUSE_MS
+    this.abandonGang(run)
+    this.schedulePass()
+  }
+
+  adopt (link: WorkerLink, listed: RunningTask): Run | undefined {
+    const job = this.jobs.get(listed.task.jobId)
+    const task = job?.task(listed.task)
+    if (job === undefined || task === undefined || job.outcome !== undefined || task.isDone) return undefined
+    const isCopyAllowed = task.step.spec.speculative
+    if (task.runs.length > 0 && !isCopyAllowed) return undefined
+    job.hasStarted = true
+    return link.takeOver(listed, task)
+  }
+
+  changed (): void {
+    this.schedulePass()
+  }
+
+  // Decisions
+
+  private started (run: Run) {
+    this.options.metrics.count('runs_started')
+    const ageMs = this.options.clock.date().getTime() - (run.task?.step.job.record.admittedAtMs ?? 0)
+    this.options.metrics.observe('admission_to_start_ms', ageMs)
+    this.log.debug('Run started.', { task: formatTaskId(run.id), run: run.number, worker: run.worker.id, token: run.fencingToken, ageMs })
+  }
+
+  private taskDone (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
+    this.health.done(link.id)
+    if (step.spec.longRunning || task.isDone) return
+    step.markDone(task)
+    for (const each of [...task.runs]) if (each.number !== run) each.worker.stop(each)
+    if (step.isDone()) this.advice.forget(step)
+    if (job.settle(step.occurrence)) this.end(job, 'completed')
+  }
+
+  private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
+    this.health.failed(link.id, job.id)
+    step.avoided.add(link.id)
+    const failures = step.markFailed(task, run)
+    const queue = this.options.queue(job.record.queue)
+    if (step.spec.longRunning || queue === undefined || failures < queue.maxAttempts) return
+    this.log.info('Job has failed.', { job: job.id, step: step.index, task: task.index, failures, maxAttempts: queue.maxAttempts })
+    this.end(job, 'failed')
+  }
+
+  /** A gang that lacks a member can't work: stops the others before they give up waiting. */
+  private abandonGang (run: Run) {
+    const step = run.task?.step
+    if (step === undefined || !step.spec.gang) return
+    for (const task of step.tasks) for (const each of [...task.runs]) if (each.number === run.number) each.worker.stop(each)
+  }
+
+  private end (job: Job, outcome: JobOutcome) {
+    const { clock, metrics } = this.options
+    job.outcome = outcome
+    metrics.count(`jobs_${outcome}`)
+    metrics.observe('admission_to_end_ms', clock.date().getTime() - job.record.admittedAtMs)
+    for (const run of [...job.runs()]) run.worker.stop(run)
+    for (const step of job.liveSteps()) this.advice.forget(step)
+    this.commits.stage(job).then(() => {
+      job.isStored = true
+      this.recent.set(job.id, { outcome, endedAt: clock.now() })
+      this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs })
+      this.forgetWhenEmpty(job)
+    })
+  }
+
+  private forgetWhenEmpty (job: Job) {
+    if (job.isStored && [...job.runs()].length === 0) this.jobs.delete(job.id)
+  }
+
+  private schedulePass () {
+    if (this.passScheduled || this.stopping.signal.aborted) return
+    this.passScheduled = true
+    setImmediate(() => {
+      this.passScheduled = false
+      this.pass()
+    })
+  }
+
+  private pass () {
+    if (!this.isLoaded || !this.options.mayOrder() || this.stopping.signal.aborted) return
+    const started = performance.now()
+    this.dispatcher.pass(this.dispatchable())
+    this.options.metrics.observe('pass_ms', performance.now() - started)
+  }
+
+  /** Jobs of which it is known where their tasks run. */
+  private * dispatchable (): Iterable<Job> {
+    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > this.options.epochVersion) yield job
+  }
+
+  // Loops
+
+  private async load (signal: AbortSignal) {
+    const { clock } = this.options
+    const started = clock.now()
+    while (!signal.aborted) {
+      if (await this.roster.load() && await this.scanJobs()) break
+      await clock.sleep(WORKER_RETRY_MS, signal)
+    }
+    this.isLoaded = true
+    this.log.info('State loaded.', { jobs: this.jobs.size, version: this.changesVersion, rosterWorkers: this.roster.size(), tookMs: Math.round(clock.now() - started) })
+  }
+
+  /** Reads all live jobs; returns false when the store didn't answer. */
+  private async scanJobs (): Promise<boolean> {
+    const { store } = this.options
+    const rows: StoredRow[] = []
+    let from: string | undefined
+    let version = 0
+    for (;;) {
+      const page = await store.range({ table: TABLES.jobs, partition: PARTITION, limit: PAGE_ROWS, ...(from === undefined ? {} : { from }) }, STORE_TIMEOUT_MS)
+      if (page.err) {
+        this.log.warn('Jobs could not be read.', { verdict: page.val.verdict, reason: page.val.reason })
+        return false
+      }
+      if (version === 0) version = page.val.version
+      rows.push(...page.val.rows)
+      const last = rows[rows.length - 1]
+      if (!page.val.hasMore || last === undefined) break
+      from = `${last.key}\0`
+    }
+    this.applyRows(rows)
+    this.changesVersion = version
+    return true
+  }
+
+  private applyRows (rows: readonly StoredRow[]) {
+    const byKind = (suffix: string) => rows.filter(row => !row.deleted && row.key.endsWith(suffix))
+    for (const row of rows) {
+      if (row.deleted || row.key.includes('.') || this.jobs.has(row.key) || this.recent.has(row.key)) continue
+      const record = row.value as JobRecord | undefined
+      if (record?.spec === undefined) this.log.error('Row of a job can not be read.', { job: row.key, version: row.version })
+      else this.jobs.set(row.key, Job.create(row.key, record, row.version))
+    }
+    for (const row of byKind('.progress')) {
+      const job = this.jobs.get(row.key.slice(0, -'.progress'.length))
+      if (job !== undefined && job.progressVersion === 0 && !this.isLoaded) job.restore(row.value as JobProgress, row.version)
+    }
+    for (const row of byKind('.cancel')) this.cancelled(row.key.slice(0, -'.cancel'.length))
+  }
+
+  /** Reads what notifications may have missed. */
+  private async watchChanges (signal: AbortSignal) {
+    const { clock, store } = this.options
+    while (!signal.aborted) {
+      await clock.sleep(CHANGES_POLL_MS, signal)
+      const res = await store.changes(TABLES.jobs, this.changesVersion, 0)
+      if (res.err) {
+        this.log.warn('Changes of jobs could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
+        continue
+      }
+      if (res.val.kind === 'history-lost') {
+        this.log.info('History of jobs is lost; reading all.', { version: this.changesVersion })
+        await this.scanJobs()
+      } else {
+        this.applyRows(res.val.rows)
+        this.changesVersion = Math.max(this.changesVersion, res.val.version)
+      }
+      this.schedulePass()
+    }
+  }
+
+  private async watchRegistry (signal: AbortSignal) {
+    const { clock, directory, mayOrder } = this.options
+    while (!signal.aborted) {
+      const res = await directory.listWorkers()
+      if (res.err) this.log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
+      else this.applyRegistry(res.val, signal)
+      if (mayOrder()) await this.enrol()
+      await clock.sleep(res.err ? WORKER_RETRY_MS : REGISTRY_POLL_MS, signal)
+    }
+  }
+
+  private applyRegistry (entries: readonly WorkerEntry[], signal: AbortSignal) {
+    const listed = new Map(entries.map(entry => [entry.id, entry]))
+    const byAddress = new Map(entries.map(entry => [entry.address, entry]))
+    for (const link of [...this.links.values()]) {
+      const entry = listed.get(link.id)
+      const successor = byAddress.get(link.entry.address)
+      if (entry !== undefined && entry.born === link.entry.born && !link.isDead) {
+        link.updateEntry(entry)
+        continue
+      }
+      const isReplaced = entry !== undefined ? entry.born > link.entry.born : successor !== undefined && successor.born > link.entry.born
+      if (isReplaced) link.declareDead()
+      // A worker that is missing gets no new work; what it runs stays accounted for until it has ended.
+      link.updateEntry({ ...link.entry, state: 'draining' })
+      if (link.isDead || (link.runs.size === 0 && !link.isAdopted)) this.drop(link, isReplaced ? 'replaced' : 'gone')
+    }
+    for (const entry of entries) {
+      if (this.links.has(entry.id)) continue
+      this.connect(entry, signal)
+    }
+    this.schedulePass()
+  }
+
+  private connect (entry: WorkerEntry, signal: AbortSignal) {
+    const { clients, epoch, taskLeaseMs, mayOrder, clock } = this.options
+    const link = WorkerLink.create({ entry, clients, epoch, taskLeaseMs, events: this, mayOrder, clock, log: this.log })
+    this.links.set(entry.id, link)
+    link.run(signal)
+  }
+
+  private drop (link: WorkerLink, reason: string) {
+    link.declareDead()
+    this.links.delete(link.id)
+    this.health.forget(link.id)
+    this.log.info('Worker dropped.', { worker: link.id, born: link.entry.born, reason })
+  }
+
+  /** Stores the workers that may run something before anything is started on them. */
+  private async enrol () {
+    const workers = [...this.links.values()].filter(link => !link.isDead).map(({ entry }) => entry)
+    if (await this.roster.store(workers)) this.schedulePass()
+  }
+
+  /** Lets the jobs of earlier leaders go on once it is known what every worker runs, or no old lease is left. */
+  private async openGate (gateAt: number, signal: AbortSignal) {
+    const { clock } = this.options
+    const started = clock.now()
+    while (!signal.aborted && clock.now() < gateAt && !this.isEveryWorkerKnown()) await clock.sleep(10, signal)
+    this.isGateOpen = true
+    this.log.info('Jobs of earlier epochs go on.', { tookMs: Math.round(clock.now() - started), complete: clock.now() < gateAt, jobs: this.jobs.size })
+    this.schedulePass()
+  }
+
+  private isEveryWorkerKnown (): boolean {
+    return this.roster.earlier().every(({ id, born }) => {
+      const link = this.links.get(id)
+      return link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))
+    })
+  }
+
+  private async tick (signal: AbortSignal) {
+    const { clock, metrics, statusRetentionMs } = this.options
+    while (!signal.aborted) {
+      await clock.sleep(IDLE_PASS_MS, signal)
+      const unixMs = clock.date().getTime()
+      for (const job of this.jobs.values()) {
+        job.addDueOccurrences(unixMs)
+        this.forgetWhenEmpty(job)
+      }
+      for (const [id, { endedAt }] of this.recent) {
+        if (clock.now() - endedAt < statusRetentionMs + ENDED_RETENTION_SLACK_MS) break
+        this.recent.delete(id)
+      }
+      this.stopStalled()
+      metrics.gauge('jobs_live', this.jobs.size)
+      metrics.gauge('commits_waiting', this.commits.size())
+      this.schedulePass()
+    }
+  }
+
+  private stopStalled () {
+    const now = this.options.clock.now()
+    for (const link of this.links.values()) {
+      if (!link.isAdopted) continue
+      for (const run of link.runs.values()) {
+        if (run.state !== 'running' || run.task === undefined || now - run.progressAt < STALL_MS || run.percent >= 100) continue
+        this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(now - run.progressAt) })
+        run.task.step.avoided.add(link.id)
+        this.health.stalled(link.id)
+        link.stop(run)
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/cell/src/leaderLease.ts
@@ -0,0 +1,196 @@
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log } from '@citronnotch/daemon/logger'
+import { Stopwatch } from '@citronnotch/daemon/membership/stopwatch'
+import {
+  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, PARTITION, TABLES, TAKEOVER_AFTER_MS
+} from './constants.js'
+import type { RowStore, StoredRow } from './ports.js'
+
+/** Value of the lease row. */
+interface LeaseValue {
+  /** Unique for each life of a daemon. */
+  readonly holder: string
+  readonly peerAddress: string
+  readonly epoch: number
+  readonly released: boolean
+}
+
+export interface LeaderLeaseOptions {
+  /** Unique for this life of the daemon. */
+  readonly holder: string
+  readonly peerAddress: string
+  readonly store: RowStore
+  readonly clock: Clock
+  readonly log: Log
+  readonly onGained: (epoch: number, epochVersion: number) => void
+  readonly onLost: (reason: string) => void
+}
+
+/**
+ * Lease on the leadership of the cell, kept as a row of the store. It is valid for `LEASE_TTL_MS` from the
+ * moment the last acknowledged renewal was sent. While the store is away the lease runs out and the leader
+ * pauses; if nobody else has taken the row in the meantime, the next renewal resumes the same epoch.
+ */
+export class LeaderLease {
+  private row: { readonly value: LeaseValue, readonly version: number } | undefined
+  private validity: Stopwatch | undefined
+  /** Monotonic time of the first read that found the row as it is. A step of the wall clock must not count. */
+  private unchangedSince: number | undefined
+  private epochValue = 0
+  private epochVersion = 0
+  private isLeaving = false
+
+  private constructor (private readonly options: LeaderLeaseOptions) {}
+
+  static create (options: LeaderLeaseOptions): LeaderLease {
+    return new LeaderLease(options)
+  }
+
+  /** True while this daemon may give orders. */
+  isValid (): boolean {
+    return this.validity !== undefined && this.validity.elapsedMs() < LEASE_TTL_MS
+  }
+
+  /** Peer address of the leader that was last seen. */
+  leaderAddress (): string | undefined {
+    return this.row === undefined || this.row.value.released ? undefined : this.row.value.peerAddress
+  }
+
+  async run (signal: AbortSignal): Promise<void> {
+    const { clock } = this.options
+    while (!signal.aborted) {
+      const started = clock.now()
+      if (this.validity === undefined) await this.observe()
+      else await this.renew()
+      const interval = this.validity === undefined ? LEASE_OBSERVE_MS : LEASE_RENEW_MS
+      await clock.sleep(Math.max(50, interval - (clock.now() - started)), signal)
+    }
+  }
+
+  /** Gives the lease up, so that a successor need not wait for its end. */
+  async release (): Promise<void> {
+    this.isLeaving = true
+    if (this.validity === undefined || this.row === undefined) return
+    const { store, log } = this.options
+    const value: LeaseValue = { ...this.row.value, released: true }
+    this.lose('the daemon stops')
+    const res = await store.transact({
+      partition: PARTITION,
+      expect: [{ table: TABLES.leader, key: 'lease', version: this.row.version }],
+      puts: [{ table: TABLES.leader, key: 'lease', value }],
+      removes: []
+    }, LEASE_CALL_TIMEOUT_MS)
+    if (res.err) log.warn('Lease could not be released; it runs out instead.', { reason: res.val.reason })
+  }
+
+  private async renew () {
+    const { store, clock, log, holder } = this.options
+    const row = this.row
+    if (row === undefined) return
+    const sent = Stopwatch.start(clock)
+    const res = await store.transact({
+      partition: PARTITION,
+      expect: [{ table: TABLES.leader, key: 'lease', version: row.version }],
+      puts: [{ table: TABLES.leader, key: 'lease', value: row.value }],
+      removes: []
+    }, LEASE_CALL_TIMEOUT_MS)
+    if (this.validity === undefined) return
+    if (res.err) {
+      log.warn('Lease renewal failed.', { verdict: res.val.verdict, reason: res.val.reason, validForMs: Math.round(LEASE_TTL_MS - this.validity.elapsedMs()) })
+      return
+    }
+    if (res.val.committed) {
+      if (!this.isValid()) log.info('Lease is valid again.', { epoch: row.value.epoch })
+      this.row = { value: row.value, version: res.val.version }
+      this.validity = sent
+      return
+    }
+    const current = parseLease(res.val.current.find(({ key }) => key === 'lease'))
+    if (current?.value.holder === holder && !current.value.released) {
+      // An earlier renewal whose answer was lost has taken effect.
+      this.row = current
+      return
+    }
+    this.row = current
+    this.lose(`epoch ${current?.value.epoch ?? 0} belongs to ${current?.value.holder ?? 'nobody'}`)
+  }
+
+  private async observe () {
+    const { store, clock, holder, log } = this.options
+    const res = await store.range({ table: TABLES.leader, partition: PARTITION }, LEASE_CALL_TIMEOUT_MS)
+    if (res.err) {
+      // Time in which the row could not be read says nothing about its holder.
+      this.unchangedSince = undefined
+      return
+    }
+    const row = parseLease(res.val.rows.find(({ key }) => key === 'lease'))
+    const epochRow = res.val.rows.find(({ key }) => key === 'epoch')
+    this.epochVersion = epochRow?.version ?? 0
+    this.epochValue = epochOf(epochRow)
+    if (row?.version !== this.row?.version || this.unchangedSince === undefined) {
+      if (row !== undefined && row.value.epoch !== this.row?.value.epoch) {
+        log.info('Leader seen.', { epoch: row.value.epoch, holder: row.value.holder, address: row.value.peerAddress, version: row.version })
+      }
+      this.row = row
+      this.unchangedSince = clock.now()
+    }
+    if (this.isLeaving) return
+    if (row?.value.holder === holder && !row.value.released) this.gain(row, this.epochVersion, Stopwatch.start(clock))
+    else if (row === undefined || row.value.released || clock.now() - this.unchangedSince > TAKEOVER_AFTER_MS) await this.acquire()
+  }
+
+  private async acquire () {
+    const { store, clock, holder, peerAddress, log } = this.options
+    const epoch = this.epochValue + 1
+    const value: LeaseValue = { holder, peerAddress, epoch, released: false }
+    const sent = Stopwatch.start(clock)
+    const res = await store.transact({
+      partition: PARTITION,
+      expect: [
+        { table: TABLES.leader, key: 'lease', version: this.row?.version ?? 0 },
+        { table: TABLES.leader, key: 'epoch', version: this.epochVersion }
+      ],
+      puts: [
+        { table: TABLES.leader, key: 'lease', value },
+        { table: TABLES.leader, key: 'epoch', value: { epoch } }
+      ],
+      removes: []
+    }, LEASE_CALL_TIMEOUT_MS)
+    if (res.err) log.warn('Takeover has no answer.', { epoch, verdict: res.val.verdict, reason: res.val.reason })
+    else if (res.val.committed) this.gain({ value, version: res.val.version }, res.val.version, sent)
+    else this.unchangedSince = undefined
+  }
+
+  private gain (row: { readonly value: LeaseValue, readonly version: number }, epochVersion: number, sent: Stopwatch) {
+    const previous = this.row?.value
+    this.row = row
+    this.validity = sent
+    this.options.log.info('Leadership gained.', { epoch: row.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
+    this.options.onGained(row.value.epoch, epochVersion)
+  }
+
+  private lose (reason: string) {
+    this.validity = undefined
+    this.unchangedSince = undefined
+    this.options.log.info('Leadership lost.', { reason })
+    this.options.onLost(reason)
+  }
+}
+
+function parseLease (row: StoredRow | undefined): { readonly value: LeaseValue, readonly version: number } | undefined {
+  if (row === undefined || row.deleted) return undefined
+  const value = row.value as Partial<LeaseValue> | undefined
+  return {
+    value: {
+      holder: String(value?.holder ?? ''),
+      peerAddress: String(value?.peerAddress ?? ''),
+      epoch: Number(value?.epoch ?? 0),
+      released: value?.released === true
+    },
+    version: row.version
+  }
+}
+
+function epochOf (row: StoredRow | undefined): number {
+  return Number((row?.value as { epoch?: unknown } | undefined)?.epoch ?? 0)
+}
--- /dev/null
+++ b/packages/cell/src/metrics.ts
@@ -0,0 +1,57 @@
+import { build } from 'hdr-histogram-js'
+import type { Histogram } from 'hdr-histogram-js'
+
+/** Counters, gauges and latency histograms of one process. */
+export interface CellMetrics {
+  count (name: string, value?: number): void
+  gauge (name: string, value: number): void
+  /** Records a duration in milliseconds. */
+  observe (name: string, ms: number): void
+}
+
+const PREFIX = 'citronnotch_'
+const PERCENTILES = [50, 90, 99, 100] as const
+
+/** Metrics kept in memory and rendered as text, one `name value` a line. */
+export class MemoryMetrics implements CellMetrics {
+  private readonly counters = new Map<string, number>()
+  private readonly gauges = new Map<string, number>()
+  private readonly histograms = new Map<string, Histogram>()
+
+  private constructor () {}
+
+  static create (): MemoryMetrics {
+    return new MemoryMetrics()
+  }
+
+  count (name: string, value = 1): void {
+    this.counters.set(name, (this.counters.get(name) ?? 0) + value)
+  }
+
+  gauge (name: string, value: number): void {
+    this.gauges.set(name, value)
+  }
+
+  observe (name: string, ms: number): void {
+    let histogram = this.histograms.get(name)
+    if (histogram === undefined) {
+      histogram = build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2, highestTrackableValue: 600_000 })
+      this.histograms.set(name, histogram)
+    }
+    histogram.recordValue(Math.min(600_000, Math.max(0, Math.round(ms))))
+  }
+
+  render (): string {
+    const lines: string[] = []
+    for (const [name, value] of [...this.counters, ...this.gauges]) lines.push(`${PREFIX}${clean(name)} ${value}`)
+    for (const [name, histogram] of this.histograms) {
+      lines.push(`${PREFIX}${clean(name)}_count ${histogram.totalCount}`)
+      for (const p of PERCENTILES) lines.push(`${PREFIX}${clean(name)}{quantile="${p / 100}"} ${histogram.getValueAtPercentile(p)}`)
+    }
+    return `${lines.join('\n')}\n`
+  }
+}
+
+function clean (name: string): string {
+  return name.replace(/[^a-zA-Z0-9_]/g, '_')
+}
--- /dev/null
+++ b/packages/cell/src/peers.ts
@@ -0,0 +1,122 @@
+import { Client, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
+import type { MethodDefinition, ServiceDefinition, UntypedServiceImplementation, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
+import { Failure } from '@citronnotch/daemon/errors'
+import type { Log } from '@citronnotch/daemon/logger'
+import { Err, Ok } from '@citronnotch/protocol'
+import type { Result } from '@citronnotch/protocol'
+import type { JobRecord } from './jobs.js'
+import type { JobState } from './types.js'
+
+/** Requests and answers between daemons, by method. */
+export interface PeerMethods {
+  /** A daemon has stored a job; the leader need not wait for its next read. */
+  admitted: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly version: number }, readonly res: Record<string, never> }
+  cancelled: { readonly req: { readonly jobId: string }, readonly res: Record<string, never> }
+  /** State as the leader knows it; missing when it doesn't know the job or doesn't lead. */
+  jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
+  pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
+  /** Asks the placement policy service on behalf of the leader; answers with pairs of worker id and ticket. */
+  advise: {
+    readonly req: { readonly step: string, readonly workerIds: readonly string[], readonly timeoutMs: number }
+    readonly res: { readonly approved?: ReadonlyArray<readonly [string, string]>, readonly reason?: string }
+  }
+}
+
+export type PeerMethod = keyof PeerMethods
+export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
+
+const METHODS: readonly PeerMethod[] = ['admitted', 'cancelled', 'jobState', 'pending', 'advise']
+const MAX_MESSAGE_BYTES = 1024 * 1024
+/** A connection that answers no ping within two of these is given up. */
+const KEEPALIVE_MS = 1_000
+
+const encode = (value: unknown) => Buffer.from(JSON.stringify(value))
+const decode = (data: Buffer): unknown => JSON.parse(data.toString('utf8'))
+
+const service: ServiceDefinition = Object.fromEntries(METHODS.map((name): [string, MethodDefinition<unknown, unknown>] => [name, {
+  path: `/citronnotch.Cell/${name}`,
+  requestStream: false,
+  responseStream: false,
+  requestSerialize: encode,
+  requestDeserialize: decode,
+  responseSerialize: encode,
+  responseDeserialize: decode
+}]))
+
+/** gRPC listener for the other daemons. */
+export class PeerServer {
+  private constructor (private readonly server: Server) {}
+
+  /** Rejects when the address can't be bound. */
+  static async create (listen: string, handlers: PeerHandlers, log: Log): Promise<PeerServer> {
+    const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES })
+    const implementation: UntypedServiceImplementation = Object.fromEntries(METHODS.map(name => [name, unary(name, handlers[name] as Handler, log)]))
+    server.addService(service, implementation)
+    await new Promise<void>((resolve, reject) => {
+      server.bindAsync(listen, ServerCredentials.createInsecure(), err => err ? reject(err) : resolve())
+    })
+    return new PeerServer(server)
+  }
+
+  close (): void {
+    this.server.forceShutdown()
+  }
+}
+
+type Handler = (req: unknown) => unknown
+
+function unary (name: string, handle: Handler, log: Log) {
+  return async (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<unknown>) => {
+    try {
+      callback(null, await handle(call.request))
+    } catch (err) {
+      log.error('Peer request failed.', { method: name, err })
+      callback({ code: status.INTERNAL, details: `${name} failed` })
+    }
+  }
+}
+
+/** Clients of the other daemons, one connection each. */
+export class PeerClients {
+  private readonly clients = new Map<string, Client>()
+
+  private constructor () {}
+
+  static create (): PeerClients {
+    return new PeerClients()
+  }
+
+  call<M extends PeerMethod> (address: string, method: M, req: PeerMethods[M]['req'], timeoutMs: number): Promise<Result<PeerMethods[M]['res'], Failure>> {
+    const definition = service[method]
+    if (definition === undefined) throw new Error(`peer method ${method} is not defined`)
+    return new Promise(resolve => {
+      this.client(address).makeUnaryRequest<PeerMethods[M]['req'], PeerMethods[M]['res']>(
+        definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, { deadline: Date.now() + timeoutMs },
+        (err, res) => {
+          if (err === null && res !== undefined) resolve(Ok(res))
+          else resolve(Err(Failure.mayHaveRun('peer-unreachable', `Daemon at ${address} did not answer: ${err?.details ?? 'no response'}.`)))
+        })
+    })
+  }
+
+  close (): void {
+    for (const client of this.clients.values()) client.close()
+  }
+
+  private client (address: string): Client {
+    let client = this.clients.get(address)
+    if (client === undefined) {
+      client = new Client(address, credentials.createInsecure(), {
+        'grpc.keepalive_time_ms': KEEPALIVE_MS,
+        'grpc.keepalive_timeout_ms': KEEPALIVE_MS,
+        'grpc.initial_reconnect_backoff_ms': 200,
+        'grpc.max_reconnect_backoff_ms': 1_000,
+        'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+        'grpc.enable_http_proxy': 0,
+        'grpc.service_config_disable_resolution': 1
+      })
+      this.clients.set(address, client)
+    }
+    return client
+  }
+}
--- /dev/null
+++ b/packages/cell/src/resources.ts
@@ -0,0 +1,28 @@
+import type { ResourceVector } from './types.js'
+
+export const NOTHING: ResourceVector = { milliCores: 0, memoryMb: 0, accelerators: 0 }
+
+export function add (a: ResourceVector, b: ResourceVector): ResourceVector {
+  return { milliCores: a.milliCores + b.milliCores, memoryMb: a.memoryMb + b.memoryMb, accelerators: a.accelerators + b.accelerators }
+}
+
+export function subtract (a: ResourceVector, b: ResourceVector): ResourceVector {
+  return { milliCores: a.milliCores - b.milliCores, memoryMb: a.memoryMb - b.memoryMb, accelerators: a.accelerators - b.accelerators }
+}
+
+export function fits (need: ResourceVector, free: ResourceVector): boolean {
+  return need.milliCores <= free.milliCores && need.memoryMb <= free.memoryMb && need.accelerators <= free.accelerators
+}
+
+/** Number of tasks of one size that fit. */
+export function timesThatFit (need: ResourceVector, free: ResourceVector): number {
+  return Math.max(0, Math.min(
+    quotient(free.milliCores, need.milliCores),
+    quotient(free.memoryMb, need.memoryMb),
+    quotient(free.accelerators, need.accelerators)
+  ))
+}
+
+function quotient (free: number, need: number): number {
+  return need === 0 ? Infinity : Math.floor(free / need)
+}
--- /dev/null
+++ b/packages/cell/src/roster.ts
@@ -0,0 +1,85 @@
+import type { Log } from '@citronnotch/daemon/logger'
+import { PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import type { RowStore } from './ports.js'
+import type { WorkerEntry } from './types.js'
+
+interface Member {
+  readonly id: string
+  readonly born: number
+}
+
+export interface RosterOptions {
+  readonly store: RowStore
+  readonly epochVersion: number
+  readonly log: Log
+}
+
+/**
+ * The workers that may run something, as a row of the store. A successor must know what each of them runs, or
+ * wait until its lease has ended, before it starts a task that an earlier leader may have started.
+ */
+export class Roster {
+  private stored: readonly Member[] = []
+  private earlierMembers: readonly Member[] = []
+  private version = 0
+
+  private constructor (private readonly options: RosterOptions) {}
+
+  static create (options: RosterOptions): Roster {
+    return new Roster(options)
+  }
+
+  has ({ id, born }: Member): boolean {
+    return this.stored.some(member => member.id === id && member.born === born)
+  }
+
+  /** Members that earlier leaders stored. */
+  earlier (): readonly Member[] {
+    return this.earlierMembers
+  }
+
+  size (): number {
+    return this.stored.length
+  }
+
+  /** Reads the row; returns false when the store didn't answer. */
+  async load (): Promise<boolean> {
+    const { store, log } = this.options
+    const res = await store.range({ table: TABLES.leader, partition: PARTITION, from: 'roster', limit: 1 }, STORE_TIMEOUT_MS)
+    if (res.err) {
+      log.warn('Roster could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
+      return false
+    }
+    const row = res.val.rows.find(({ key }) => key === 'roster')
+    this.version = row?.version ?? 0
+    this.earlierMembers = (row?.value as { workers?: readonly Member[] } | undefined)?.workers ?? []
+    this.stored = this.earlierMembers
+    return true
+  }
+
+  /** Stores the workers if they differ. Returns whether the row has changed. */
+  async store (workers: readonly WorkerEntry[]): Promise<boolean> {
+    const members = workers.map(({ id, born }) => ({ id, born }))
+    if (members.length === this.stored.length && members.every(member => this.has(member))) return false
+    const { store, epochVersion, log } = this.options
+    const res = await store.transact({
+      partition: PARTITION,
+      expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, { table: TABLES.leader, key: 'roster', version: this.version }],
+      puts: [{ table: TABLES.leader, key: 'roster', value: { workers: members } }],
+      removes: []
+    }, STORE_TIMEOUT_MS)
+    if (res.err) {
+      log.warn('Roster is not stored yet.', { workers: members.length, verdict: res.val.verdict, reason: res.val.reason })
+      return false
+    }
+    if (!res.val.committed) {
+      // An earlier write whose answer was lost has taken effect.
+      this.version = res.val.current.find(({ key }) => key === 'roster')?.version ?? 0
+      return false
+    }
+    this.version = res.val.version
+    this.stored = members
+    log.info('Roster stored.', { workers: members.length, version: this.version })
+    return true
+  }
+}
--- /dev/null
+++ b/packages/cell/src/storeHealth.ts
@@ -0,0 +1,35 @@
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log } from '@citronnotch/daemon/logger'
+
+/** Failed calls in a row after which the store counts as away. */
+const FAILURES_TO_AWAY = 2
+
+/** Whether the store answers this daemon, from the outcome of every call. */
+export class StoreHealth {
+  private failures = 0
+  private awaySince: number | undefined
+
+  private constructor (private readonly clock: Clock, private readonly log: Log) {}
+
+  static create (clock: Clock, log: Log): StoreHealth {
+    return new StoreHealth(clock, log)
+  }
+
+  isAway (): boolean {
+    return this.awaySince !== undefined
+  }
+
+  succeeded (): void {
+    this.failures = 0
+    if (this.awaySince === undefined) return
+    this.log.info('Store regained.', { awayMs: Math.round(this.clock.now() - this.awaySince) })
+    this.awaySince = undefined
+  }
+
+  failed (reason: string): void {
+    this.failures++
+    if (this.failures < FAILURES_TO_AWAY || this.awaySince !== undefined) return
+    this.awaySince = this.clock.now()
+    this.log.warn('Store lost.', { reason, failures: this.failures })
+  }
+}
--- /dev/null
+++ b/packages/cell/src/workerLink.ts
@@ -0,0 +1,336 @@
+import type { Clock } from '@citronnotch/daemon/clock'
+import type { Log } from '@citronnotch/daemon/logger'
+import {
+  HOLD_GAP_MS, HOLD_WAIT_MS, LAPSE_MARGIN_MS, MAX_ENDS_LISTED, STOP_RETRY_MS, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE,
+  WORKER_RETRY_MS, WORKER_TIMEOUT_MS
+} from './constants.js'
+import type { Run, Task } from './jobs.js'
+import { Run as TaskRun } from './jobs.js'
+import type { RefusalReason, WorkerClient, WorkerClients } from './ports.js'
+import { NOTHING, add, subtract } from './resources.js'
+import { formatTaskId } from './types.js'
+import type { EndedRun, ResourceVector, RunningTask, TaskId, WorkerEntry, WorkerReport } from './types.js'
+
+/** Why a run that has no listed end is known not to be running. */
+export type LossReason = 'worker-restarted' | 'lease-lapsed' | 'not-listed' | 'not-started'
+
+/** What a link tells the leader. */
+export interface WorkerEvents {
+  /** The worker lists an end. Resolves when it is stored and may be acknowledged. */
+  ended (link: WorkerLink, end: EndedRun): Promise<void>
+  /** A run is known not to be running, without an end listed. */
+  lost (link: WorkerLink, run: Run, reason: LossReason): void
+  /** The worker refused a start, or the start never left. */
+  refused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void
+  /** The worker lists a run that this leader didn't start. Returns the run if it is wanted. */
+  adopt (link: WorkerLink, listed: RunningTask): Run | undefined
+  /** Room, reachability or progress has changed. */
+  changed (link: WorkerLink): void
+}
+
+export interface WorkerLinkOptions {
+  readonly entry: WorkerEntry
+  readonly clients: WorkerClients
+  readonly epoch: number
+  /** Length of the lease on everything that runs there, in milliseconds. */
+  readonly taskLeaseMs: number
+  readonly events: WorkerEvents
+  /** True while this daemon may give orders. */
+  readonly mayOrder: () => boolean
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/**
+ * The leader's authority over one life of a worker: adopts it with a fencing token, extends the lease on what
+ * runs there, starts and stops runs, and keeps account of the room that they take.
+ *
+ * A command without an answer can be executed seconds later. After one the link raises its fencing token and
+ * holds the worker again: what the worker lists then is final, since the lost command can't take effect any more.
+ */
+export class WorkerLink {
+  readonly id: string
+  readonly runs = new Map<string, Run>()
+  /** True once the worker has answered a hold under the current token. */
+  isAdopted = false
+  /** True when this life of the worker is known to be over. */
+  isDead = false
+  /** Monotonic time before which nothing is started here, after refusals. */
+  notBefore = 0
+
+  private used: ResourceVector = NOTHING
+  private unsizedRuns = 0
+  private token: number
+  private acknowledged = 0
+  private clockMs = -1
+  private clockReadAt = 0
+  /** Monotonic time at which every lease sent so far has ended. */
+  private lapsesAt = 0
+  private readonly client: WorkerClient
+
+  private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
+    this.id = entry.id
+    this.token = options.epoch * TOKENS_PER_EPOCH + 1
+    this.client = options.clients.create(entry)
+  }
+
+  static create (options: WorkerLinkOptions): WorkerLink {
+    return new WorkerLink(options.entry, options)
+  }
+
+  free (): ResourceVector {
+    return this.unsizedRuns > 0 ? NOTHING : subtract(this.entry.capacity, this.used)
+  }
+
+  usedNow (): ResourceVector {
+    return this.used
+  }
+
+  /** Whether a run can be started here now. */
+  canStart (): boolean {
+    return this.isAdopted && !this.isDead && this.entry.state === 'ready' && this.unsizedRuns === 0 &&
+      this.options.clock.now() >= this.notBefore
+  }
+
+  updateEntry (entry: WorkerEntry): void {
+    this.entry = entry
+  }
+
+  /** Holds the worker until the signal aborts or this life of the worker is over. */
+  async run (signal: AbortSignal): Promise<void> {
+    const { clock, mayOrder } = this.options
+    while (!signal.aborted && !this.isDead) {
+      if (!mayOrder()) {
+        await clock.sleep(HOLD_GAP_MS, signal)
+        continue
+      }
+      const started = clock.now()
+      const stored = await this.hold(this.isAdopted ? HOLD_WAIT_MS : 0)
+      if (stored === undefined) await clock.sleep(WORKER_RETRY_MS, signal)
+      else await Promise.race([stored, clock.sleep(HOLD_WAIT_MS, signal)])
+      await clock.sleep(Math.max(0, HOLD_GAP_MS - (clock.now() - started)), signal)
+    }
+    await this.client.close()
+  }
+
+  /** Ends the link because another life of the worker has begun: nothing of this one runs any more. */
+  declareDead (): void {
+    if (this.isDead) return
+    this.isDead = true
+    this.isAdopted = false
+    this.loseAll('worker-restarted')
+  }
+
+  /** Takes room for a run and tells the worker to start it. */
+  start (task: Task, number: number, payload: string, ticket: string): Run {
+    const { clock } = this.options
+    const run = TaskRun.create({ id: task.id(), number, worker: this, task, fencingToken: this.token, startedAt: clock.now() })
+    task.runs.push(run)
+    task.lastRun = Math.max(task.lastRun, number)
+    this.addRun(run)
+    this.sendStart(run, payload, ticket)
+    return run
+  }
+
+  /** Adds a run that the worker lists and that an earlier leader started. */
+  takeOver (listed: RunningTask, task: Task | undefined): Run {
+    const run = TaskRun.create({
+      id: listed.task, number: listed.run, worker: this, task, fencingToken: this.token, startedAt: this.options.clock.now()
+    })
+    run.state = 'running'
+    run.listed = true
+    run.percent = listed.percent
+    run.checkpoint = listed.checkpoint
+    run.confirmedAtMs = -1
+    if (task !== undefined) {
+      task.runs.push(run)
+      task.lastRun = Math.max(task.lastRun, listed.run)
+    }
+    this.addRun(run)
+    return run
+  }
+
+  /** Stops a run and repeats the order until the run is no longer listed. */
+  stop (run: Run): void {
+    if (run.state === 'stopping') return
+    run.state = 'stopping'
+    this.sendStop(run)
+  }
+
+  private async sendStart (run: Run, payload: string, ticket: string) {
+    const { log, events } = this.options
+    const leaseUntilMs = this.nextLease()
+    const res = await this.client.start({
+      task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
+    }, WORKER_TIMEOUT_MS)
+    if (!this.runs.has(keyOf(run.id, run.number))) return
+    if (res.ok && res.val.accepted) {
+      run.confirmedAtMs = res.val.clockMs
+      if (run.state === 'starting') run.state = 'running'
+      return
+    }
+    if (res.err && res.val.verdict !== 'not-run') {
+      log.warn('Start has no answer.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason: res.val.reason })
+      this.distrust()
+      return
+    }
+    const reason = res.ok && !res.val.accepted ? res.val.reason : 'unreachable'
+    log.info('Start refused.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason })
+    this.removeRun(run)
+    if (reason === 'unreachable' || reason === 'other-life') this.distrust()
+    events.refused(this, run, reason)
+  }
+
+  private async sendStop (run: Run) {
+    const { clock, mayOrder, log } = this.options
+    while (this.runs.has(keyOf(run.id, run.number)) && !this.isDead) {
+      if (mayOrder()) {
+        const res = await this.client.stop({ task: run.id, run: run.number, fencingToken: this.token }, WORKER_TIMEOUT_MS)
+        if (res.err) log.debug('Stop failed.', { task: formatTaskId(run.id), run: run.number, worker: this.id, verdict: res.val.verdict, reason: res.val.reason })
+      }
+      await clock.sleep(STOP_RETRY_MS)
+    }
+  }
+
+  /** Raises the token, so that commands without an answer can't take effect, and holds the worker at once. */
+  private distrust () {
+    if (this.isDead) return
+    this.token++
+    this.isAdopted = false
+    this.options.events.changed(this)
+    if (this.options.mayOrder()) this.hold(0)
+  }
+
+  /** Returns undefined when the worker can't be held, else what resolves once its ends are stored. */
+  private async hold (waitMs: number): Promise<Promise<unknown> | undefined> {
+    const { clock, log, events } = this.options
+    const token = this.token
+    // A worker that doesn't answer gets no longer lease, so that it lapses at a known time.
+    const leaseUntilMs = this.isAdopted ? this.nextLease() : undefined
+    const res = await this.client.hold({ fencingToken: token, acknowledged: this.acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) }, waitMs + WORKER_TIMEOUT_MS)
+    if (this.isDead) return undefined
+    if (res.ok && res.val.accepted) return this.apply(res.val.report, token)
+    const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
+    if (res.ok && !res.val.accepted && res.val.reason === 'other-life') this.declareDead()
+    if (this.isAdopted) {
+      log.warn('Worker lost.', { worker: this.id, address: this.entry.address, token, reason, runs: this.runs.size, lapsesInMs: Math.round(this.lapsesAt - clock.now()) })
+      this.isAdopted = false
+      events.changed(this)
+    }
+    if (this.runs.size > 0 && clock.now() > this.lapsesAt) this.loseAll('lease-lapsed')
+    return undefined
+  }
+
+  private apply (report: WorkerReport, token: number): Promise<unknown> {
+    const { clock, log, events } = this.options
+    if (report.born !== this.entry.born) {
+      log.info('Worker has restarted.', { worker: this.id, born: report.born, knownBorn: this.entry.born, runs: this.runs.size })
+      this.declareDead()
+      events.changed(this)
+      return Promise.resolve()
+    }
+    // Answers on different connections may overtake each other.
+    const isNewest = report.clockMs >= this.clockMs
+    if (isNewest) {
+      this.clockMs = report.clockMs
+      this.clockReadAt = clock.now()
+    }
+    const stored = this.applyEnds(report)
+    if (isNewest) this.applyRunning(report, token)
+    if (!this.isAdopted && token === this.token) {
+      this.isAdopted = true
+      log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
+    }
+    events.changed(this)
+    return stored
+  }
+
+  private applyEnds (report: WorkerReport): Promise<unknown> {
+    const { events } = this.options
+    const fresh = report.ended.filter(end => end.sequence > this.acknowledged)
+    if (fresh.length === 0) return Promise.resolve()
+    const stored = fresh.map(end => {
+      const run = this.runs.get(keyOf(end.task, end.run))
+      if (run !== undefined) this.removeRun(run)
+      return events.ended(this, end)
+    })
+    const last = Math.max(...fresh.map(end => end.sequence))
+    return Promise.all(stored).then(() => { this.acknowledged = Math.max(this.acknowledged, last) })
+  }
+
+  private applyRunning (report: WorkerReport, token: number) {
+    const { clock, events } = this.options
+    const listed = new Set<string>()
+    for (const each of report.running) {
+      const key = keyOf(each.task, each.run)
+      listed.add(key)
+      const run = this.runs.get(key) ?? this.adoptListed(each)
+      run.listed = true
+      if (each.checkpoint !== '') run.checkpoint = each.checkpoint
+      if (each.percent > run.percent) {
+        run.percent = each.percent
+        run.progressAt = clock.now()
+      }
+      if (run.state === 'starting') run.state = 'running'
+      run.confirmedAtMs ??= report.clockMs
+    }
+    if (report.ended.length >= MAX_ENDS_LISTED) return
+    for (const [key, run] of [...this.runs]) {
+      if (listed.has(key)) continue
+      const wasConfirmed = run.confirmedAtMs !== undefined && report.clockMs > run.confirmedAtMs
+      const cannotStart = run.confirmedAtMs === undefined && run.fencingToken < token
+      if (!wasConfirmed && !cannotStart) continue
+      this.removeRun(run)
+      events.lost(this, run, wasConfirmed ? 'not-listed' : 'not-started')
+    }
+  }
+
+  private adoptListed (listed: RunningTask): Run {
+    const run = this.options.events.adopt(this, listed)
+    if (run !== undefined) return run
+    const { log } = this.options
+    log.info('Run is not wanted.', { task: formatTaskId(listed.task), run: listed.run, worker: this.id })
+    const stray = this.takeOver(listed, undefined)
+    this.stop(stray)
+    return stray
+  }
+
+  /** End of the next lease, on the worker's clock; never later than its true time allows. */
+  private nextLease (): number {
+    const { clock, taskLeaseMs } = this.options
+    const elapsed = Math.floor((clock.now() - this.clockReadAt) * WORKER_CLOCK_RATE)
+    const leaseUntilMs = this.clockMs + elapsed + taskLeaseMs
+    const longest = this.clockReadAt + (leaseUntilMs - this.clockMs) / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
+    this.lapsesAt = Math.max(this.lapsesAt, longest)
+    return leaseUntilMs
+  }
+
+  private loseAll (reason: LossReason) {
+    for (const run of [...this.runs.values()]) {
+      this.removeRun(run)
+      this.options.events.lost(this, run, reason)
+    }
+  }
+
+  private addRun (run: Run) {
+    this.runs.set(keyOf(run.id, run.number), run)
+    const need = run.need()
+    if (need === undefined) this.unsizedRuns++
+    else this.used = add(this.used, need)
+  }
+
+  private removeRun (run: Run) {
+    if (!this.runs.delete(keyOf(run.id, run.number))) return
+    const need = run.need()
+    if (need === undefined) this.unsizedRuns--
+    else this.used = subtract(this.used, need)
+    const { task } = run
+    if (task === undefined) return
+    task.step.saveCheckpoint(task, run.checkpoint)
+    task.runs.splice(task.runs.indexOf(run), 1)
+  }
+}
+
+function keyOf (task: TaskId, run: number): string {
+  return `${formatTaskId(task)}#${run}`
+}
--- a/packages/daemon/src/platform/httpClient.ts
+++ b/packages/daemon/src/platform/httpClient.ts
@@ -1,5 +1,4 @@
 import { Pool } from 'undici'
-import type { z } from 'zod'
 import { Err, Ok } from '@citronnotch/protocol'
 import type { Result } from '@citronnotch/protocol'
 import type { Clock } from '../clock.js'
@@ -24,6 +23,11 @@
   readonly path: string
   readonly headers?: Readonly<Record<string, string>>
   readonly body?: Buffer
+  /**
+   * Time without a complete answer after which this call counts as lost.
+   * @default the client's `timeoutMs`
+   */
+  readonly timeoutMs?: number
 }
 
 export interface HttpAnswer {
@@ -32,6 +36,15 @@
   readonly body: Buffer
 }
 
+/** What checks the body of an answer, such as a schema of zod. */
+export interface AnswerSchema<T> {
+  safeParse (body: unknown): { readonly success: true, readonly data: T } | { readonly success: false, readonly error: SchemaError }
+}
+
+interface SchemaError {
+  readonly issues: ReadonlyArray<{ readonly path: readonly PropertyKey[], readonly message: string }>
+}
+
 /** Bounds the memory that one answer can take. */
 const MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -84,7 +97,7 @@
   }
 
   /** Checks the JSON body of an answer against a schema. */
-  parse<T> (answer: HttpAnswer, schema: z.ZodType<T>): Result<T, Failure> {
+  parse<T> (answer: HttpAnswer, schema: AnswerSchema<T>): Result<T, Failure> {
     let json: unknown
     try {
       json = JSON.parse(answer.body.toString('utf8'))
@@ -108,7 +121,8 @@
   }
 
   private exchange (req: HttpRequest): Promise<Result<HttpAnswer, Failure>> {
-    const { clock, timeoutMs, codePrefix, serverName } = this.options
+    const { clock, codePrefix, serverName } = this.options
+    const timeoutMs = req.timeoutMs ?? this.options.timeoutMs
     return new Promise(resolve => {
       const timer = new AbortController()
       let abort: ((err: Error) => void) | undefined
