--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -9,6 +9,13 @@
 import type { AdvicePolicy } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
+/** Expected time of the calls at one agent up to which it gets another; hides the way to the agent. */
+const MAX_PENDING_MS = 60
+/** A call longer than this is long. */
+const LONG_CALL_MS = 100
+/** Part of the agents that may carry long calls at the same time, so that short ones find a free agent. */
+const LONG_CALL_SHARE = 0.6
+
 /** A daemon that calls the placement policy service, which serves one call at a time for each VM. */
 export interface AdviceAgent {
   readonly name: string
@@ -41,6 +48,7 @@
 interface AgentLoad {
   /** Expected time of the calls that wait at the agent, in milliseconds. */
   pendingMs: number
+  hasLongCall: boolean
   /** Monotonic time before which the agent isn't asked, after a failure. */
   notBefore: number
 }
@@ -69,19 +77,27 @@
     return advice !== undefined && advice.asked.has(worker.id) && !advice.tickets.has(worker.id)
   }
 
+  /** Whether the service has answered about the step before. */
+  isAsked (step: Step): boolean {
+    return (this.steps.get(step)?.asked.size ?? 0) > 0
+  }
+
   isPending (step: Step): boolean {
     return this.steps.get(step)?.isPending === true
   }
 
-  /** Asks about the workers without a ticket that were not refused, unless a call is under way. */
+  /** Asks about the workers that were not refused, unless a call for the step is under way or all agents are busy. */
   request (step: Step, policy: AdvicePolicy, workers: readonly WorkerLink[]): void {
     const advice = this.steps.get(step) ?? { tickets: new Map<string, Ticket>(), asked: new Set<string>(), isPending: false }
-    this.steps.set(step, advice)
     if (advice.isPending) return
     const named = workers.filter(worker => !this.isRefused(step, worker)).slice(0, MAX_ADVICE_WORKERS)
     if (named.length === 0) return
+    const costMs = policy.decisionMs + policy.perWorkerMs * named.length
+    const agent = this.pickAgent(costMs > LONG_CALL_MS)
+    if (agent === undefined) return
+    this.steps.set(step, advice)
     advice.isPending = true
-    this.ask(step, policy, named, advice).finally(() => {
+    this.ask(step, policy, named, advice, agent, costMs).finally(() => {
       advice.isPending = false
       this.options.onAnswer()
     })
@@ -97,17 +113,17 @@
     this.steps.delete(step)
   }
 
-  private async ask (step: Step, policy: AdvicePolicy, named: readonly WorkerLink[], advice: StepAdvice) {
+  private async ask (step: Step, policy: AdvicePolicy, named: readonly WorkerLink[], advice: StepAdvice, agent: AdviceAgent, costMs: number) {
     const { clock, log } = this.options
-    const agent = this.pickAgent()
-    if (agent === undefined) return
-    const costMs = policy.decisionMs + policy.perWorkerMs * named.length
     const load = this.loadOf(agent)
     load.pendingMs += costMs
+    const isLong = costMs > LONG_CALL_MS
+    if (isLong) load.hasLongCall = true
     const name = formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index })
     const sentAt = clock.now()
     const res = await agent.approve(name, named.map(({ id }) => id), load.pendingMs + ADVICE_TIMEOUT_MS)
     load.pendingMs = Math.max(0, load.pendingMs - costMs)
+    if (isLong) load.hasLongCall = false
     const now = clock.now()
     if (res.err) {
       load.notBefore = now + AGENT_BACKOFF_MS
@@ -123,17 +139,22 @@
     log.debug('Advice received.', { step: name, agent: agent.name, workers: named.length, approved: res.val.size, tookMs: Math.round(now - sentAt) })
   }
 
-  private pickAgent (): AdviceAgent | undefined {
+  /** The agent with the least to do, undefined when all that may take the call are busy. */
+  private pickAgent (isLong: boolean): AdviceAgent | undefined {
     const agents = this.options.agents()
     const now = this.options.clock.now()
     const usable = agents.filter(agent => this.loadOf(agent).notBefore <= now)
-    const candidates = usable.length > 0 ? usable : agents
-    return candidates.reduce<AdviceAgent | undefined>((best, agent) =>
+    if (isLong) {
+      const long = usable.filter(agent => this.loadOf(agent).hasLongCall).length
+      if (long >= Math.max(1, Math.floor(usable.length * LONG_CALL_SHARE))) return undefined
+    }
+    const least = usable.reduce<AdviceAgent | undefined>((best, agent) =>
       best === undefined || this.loadOf(agent).pendingMs < this.loadOf(best).pendingMs ? agent : best, undefined)
+    return least !== undefined && this.loadOf(least).pendingMs <= MAX_PENDING_MS ? least : undefined
   }
 
   private loadOf (agent: AdviceAgent): AgentLoad {
-    const load = this.loads.get(agent.name) ?? { pendingMs: 0, notBefore: 0 }
+    const load = this.loads.get(agent.name) ?? { pendingMs: 0, hasLongCall: false, notBefore: 0 }
     this.loads.set(agent.name, load)
     return load
   }
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -2,17 +2,18 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log, LogFactory } from '@citronnotch/daemon/logger'
 import { Err, Ok } from '@citronnotch/protocol'
+import type { Result } from '@citronnotch/protocol'
 import { Failure } from '@citronnotch/daemon/errors'
 import type { AdviceAgent } from './advice.js'
 import { ConfigWatch } from './configWatch.js'
-import { PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { LEADER_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
 import { JobService } from './jobService.js'
 import type { LeaderContact } from './jobService.js'
 import { Leader } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer } from './peers.js'
-import type { PeerHandlers } from './peers.js'
+import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
 
@@ -22,6 +23,9 @@
 /** Time that a call for advice may take on the way to another daemon and back. */
 const AGENT_WAY_MS = 200
 
+/** Bound on a submission or cancellation that the leader makes for another daemon. */
+const ON_BEHALF_TIMEOUT_MS = 1_200
+
 export interface CellDaemonOptions {
   readonly name: string
   /** `ip:port` of the listener for other daemons. */
@@ -62,7 +66,7 @@
       store,
       clock,
       log: logs.for('lease'),
-      onGained: (epoch, epochVersion) => this.lead(epoch, epochVersion),
+      onGained: epoch => this.lead(epoch),
       onLost: () => this.stopLeading()
     })
     this.agents = [this.ownAgent()]
@@ -110,12 +114,11 @@
 
   // Leadership
 
-  private lead (epoch: number, epochVersion: number) {
+  private lead (epoch: number) {
     const { store, directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
-      epochVersion,
       store,
       directory,
       clients,
@@ -147,6 +150,8 @@
         if (this.leader !== undefined) this.leader.cancelled(jobId)
         else this.callLeader('cancelled', { jobId })
       },
+      submit: async (jobId, record) => outcomeOf(await this.askLeader('submit', { jobId, record })),
+      cancel: async jobId => outcomeOf(await this.askLeader('cancel', { jobId })),
       stateOf: async jobId => {
         if (this.leader !== undefined) return this.leader.stateOf(jobId)
         return (await this.callLeader('jobState', { jobId }))?.state
@@ -158,6 +163,12 @@
     }
   }
 
+  private async askLeader<M extends 'submit' | 'cancel'> (method: M, req: PeerMethods[M]['req']): Promise<Result<PeerMethods[M]['res'], Failure>> {
+    const address = this.lease.leaderAddress()
+    if (address === undefined || address === this.options.peerAddress) return Err(Failure.notRun('leader-unknown', 'No other daemon leads the cell.'))
+    return this.peers.call(address, method, req, ON_BEHALF_TIMEOUT_MS)
+  }
+
   private async callLeader<M extends 'admitted' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
     const address = this.lease.leaderAddress()
     if (address === undefined || address === this.options.peerAddress) return undefined
@@ -175,6 +186,8 @@
         this.leader?.admitted(jobId, record, version)
         return {}
       },
+      submit: async ({ jobId, record }) => peerOutcome(await this.jobs.admit(jobId, record, ON_BEHALF_TIMEOUT_MS)),
+      cancel: async ({ jobId }) => peerOutcome(await this.jobs.storeCancel(jobId, ON_BEHALF_TIMEOUT_MS)),
       cancelled: ({ jobId }) => {
         this.leader?.cancelled(jobId)
         return {}
@@ -221,7 +234,7 @@
     const { store, name, peerAddress, clock } = this.options
     while (!signal.aborted) {
       const res = await store.transact({
-        partition: PARTITION,
+        partition: LEADER_PARTITION,
         expect: [],
         puts: [{ table: TABLES.daemons, key: name, value: { peerAddress } }],
         removes: []
@@ -237,7 +250,7 @@
     const { store, name, clock } = this.options
     while (!signal.aborted) {
       if (this.leader !== undefined) {
-        const page = await store.range({ table: TABLES.daemons, partition: PARTITION }, STORE_TIMEOUT_MS)
+        const page = await store.range({ table: TABLES.daemons, partition: LEADER_PARTITION }, STORE_TIMEOUT_MS)
         if (page.ok) {
           const others = page.val.rows.filter(({ key }) => key !== name)
           const known = new Map(this.agents.map(agent => [agent.name, agent]))
@@ -252,3 +265,14 @@
     }
   }
 }
+
+function peerOutcome<T> (res: Result<T, Failure>): PeerOutcome<T> {
+  if (res.ok) return { outcome: res.val }
+  const { code, verdict, reason } = res.val
+  return { failure: { code, verdict, reason } }
+}
+
+function outcomeOf<T> (res: Result<PeerOutcome<T>, Failure>): Result<T, Failure> {
+  if (res.err) return res
+  return 'outcome' in res.val ? Ok(res.val.outcome) : Err(Failure.create(res.val.failure))
+}
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,13 +1,16 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import { COMMIT_GAP_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import type { Job } from './jobs.js'
+import { COMMIT_GAP_MS, COMMIT_RETRY_MS, LEADER_PARTITION, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import type { Job, StoredProgress } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
 
+/** One expectation and one write. */
+const ENTRIES_PER_JOB = 2
+
 export interface CommitQueueOptions {
   readonly store: RowStore
   /** Version of the epoch row; a transaction of a deposed leader fails on it. */
-  readonly epochVersion: number
+  readonly epochVersion: () => number
   /** True while this daemon may give orders. */
   readonly mayOrder: () => boolean
   readonly onDeposed: () => void
@@ -69,9 +72,8 @@
     const batch: Staged[] = []
     let entries = 0
     for (const entry of this.staged.values()) {
-      const size = entry.job.outcome === undefined ? 2 : 6
-      if (entries + size > MAX_TRANSACTION_ENTRIES) break
-      entries += size
+      if (entries + ENTRIES_PER_JOB > MAX_TRANSACTION_ENTRIES) break
+      entries += ENTRIES_PER_JOB
       batch.push(entry)
       this.staged.delete(entry.job)
     }
@@ -85,14 +87,15 @@
   }
 
   private async commit (batch: readonly Staged[]): Promise<boolean> {
-    const { store, epochVersion, log, onDeposed } = this.options
+    const { store, log, onDeposed } = this.options
+    const epochVersion = this.options.epochVersion()
     // What is sent is fixed here; later changes of a job are staged again.
-    const writes = batch.map(({ job }) => ({ job, isEnd: job.outcome !== undefined, tx: writesOf(job, this.options.clock) }))
+    const writes = batch.map(({ job }) => ({ job, key: progressKey(job), version: job.progressVersion, value: valueOf(job, this.options.clock) }))
     const tx: Transaction = {
-      partition: PARTITION,
-      expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, ...writes.flatMap(({ tx }) => tx.expect)],
-      puts: writes.flatMap(({ tx }) => tx.puts),
-      removes: writes.flatMap(({ tx }) => tx.removes)
+      partition: LEADER_PARTITION,
+      expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, ...writes.map(({ key, version }) => ({ ...key, version }))],
+      puts: writes.map(({ key, value }) => ({ ...key, value })),
+      removes: []
     }
     const res = await store.transact(tx, STORE_TIMEOUT_MS)
     if (res.err) {
@@ -100,8 +103,7 @@
       return false
     }
     if (res.val.committed) {
-      const { version } = res.val
-      for (const { job, isEnd } of writes) job.progressVersion = isEnd ? 0 : version
+      for (const { job } of writes) job.progressVersion = res.val.version
       return true
     }
     const rows = new Map(res.val.current.map(row => [`${row.table}/${row.key}`, row]))
@@ -110,37 +112,20 @@
       return false
     }
     // An earlier transaction whose answer was lost has taken effect.
-    for (const { job } of writes) job.progressVersion = versionIn(rows, progressKey(job))
-    const ended = new Set(writes.filter(({ job, isEnd }) => isEnd && versionIn(rows, jobKey(job)) === 0).map(({ job }) => job))
-    for (const { job, waiters } of batch) {
-      if (!ended.has(job)) continue
-      for (const resolve of waiters.splice(0)) resolve()
-    }
-    for (const job of ended) job.isStored = true
-    log.info('Versions read again after a conflict.', { jobs: batch.length, ended: ended.size })
+    for (const { job, key } of writes) job.progressVersion = versionIn(rows, key)
+    log.info('Versions read again after a conflict.', { jobs: batch.length })
     return false
   }
 }
 
-function writesOf (job: Job, clock: Clock): Pick<Transaction, 'expect' | 'puts' | 'removes'> {
-  if (job.isStored) return { expect: [], puts: [], removes: [] }
-  const progress = progressKey(job)
-  if (job.outcome === undefined) {
-    return { expect: [{ ...progress, version: job.progressVersion }], puts: [{ ...progress, value: job.progress() }], removes: [] }
-  }
-  return {
-    expect: [{ ...jobKey(job), version: job.version }],
-    puts: [{ table: TABLES.ended, key: job.id, value: { outcome: job.outcome, queue: job.record.queue, endedAtMs: clock.date().getTime() } }],
-    removes: [jobKey(job), progress, { table: TABLES.jobs, key: `${job.id}.cancel` }]
-  }
-}
-
-function jobKey (job: Job): RowKey {
-  return { table: TABLES.jobs, key: job.id }
+function valueOf (job: Job, clock: Clock): StoredProgress {
+  return job.outcome === undefined
+    ? { occurrences: job.progress() }
+    : { outcome: job.outcome, endedAtMs: clock.date().getTime() }
 }
 
 function progressKey (job: Job): RowKey {
-  return { table: TABLES.jobs, key: `${job.id}.progress` }
+  return { table: TABLES.progress, key: job.id }
 }
 
 function versionIn (rows: ReadonlyMap<string, StoredRow>, { table, key }: RowKey): number {
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -1,12 +1,19 @@
-/** Partition of all rows of a cell; the store handles one partition's transactions one after another. */
-export const PARTITION = 'cell'
+/**
+ * The store handles the transactions of one partition one after another, about two a second while it is slow.
+ * Admissions are spread over several partitions; the leader's writes are few and large and share one.
+ */
+export const ADMISSION_PARTITIONS = 32
+/** Partition of what only the leader writes, fenced by the epoch row in it. */
+export const LEADER_PARTITION = 'leader'
+/** Partition of the lease, so that its renewal doesn't wait for other transactions. */
+export const LEASE_PARTITION = 'lease'
 
 export const TABLES = {
-  /** Live jobs: `ID`, `ID.cancel` and `ID.progress`. */
+  /** Admitted jobs by `ID` and cancellations by `ID.cancel`, in the partition of the job. */
   jobs: 'jobs',
-  /** Outcomes of ended jobs, by job id. */
-  ended: 'ended',
-  /** `lease` and `epoch` of the leader, and `roster`, the workers that may run something. */
+  /** Progress of live jobs, and the outcome of jobs that ended a short time ago, by job id. */
+  progress: 'progress',
+  /** `lease`, `epoch`, and `roster`, the workers that may run something. */
   leader: 'leader',
   /** Peer addresses of the daemons. */
   daemons: 'daemons'
@@ -18,11 +25,11 @@
 export const TAKEOVER_AFTER_MS = 2_750
 export const LEASE_RENEW_MS = 700
 export const LEASE_OBSERVE_MS = 600
-/** Bound on one call that renews or reads the lease; two calls fit into the TTL. */
-export const LEASE_CALL_TIMEOUT_MS = 900
+/** Bound on one call that renews or reads the lease; two calls fit into the TTL, also while the store is slow. */
+export const LEASE_CALL_TIMEOUT_MS = 1_200
 
-/** Bound on one call to the store, in milliseconds. A slow store answers in about 300 ms. */
-export const STORE_TIMEOUT_MS = 900
+/** Bound on one call to the store, in milliseconds. A slow store takes about 900 ms for a transaction. */
+export const STORE_TIMEOUT_MS = 1_400
 /** Pause between two reads of the changes that notifications may have missed. */
 export const CHANGES_POLL_MS = 1_000
 /** Pause that lets further changes join a transaction of the leader. */
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -93,20 +93,23 @@
       (reservedFor.get(worker) ?? Infinity) > queue.priority - 1)
   }
 
-  /** Workers that the placement policy allows now; asks about the others when there are too few. */
+  /**
+   * Workers that the placement policy allows now. Asks about more when they have too little room and the workers
+   * that could be allowed have enough: a ticket that can't be used in time only costs the service's time.
+   */
   private allowed (candidate: Candidate, workers: readonly WorkerLink[], free: FreeRoom): readonly WorkerLink[] {
     const { advice } = this.options
     const { step, queue, waiting } = candidate
     if (queue.advice === undefined) return workers
+    const roomOn = (some: readonly WorkerLink[]) =>
+      some.reduce((sum, worker) => sum + timesThatFit(step.spec.need, free.get(worker) ?? worker.free()), 0)
+    const wanted = step.spec.gang ? waiting.length : 1
     const ticketed = workers.filter(worker => advice.ticket(step, worker) !== undefined)
-    const room = ticketed.reduce((sum, worker) => sum + timesThatFit(step.spec.need, free.get(worker) ?? worker.free()), 0)
-    if (room < waiting.length && !advice.isPending(step)) {
-      const wanted = workers.filter(worker => advice.ticket(step, worker) === undefined && !advice.isRefused(step, worker))
-      const withRoom = wanted.filter(worker => fits(step.spec.need, free.get(worker) ?? worker.free()))
-      const isFirst = ticketed.length === 0 && wanted.length === workers.length
-      if (isFirst) advice.request(step, queue.advice, wanted)
-      else if (withRoom.length > 0) advice.request(step, queue.advice, withRoom)
-    }
+    if (advice.isPending(step) || roomOn(ticketed) >= waiting.length) return ticketed
+    const open = workers.filter(worker => !advice.isRefused(step, worker))
+    const usable = open.filter(worker => fits(step.spec.need, free.get(worker) ?? worker.free()))
+    const unticketed = usable.filter(worker => advice.ticket(step, worker) === undefined)
+    if (unticketed.length > 0 && roomOn(usable) >= wanted) advice.request(step, queue.advice, advice.isAsked(step) ? usable : open)
     return ticketed
   }
 
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -3,8 +3,9 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { Err, Ok } from '@citronnotch/protocol'
 import type { Result } from '@citronnotch/protocol'
-import { PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import type { JobRecord } from './jobs.js'
+import { LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { partitionOf } from './jobs.js'
+import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
@@ -15,10 +16,15 @@
 /** Part of the caller's time that is left for the answer. */
 const ANSWER_MARGIN_MS = 150
 
+const STORE_AWAY = Failure.notRun('store-away', 'The store can not be reached.', 'Try again in a second.')
+
 /** What the current leader can be asked and told; every call may fail. */
 export interface LeaderContact {
   admitted (jobId: string, record: JobRecord, version: number): void
   cancelled (jobId: string): void
+  /** Has the leader admit or cancel a job; for a daemon that can't reach the store itself. */
+  submit (jobId: string, record: JobRecord): Promise<Result<'admitted' | 'known', Failure>>
+  cancel (jobId: string): Promise<Result<'cancelled' | 'unknown', Failure>>
   /** Undefined when the leader doesn't know the job or doesn't answer. */
   stateOf (jobId: string): Promise<JobState | undefined>
   pendingOf (queue: string): Promise<number | undefined>
@@ -45,15 +51,25 @@
 
   /** Resolves with Ok once the job is stored; a repetition of the same id is the same job. */
   async submit (jobId: string, queue: Queue, spec: JobSpec, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { store, clock, leader } = this.options
+    const { clock, storeHealth, leader } = this.options
     const record: JobRecord = { queue: queue.name, service: queue.service, spec, admittedAtMs: clock.date().getTime() }
-    const admit = () => store.transact({
-      partition: PARTITION,
-      expect: [{ table: TABLES.jobs, key: jobId, version: 0 }, { table: TABLES.ended, key: jobId, version: 0 }],
+    const started = clock.now()
+    const own = storeHealth.isAway() ? this.storeAway() : await this.admit(jobId, record, budgetMs)
+    if (own.ok || own.val.verdict !== 'not-run') return own
+    if (clock.now() - started > budgetMs / 2) return own
+    this.options.metrics.count('submitted_by_leader')
+    return leader.submit(jobId, record)
+  }
+
+  /** Admits a job through this daemon's own connection to the store. */
+  async admit (jobId: string, record: JobRecord, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
+    const { store, leader } = this.options
+    const res = await this.withinBudget(jobId, 'submit', budgetMs, () => store.transact({
+      partition: partitionOf(jobId),
+      expect: [{ table: TABLES.jobs, key: jobId, version: 0 }],
       puts: [{ table: TABLES.jobs, key: jobId, value: record }],
       removes: []
-    }, STORE_TIMEOUT_MS)
-    const res = await this.withinBudget(jobId, 'submit', budgetMs, admit)
+    }, STORE_TIMEOUT_MS))
     if (res.err) return res
     if (!res.val.committed) return Ok('known')
     leader.admitted(jobId, record, res.val.version)
@@ -62,6 +78,12 @@
 
   /** Resolves with Ok once the cancellation is stored; `unknown` when there is no such live job. */
   async cancel (jobId: string, budgetMs: number): Promise<Result<'cancelled' | 'unknown', Failure>> {
+    const { storeHealth, leader } = this.options
+    return storeHealth.isAway() ? leader.cancel(jobId) : this.storeCancel(jobId, budgetMs)
+  }
+
+  /** Cancels a job through this daemon's own connection to the store. */
+  async storeCancel (jobId: string, budgetMs: number): Promise<Result<'cancelled' | 'unknown', Failure>> {
     const { store, clock, leader } = this.options
     const started = clock.now()
     for (;;) {
@@ -69,10 +91,12 @@
       const rows = await this.withinBudget(jobId, 'cancel', remaining, () => this.readJob(jobId))
       if (rows.err) return rows
       const job = rows.val.find(({ key }) => key === jobId)
-      if (job === undefined) return this.cancelEnded(jobId, remaining)
-      if (rows.val.some(({ key }) => key === `${jobId}.cancel`)) return Ok('cancelled')
+      const outcome = await this.outcomeIn(job, remaining)
+      if (outcome.err) return outcome
+      if (outcome.val === 'cancelled' || rows.val.some(({ key }) => key === `${jobId}.cancel`)) return Ok('cancelled')
+      if (job === undefined || outcome.val !== undefined) return Ok('unknown')
       const res = await this.withinBudget(jobId, 'cancel', remaining, () => store.transact({
-        partition: PARTITION,
+        partition: partitionOf(jobId),
         expect: [{ table: TABLES.jobs, key: jobId, version: job.version }],
         puts: [{ table: TABLES.jobs, key: `${jobId}.cancel`, value: { atMs: clock.date().getTime() } }],
         removes: []
@@ -92,9 +116,10 @@
     if (known !== undefined) return Ok(known)
     const rows = await this.withinBudget(jobId, 'show', budgetMs, () => this.readJob(jobId))
     if (rows.err) return rows
-    if (rows.val.some(({ key }) => key === `${jobId}.cancel`)) return Ok('cancelled')
-    if (rows.val.some(({ key }) => key === jobId)) return Ok(rows.val.some(({ key }) => key === `${jobId}.progress`) ? 'active' : 'queued')
-    return this.outcomeOf(jobId, budgetMs)
+    const job = rows.val.find(({ key }) => key === jobId)
+    const outcome = await this.outcomeIn(job, budgetMs)
+    if (outcome.err || outcome.val !== undefined || job === undefined) return outcome
+    return Ok(rows.val.some(({ key }) => key === `${jobId}.cancel`) ? 'cancelled' : 'active')
   }
 
   async pendingOf (queue: Queue): Promise<Result<number, Failure>> {
@@ -103,22 +128,21 @@
     return Err(Failure.notRun('leader-unknown', 'The leader of the cell can not be asked now.', 'Ask again in a second.'))
   }
 
-  private async cancelEnded (jobId: string, budgetMs: number): Promise<Result<'cancelled' | 'unknown', Failure>> {
-    const outcome = await this.outcomeOf(jobId, budgetMs)
-    if (outcome.err) return outcome
-    return Ok(outcome.val === 'cancelled' ? 'cancelled' : 'unknown')
-  }
-
-  private async outcomeOf (jobId: string, budgetMs: number): Promise<Result<JobOutcome | undefined, Failure>> {
-    const { store } = this.options
-    const page = await this.withinBudget(jobId, 'show', budgetMs, () =>
-      store.range({ table: TABLES.ended, partition: PARTITION, from: jobId, to: `${jobId}/`, limit: 1 }, STORE_TIMEOUT_MS))
+  /** Outcome of a job by its row; undefined while it has none. */
+  private async outcomeIn (job: StoredRow | undefined, budgetMs: number): Promise<Result<JobOutcome | undefined, Failure>> {
+    if (job === undefined) return Ok(undefined)
+    const reduced = (job.value as Partial<EndedRecord> | undefined)?.outcome
+    if (reduced !== undefined) return Ok(reduced)
+    const { key } = job
+    const page = await this.withinBudget(key, 'show', budgetMs, () =>
+      this.options.store.range({ table: TABLES.progress, partition: LEADER_PARTITION, from: key, to: `${key}\0`, limit: 1 }, STORE_TIMEOUT_MS))
     if (page.err) return page
-    return Ok((page.val.rows[0]?.value as { readonly outcome?: JobOutcome } | undefined)?.outcome)
+    const progress = page.val.rows[0]?.value as StoredProgress | undefined
+    return Ok(progress !== undefined && 'outcome' in progress ? progress.outcome : undefined)
   }
 
   private async readJob (jobId: string): Promise<Result<readonly StoredRow[], Failure>> {
-    const page = await this.options.store.range({ table: TABLES.jobs, partition: PARTITION, from: jobId, to: `${jobId}/` }, STORE_TIMEOUT_MS)
+    const page = await this.options.store.range({ table: TABLES.jobs, partition: partitionOf(jobId), from: jobId, to: `${jobId}/` }, STORE_TIMEOUT_MS)
     return page.ok ? Ok(page.val.rows) : page
   }
 
@@ -133,7 +157,7 @@
     for (let attempt = 1; ; attempt++) {
       if (storeHealth.isAway()) {
         metrics.count(`store_away_${operation}`)
-        if (!mayHaveRun) return Err(Failure.notRun('store-away', 'The store can not be reached.', 'Try again in a second.'))
+        if (!mayHaveRun) return this.storeAway()
       } else {
         const res = await call()
         if (res.ok) return res
@@ -145,9 +169,13 @@
       if (remaining < RETRY_PAUSE_MS + STORE_TIMEOUT_MS / 2 || (storeHealth.isAway() && mayHaveRun)) {
         return Err(mayHaveRun
           ? Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.', 'Send the same request again.')
-          : Failure.notRun('store-away', 'The store can not be reached.', 'Try again in a second.'))
+          : STORE_AWAY)
       }
       await clock.sleep(RETRY_PAUSE_MS)
     }
   }
+
+  private storeAway (): Result<never, Failure> {
+    return Err(STORE_AWAY)
+  }
 }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,4 +1,4 @@
-import { RUNS_PER_EPOCH } from './constants.js'
+import { ADMISSION_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobOutcome, JobSpec, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -26,6 +26,22 @@
 
 export type RunState = 'starting' | 'running' | 'stopping'
 
+/** Value of a row of progress. */
+export type StoredProgress =
+  | { readonly occurrences: JobProgress }
+  | { readonly outcome: JobOutcome, readonly endedAtMs: number }
+
+/** Value of the row of an admitted job once its outcome is final: only the outcome is left. */
+export interface EndedRecord {
+  readonly outcome: JobOutcome
+  readonly endedAtMs: number
+}
+
+/** Partition of the rows that admit and cancel a job. */
+export function partitionOf (jobId: string): string {
+  return `jobs-${Number.parseInt(jobId.slice(-4), 16) % ADMISSION_PARTITIONS}`
+}
+
 /** One run of a task on one worker, from the moment its start is decided until its end is known. */
 export class Run {
   state: RunState = 'starting'
@@ -142,7 +158,7 @@
   hasStarted = false
   /** True once the row of the outcome is known to be stored. */
   isStored = false
-  /** Version of the `ID.progress` row; 0 while there is none. */
+  /** Version of the row of progress; 0 while there is none. */
   progressVersion = 0
 
   private constructor (
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -4,12 +4,14 @@
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
 import {
-  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, PARTITION, REGISTRY_POLL_MS, STORE_TIMEOUT_MS,
-  TABLES, WORKER_CLOCK_RATE, WORKER_RETRY_MS
+  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, REGISTRY_POLL_MS, TABLES, WORKER_CLOCK_RATE,
+  WORKER_RETRY_MS
 } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
+import { Janitor } from './janitor.js'
+import { JobLoader } from './jobLoader.js'
 import { Job } from './jobs.js'
-import type { JobProgress, JobRecord, Run, Step } from './jobs.js'
+import type { EndedRecord, JobRecord, Run, Step, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
 import type { Directory, RefusalReason, RowStore, StoredRow, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
@@ -19,17 +21,16 @@
 import { WorkerLink } from './workerLink.js'
 import type { LossReason, WorkerEvents } from './workerLink.js'
 
+const CANCEL_SUFFIX = '.cancel'
 /** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
 const STALL_MS = 2_500
 /** Pause of a step after a refused start, so that refusals don't come in a tight loop. */
 const REFUSAL_PAUSE_MS = 60
 /** Pause of a worker that said it had no room or was unhealthy. */
 const WORKER_PAUSE_MS = 500
-const PAGE_ROWS = 500
 
 export interface LeaderOptions {
   readonly epoch: number
-  readonly epochVersion: number
   readonly store: RowStore
   readonly directory: Directory
   readonly clients: WorkerClients
@@ -62,17 +63,24 @@
   private readonly roster: Roster
   private readonly log: Log
   private readonly stopping = new AbortController()
+  private readonly janitor: Janitor
+  private readonly loader: JobLoader
   private changesVersion = 0
+  /** Version of the epoch row; jobs with a lower one may have been started by an earlier leader. */
+  private epochVersion = 0
   private isLoaded = false
   private isGateOpen = false
   private passScheduled = false
 
   private constructor (private readonly options: LeaderOptions) {
-    const { clock, logs, store, epoch, epochVersion, mayOrder, onDeposed } = options
+    const { clock, logs, store, epoch, mayOrder, onDeposed } = options
+    const epochVersion = () => this.epochVersion
     this.log = logs.for('leader')
     this.health = WorkerHealth.create(clock, this.log)
     this.commits = CommitQueue.create({ store, epochVersion, mayOrder, onDeposed, clock, log: logs.for('commits') })
     this.advice = AdviceBook.create({ agents: options.agents, onAnswer: () => this.schedulePass(), clock, log: logs.for('advice') })
+    this.janitor = Janitor.create({ store, retentionMs: options.statusRetentionMs, mayOrder, clock, log: this.log })
+    this.loader = JobLoader.create(store, this.log)
     this.roster = Roster.create({ store, epochVersion, log: this.log })
     this.dispatcher = Dispatcher.create({
       epoch,
@@ -103,6 +111,7 @@
       this.commits.run(signal),
       this.watchRegistry(signal),
       this.watchChanges(signal),
+      this.janitor.run(signal),
       this.openGate(gateAt, signal),
       this.tick(signal)
     ])
@@ -237,7 +246,8 @@
     for (const step of job.liveSteps()) this.advice.forget(step)
     this.commits.stage(job).then(() => {
       job.isStored = true
-      this.recent.set(job.id, { outcome, endedAt: clock.now() })
+      this.remember(job.id, outcome)
+      this.janitor.jobEnded(job.id, job.version, { outcome, endedAtMs: clock.date().getTime() })
       this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs })
       this.forgetWhenEmpty(job)
     })
@@ -265,7 +275,7 @@
 
   /** Jobs of which it is known where their tasks run. */
   private * dispatchable (): Iterable<Job> {
-    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > this.options.epochVersion) yield job
+    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > this.epochVersion) yield job
   }
 
   // Loops
@@ -274,49 +284,74 @@
     const { clock } = this.options
     const started = clock.now()
     while (!signal.aborted) {
-      if (await this.roster.load() && await this.scanJobs()) break
+      if (await this.fence() && await this.roster.load() && await this.loadJobs()) break
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
+    if (signal.aborted) return
     this.isLoaded = true
     this.log.info('State loaded.', { jobs: this.jobs.size, version: this.changesVersion, rosterWorkers: this.roster.size(), tookMs: Math.round(clock.now() - started) })
   }
 
-  /** Reads all live jobs; returns false when the store didn't answer. */
-  private async scanJobs (): Promise<boolean> {
-    const { store } = this.options
-    const rows: StoredRow[] = []
-    let from: string | undefined
-    let version = 0
-    for (;;) {
-      const page = await store.range({ table: TABLES.jobs, partition: PARTITION, limit: PAGE_ROWS, ...(from === undefined ? {} : { from }) }, STORE_TIMEOUT_MS)
-      if (page.err) {
-        this.log.warn('Jobs could not be read.', { verdict: page.val.verdict, reason: page.val.reason })
-        return false
-      }
-      if (version === 0) version = page.val.version
-      rows.push(...page.val.rows)
-      const last = rows[rows.length - 1]
-      if (!page.val.hasMore || last === undefined) break
-      from = `${last.key}\0`
-    }
-    this.applyRows(rows)
-    this.changesVersion = version
+  private async fence (): Promise<boolean> {
+    const version = await this.loader.fence(this.options.epoch)
+    if (version === 'deposed') this.options.onDeposed()
+    if (typeof version !== 'number') return false
+    this.epochVersion = version
     return true
   }
 
-  private applyRows (rows: readonly StoredRow[]) {
-    const byKind = (suffix: string) => rows.filter(row => !row.deleted && row.key.endsWith(suffix))
+  /** Returns false when the store didn't answer. */
+  private async loadJobs (): Promise<boolean> {
+    const rows = await this.loader.load()
+    if (rows === undefined) return false
+    this.changesVersion = rows.version
+    const progress = new Map(rows.progress.map(row => [row.key, row]))
+    for (const row of rows.jobs) if (!row.deleted && !row.key.includes('.')) this.restore(row, progress.get(row.key))
+    this.applyCancels(rows.jobs)
+    return true
+  }
+
+  private restore (row: StoredRow, progress: StoredRow | undefined) {
+    if (this.jobs.has(row.key) || this.recent.has(row.key)) return
+    const stored = progress?.value as StoredProgress | undefined
+    const ended = row.value as Partial<EndedRecord> | undefined
+    if (ended?.outcome !== undefined) {
+      this.remember(row.key, ended.outcome)
+      this.janitor.jobReduced(row.key, row.version, ended as EndedRecord)
+    } else if (stored !== undefined && 'outcome' in stored) {
+      this.remember(row.key, stored.outcome)
+      this.janitor.jobEnded(row.key, row.version, stored)
+    } else {
+      const job = this.addJob(row)
+      if (job !== undefined && stored !== undefined) job.restore(stored.occurrences, progress?.version ?? 0)
+    }
+  }
+
+  private addJob (row: StoredRow): Job | undefined {
+    const record = row.value as JobRecord | undefined
+    if (record?.spec === undefined) {
+      this.log.error('Row of a job can not be read.', { job: row.key, version: row.version })
+      return undefined
+    }
+    const job = Job.create(row.key, record, row.version)
+    this.jobs.set(row.key, job)
+    return job
+  }
+
+  private remember (jobId: string, outcome: JobOutcome) {
+    this.recent.set(jobId, { outcome, endedAt: this.options.clock.now() })
+  }
+
+  private applyChanges (rows: readonly StoredRow[]) {
     for (const row of rows) {
       if (row.deleted || row.key.includes('.') || this.jobs.has(row.key) || this.recent.has(row.key)) continue
-      const record = row.value as JobRecord | undefined
-      if (record?.spec === undefined) this.log.error('Row of a job can not be read.', { job: row.key, version: row.version })
-      else this.jobs.set(row.key, Job.create(row.key, record, row.version))
-    }
-    for (const row of byKind('.progress')) {
-      const job = this.jobs.get(row.key.slice(0, -'.progress'.length))
-      if (job !== undefined && job.progressVersion === 0 && !this.isLoaded) job.restore(row.value as JobProgress, row.version)
+      this.addJob(row)
     }
-    for (const row of byKind('.cancel')) this.cancelled(row.key.slice(0, -'.cancel'.length))
+    this.applyCancels(rows)
+  }
+
+  private applyCancels (rows: readonly StoredRow[]) {
+    for (const { key, deleted } of rows) if (!deleted && key.endsWith(CANCEL_SUFFIX)) this.cancelled(key.slice(0, -CANCEL_SUFFIX.length))
   }
 
   /** Reads what notifications may have missed. */
@@ -331,9 +366,9 @@
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('History of jobs is lost; reading all.', { version: this.changesVersion })
-        await this.scanJobs()
+        await this.loadJobs()
       } else {
-        this.applyRows(res.val.rows)
+        this.applyChanges(res.val.rows)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
       this.schedulePass()
@@ -432,12 +467,11 @@
   }
 
   private stopStalled () {
-    const now = this.options.clock.now()
     for (const link of this.links.values()) {
       if (!link.isAdopted) continue
       for (const run of link.runs.values()) {
-        if (run.state !== 'running' || run.task === undefined || now - run.progressAt < STALL_MS || run.percent >= 100) continue
-        this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(now - run.progressAt) })
+        if (run.state !== 'running' || run.task === undefined || link.reportedAt() - run.progressAt < STALL_MS || run.percent >= 100) continue
+        this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(link.reportedAt() - run.progressAt) })
         run.task.step.avoided.add(link.id)
         this.health.stalled(link.id)
         link.stop(run)
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -2,10 +2,13 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { Stopwatch } from '@citronnotch/daemon/membership/stopwatch'
 import {
-  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, PARTITION, TABLES, TAKEOVER_AFTER_MS
+  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
 } from './constants.js'
 import type { RowStore, StoredRow } from './ports.js'
 
+/** Calls that try to release the lease; it runs out if none succeeds. */
+const RELEASE_ATTEMPTS = 3
+
 /** Value of the lease row. */
 interface LeaseValue {
   /** Unique for each life of a daemon. */
@@ -22,7 +25,7 @@
   readonly store: RowStore
   readonly clock: Clock
   readonly log: Log
-  readonly onGained: (epoch: number, epochVersion: number) => void
+  readonly onGained: (epoch: number) => void
   readonly onLost: (reason: string) => void
 }
 
@@ -36,8 +39,6 @@
   private validity: Stopwatch | undefined
   /** Monotonic time of the first read that found the row as it is. A step of the wall clock must not count. */
   private unchangedSince: number | undefined
-  private epochValue = 0
-  private epochVersion = 0
   private isLeaving = false
 
   private constructor (private readonly options: LeaderLeaseOptions) {}
@@ -73,14 +74,22 @@
     if (this.validity === undefined || this.row === undefined) return
     const { store, log } = this.options
     const value: LeaseValue = { ...this.row.value, released: true }
+    let version = this.row.version
     this.lose('the daemon stops')
-    const res = await store.transact({
-      partition: PARTITION,
-      expect: [{ table: TABLES.leader, key: 'lease', version: this.row.version }],
-      puts: [{ table: TABLES.leader, key: 'lease', value }],
-      removes: []
-    }, LEASE_CALL_TIMEOUT_MS)
-    if (res.err) log.warn('Lease could not be released; it runs out instead.', { reason: res.val.reason })
+    for (let attempt = 1; attempt <= RELEASE_ATTEMPTS; attempt++) {
+      const res = await store.transact({
+        partition: LEASE_PARTITION,
+        expect: [{ table: TABLES.leader, key: 'lease', version }],
+        puts: [{ table: TABLES.leader, key: 'lease', value }],
+        removes: []
+      }, LEASE_CALL_TIMEOUT_MS)
+      if (res.ok && res.val.committed) return
+      const current = res.ok && !res.val.committed ? parseLease(res.val.current.find(({ key }) => key === 'lease')) : undefined
+      if (current !== undefined && (current.value.holder !== value.holder || current.value.released)) return
+      // A renewal that was under way has taken effect.
+      if (current !== undefined) version = current.version
+      else log.warn('Lease is not released yet.', { attempt, reason: res.err ? res.val.reason : 'conflict' })
+    }
   }
 
   private async renew () {
@@ -89,7 +98,7 @@
     if (row === undefined) return
     const sent = Stopwatch.start(clock)
     const res = await store.transact({
-      partition: PARTITION,
+      partition: LEASE_PARTITION,
       expect: [{ table: TABLES.leader, key: 'lease', version: row.version }],
       puts: [{ table: TABLES.leader, key: 'lease', value: row.value }],
       removes: []
@@ -117,16 +126,13 @@
 
   private async observe () {
     const { store, clock, holder, log } = this.options
-    const res = await store.range({ table: TABLES.leader, partition: PARTITION }, LEASE_CALL_TIMEOUT_MS)
+    const res = await store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, LEASE_CALL_TIMEOUT_MS)
     if (res.err) {
       // Time in which the row could not be read says nothing about its holder.
       this.unchangedSince = undefined
       return
     }
     const row = parseLease(res.val.rows.find(({ key }) => key === 'lease'))
-    const epochRow = res.val.rows.find(({ key }) => key === 'epoch')
-    this.epochVersion = epochRow?.version ?? 0
-    this.epochValue = epochOf(epochRow)
     if (row?.version !== this.row?.version || this.unchangedSince === undefined) {
       if (row !== undefined && row.value.epoch !== this.row?.value.epoch) {
         log.info('Leader seen.', { epoch: row.value.epoch, holder: row.value.holder, address: row.value.peerAddress, version: row.version })
@@ -135,38 +141,37 @@
       this.unchangedSince = clock.now()
     }
     if (this.isLeaving) return
-    if (row?.value.holder === holder && !row.value.released) this.gain(row, this.epochVersion, Stopwatch.start(clock))
-    else if (row === undefined || row.value.released || clock.now() - this.unchangedSince > TAKEOVER_AFTER_MS) await this.acquire()
+    if (row?.value.holder === holder && !row.value.released) this.gain(row, Stopwatch.start(clock))
+    else if (row === undefined || this.isFree(row.value) || clock.now() - this.unchangedSince > TAKEOVER_AFTER_MS) await this.acquire()
+  }
+
+  /** A holder at this daemon's own address is an earlier life of it, which has ended. */
+  private isFree ({ released, peerAddress }: LeaseValue): boolean {
+    return released || peerAddress === this.options.peerAddress
   }
 
   private async acquire () {
     const { store, clock, holder, peerAddress, log } = this.options
-    const epoch = this.epochValue + 1
+    const epoch = (this.row?.value.epoch ?? 0) + 1
     const value: LeaseValue = { holder, peerAddress, epoch, released: false }
     const sent = Stopwatch.start(clock)
     const res = await store.transact({
-      partition: PARTITION,
-      expect: [
-        { table: TABLES.leader, key: 'lease', version: this.row?.version ?? 0 },
-        { table: TABLES.leader, key: 'epoch', version: this.epochVersion }
-      ],
-      puts: [
-        { table: TABLES.leader, key: 'lease', value },
-        { table: TABLES.leader, key: 'epoch', value: { epoch } }
-      ],
+      partition: LEASE_PARTITION,
+      expect: [{ table: TABLES.leader, key: 'lease', version: this.row?.version ?? 0 }],
+      puts: [{ table: TABLES.leader, key: 'lease', value }],
       removes: []
     }, LEASE_CALL_TIMEOUT_MS)
     if (res.err) log.warn('Takeover has no answer.', { epoch, verdict: res.val.verdict, reason: res.val.reason })
-    else if (res.val.committed) this.gain({ value, version: res.val.version }, res.val.version, sent)
+    else if (res.val.committed) this.gain({ value, version: res.val.version }, sent)
     else this.unchangedSince = undefined
   }
 
-  private gain (row: { readonly value: LeaseValue, readonly version: number }, epochVersion: number, sent: Stopwatch) {
+  private gain (row: { readonly value: LeaseValue, readonly version: number }, sent: Stopwatch) {
     const previous = this.row?.value
     this.row = row
     this.validity = sent
     this.options.log.info('Leadership gained.', { epoch: row.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
-    this.options.onGained(row.value.epoch, epochVersion)
+    this.options.onGained(row.value.epoch)
   }
 
   private lose (reason: string) {
@@ -190,7 +195,3 @@
     version: row.version
   }
 }
-
-function epochOf (row: StoredRow | undefined): number {
-  return Number((row?.value as { epoch?: unknown } | undefined)?.epoch ?? 0)
-}
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -3,14 +3,22 @@
 import { Failure } from '@citronnotch/daemon/errors'
 import type { Log } from '@citronnotch/daemon/logger'
 import { Err, Ok } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
+import type { Result, Verdict } from '@citronnotch/protocol'
 import type { JobRecord } from './jobs.js'
 import type { JobState } from './types.js'
 
+/** Result of a call that a daemon makes for another. */
+export type PeerOutcome<T> =
+  | { readonly outcome: T }
+  | { readonly failure: { readonly code: string, readonly verdict: Verdict, readonly reason: string } }
+
 /** Requests and answers between daemons, by method. */
 export interface PeerMethods {
   /** A daemon has stored a job; the leader need not wait for its next read. */
   admitted: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly version: number }, readonly res: Record<string, never> }
+  /** Admits or cancels a job on behalf of a daemon that can't reach the store. */
+  submit: { readonly req: { readonly jobId: string, readonly record: JobRecord }, readonly res: PeerOutcome<'admitted' | 'known'> }
+  cancel: { readonly req: { readonly jobId: string }, readonly res: PeerOutcome<'cancelled' | 'unknown'> }
   cancelled: { readonly req: { readonly jobId: string }, readonly res: Record<string, never> }
   /** State as the leader knows it; missing when it doesn't know the job or doesn't lead. */
   jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
@@ -25,7 +33,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'cancelled', 'jobState', 'pending', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'advise']
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** A connection that answers no ping within two of these is given up. */
 const KEEPALIVE_MS = 1_000
@@ -94,7 +102,7 @@
         definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, { deadline: Date.now() + timeoutMs },
         (err, res) => {
           if (err === null && res !== undefined) resolve(Ok(res))
-          else resolve(Err(Failure.mayHaveRun('peer-unreachable', `Daemon at ${address} did not answer: ${err?.details ?? 'no response'}.`)))
+          else resolve(Err(peerFailure(address, err?.details ?? 'no response')))
         })
     })
   }
@@ -120,3 +128,11 @@
     return client
   }
 }
+
+/** grpc-js reports a call that never had a connection by this text. */
+const NEVER_SENT = 'No connection established'
+
+function peerFailure (address: string, details: string): Failure {
+  const reason = `Daemon at ${address} did not answer: ${details}.`
+  return details.startsWith(NEVER_SENT) ? Failure.notRun('peer-unreachable', reason) : Failure.mayHaveRun('peer-answer-lost', reason)
+}
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -1,5 +1,5 @@
 import type { Log } from '@citronnotch/daemon/logger'
-import { PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import type { RowStore } from './ports.js'
 import type { WorkerEntry } from './types.js'
 
@@ -10,7 +10,8 @@
 
 export interface RosterOptions {
   readonly store: RowStore
-  readonly epochVersion: number
+  /** Version of the epoch row, which fences earlier leaders. */
+  readonly epochVersion: () => number
   readonly log: Log
 }
 
@@ -45,7 +46,7 @@
   /** Reads the row; returns false when the store didn't answer. */
   async load (): Promise<boolean> {
     const { store, log } = this.options
-    const res = await store.range({ table: TABLES.leader, partition: PARTITION, from: 'roster', limit: 1 }, STORE_TIMEOUT_MS)
+    const res = await store.range({ table: TABLES.leader, partition: LEADER_PARTITION, from: 'roster', limit: 1 }, STORE_TIMEOUT_MS)
     if (res.err) {
       log.warn('Roster could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
       return false
@@ -63,8 +64,8 @@
     if (members.length === this.stored.length && members.every(member => this.has(member))) return false
     const { store, epochVersion, log } = this.options
     const res = await store.transact({
-      partition: PARTITION,
-      expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, { table: TABLES.leader, key: 'roster', version: this.version }],
+      partition: LEADER_PARTITION,
+      expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion() }, { table: TABLES.leader, key: 'roster', version: this.version }],
       puts: [{ table: TABLES.leader, key: 'roster', value: { workers: members } }],
       removes: []
     }, STORE_TIMEOUT_MS)
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -11,6 +11,9 @@
 import { formatTaskId } from './types.js'
 import type { EndedRun, ResourceVector, RunningTask, TaskId, WorkerEntry, WorkerReport } from './types.js'
 
+/** A longer time between two reports says nothing about the progress of runs. */
+const MAX_REPORT_GAP_MS = 1_600
+
 /** Why a run that has no listed end is known not to be running. */
 export type LossReason = 'worker-restarted' | 'lease-lapsed' | 'not-listed' | 'not-started'
 
@@ -92,6 +95,11 @@
       this.options.clock.now() >= this.notBefore
   }
 
+  /** Monotonic time of the newest report. */
+  reportedAt (): number {
+    return this.clockReadAt
+  }
+
   updateEntry (entry: WorkerEntry): void {
     this.entry = entry
   }
@@ -232,6 +240,7 @@
     // Answers on different connections may overtake each other.
     const isNewest = report.clockMs >= this.clockMs
     if (isNewest) {
+      if (clock.now() - this.clockReadAt > MAX_REPORT_GAP_MS) for (const run of this.runs.values()) run.progressAt = clock.now()
       this.clockMs = report.clockMs
       this.clockReadAt = clock.now()
     }
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -39,13 +39,15 @@
   for (part: string): Log {
     const levels = this.options.levels ?? {}
     const level = levels[part] ?? levels['*'] ?? 'info'
+    const isJson = (this.options.format ?? 'json') === 'json'
     const logger = new Logger<ILogObj>({
       name: part,
-      type: this.options.format ?? 'json',
+      type: isJson ? 'hidden' : 'pretty',
       minLevel: LOG_LEVELS.indexOf(level),
       prefix: [`[${part}]`],
       hideLogPositionForProduction: true
     })
+    if (isJson) logger.attachTransport(record => { process.stdout.write(formatLine(part, record)) })
     return {
       debug: (sentence, fields) => write(logger.debug.bind(logger), sentence, fields),
       info: (sentence, fields) => write(logger.info.bind(logger), sentence, fields),
@@ -58,6 +60,14 @@
 /** Log that drops everything; for tests. */
 export const silentLog: Log = { debug () {}, info () {}, warn () {}, error () {} }
 
+/** One line of JSON; tslog's own carries metadata several times as long as the message. */
+function formatLine (part: string, record: ILogObj): string {
+  const { 0: prefix, 1: message, 2: fields, _meta: meta } = record as Readonly<Record<string, unknown>>
+  const { date, logLevelName: level } = meta as { readonly date: Date, readonly logLevelName: string }
+  const line = { time: date.toISOString(), level: level.toLowerCase(), part: String(prefix ?? part), message, ...(fields as object | undefined) }
+  return `${JSON.stringify(line, (_key, value: unknown) => value instanceof Error ? value.stack : value)}\n`
+}
+
 function write (method: (...args: unknown[]) => unknown, sentence: string, fields?: LogFields) {
   if (fields === undefined) method(sentence)
   else method(sentence, fields)
