--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -2,7 +2,7 @@
  * The store handles the transactions of one partition one after another, about two a second while it is slow.
  * Admissions are spread over several partitions; the leader's writes are few and large and share one.
  */
-export const ADMISSION_PARTITIONS = 32
+export const ADMISSION_PARTITIONS = 128
 /** Partition of what only the leader writes, fenced by the epoch row in it. */
 export const LEADER_PARTITION = 'leader'
 /** Partition of the lease, so that its renewal doesn't wait for other transactions. */
--- a/packages/cell/src/storeHealth.ts
+++ b/packages/cell/src/storeHealth.ts
@@ -1,12 +1,15 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
 
-/** Failed calls in a row after which the store counts as away. */
+/** Failed calls in a row after which the store may count as away. */
 const FAILURES_TO_AWAY = 2
+/** Time without an answer after which it does; a slow store answers some call sooner than that. */
+const SILENCE_TO_AWAY_MS = 1_000
 
 /** Whether the store answers this daemon, from the outcome of every call. */
 export class StoreHealth {
   private failures = 0
+  private answeredAt = -Infinity
   private awaySince: number | undefined
 
   private constructor (private readonly clock: Clock, private readonly log: Log) {}
@@ -21,6 +24,7 @@
 
   succeeded (): void {
     this.failures = 0
+    this.answeredAt = this.clock.now()
     if (this.awaySince === undefined) return
     this.log.info('Store regained.', { awayMs: Math.round(this.clock.now() - this.awaySince) })
     this.awaySince = undefined
@@ -28,8 +32,9 @@
 
   failed (reason: string): void {
     this.failures++
-    if (this.failures < FAILURES_TO_AWAY || this.awaySince !== undefined) return
-    this.awaySince = this.clock.now()
+    const now = this.clock.now()
+    if (this.failures < FAILURES_TO_AWAY || now - this.answeredAt < SILENCE_TO_AWAY_MS || this.awaySince !== undefined) return
+    this.awaySince = now
     this.log.warn('Store lost.', { reason, failures: this.failures })
   }
 }
