perf(cell): repeat overdue calls to the store and starts within a budget

Cause: where the store or a worker loses answers, each loss cost a time-out of 0.9 to 1.4 s, and one lost commit held up all ends behind it. Repeating without a budget flooded a store that had become slow. Ruled out: shorter time-outs, which can't tell a slow store from a lost answer. Change: overdue calls are sent again over another connection, paid for by answered ones; a late answer teaches the typical time at once; four partitions for progress; a lost renewal counts from its first send.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -6,7 +6,7 @@
 import { Failure } from '@citronnotch/daemon/errors'
 import type { AdviceAgent } from './advice.js'
 import { ConfigWatch } from './configWatch.js'
-import { LEADER_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
 import { JobService } from './jobService.js'
 import type { LeaderContact } from './jobService.js'
 import { Leader } from './leader.js'
@@ -14,6 +14,7 @@
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer } from './peers.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
+import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
 
@@ -49,6 +50,7 @@
   readonly metrics = MemoryMetrics.create()
 
   private readonly log: Log
+  private readonly store: RowStore
   private readonly lease: LeaderLease
   private readonly peers = PeerClients.create()
   private readonly stopping = new AbortController()
@@ -57,7 +59,9 @@
   private peerServer: PeerServer | undefined
 
   private constructor (private readonly options: CellDaemonOptions) {
-    const { clock, logs, store, directory, storeHealth, peerAddress, name } = options
+    const { clock, logs, directory, storeHealth, peerAddress, name } = options
+    const store = HedgedStore.create(options.store, clock)
+    this.store = store
     this.log = logs.for('daemon')
     this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
     this.lease = LeaderLease.create({
@@ -115,7 +119,8 @@
   // Leadership
 
   private lead (epoch: number) {
-    const { store, directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs } = this.options
+    const { store } = this
+    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
@@ -231,10 +236,11 @@
 
   /** Makes this daemon known to the others. */
   private async register (signal: AbortSignal) {
-    const { store, name, peerAddress, clock } = this.options
+    const { store } = this
+    const { name, peerAddress, clock } = this.options
     while (!signal.aborted) {
       const res = await store.transact({
-        partition: LEADER_PARTITION,
+        partition: DAEMONS_PARTITION,
         expect: [],
         puts: [{ table: TABLES.daemons, key: name, value: { peerAddress } }],
         removes: []
@@ -247,10 +253,11 @@
 
   /** The leader reads which daemons can be asked for advice. */
   private async watchPeers (signal: AbortSignal) {
-    const { store, name, clock } = this.options
+    const { store } = this
+    const { name, clock } = this.options
     while (!signal.aborted) {
       if (this.leader !== undefined) {
-        const page = await store.range({ table: TABLES.daemons, partition: LEADER_PARTITION }, STORE_TIMEOUT_MS)
+        const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
         if (page.ok) {
           const others = page.val.rows.filter(({ key }) => key !== name)
           const known = new Map(this.agents.map(agent => [agent.name, agent]))
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import { COMMIT_GAP_MS, COMMIT_RETRY_MS, LEADER_PARTITION, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { COMMIT_GAP_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import type { Job, StoredProgress } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
 
@@ -9,6 +9,7 @@
 
 export interface CommitQueueOptions {
   readonly store: RowStore
+  readonly partition: string
   /** Version of the epoch row; a transaction of a deposed leader fails on it. */
   readonly epochVersion: () => number
   /** True while this daemon may give orders. */
@@ -87,12 +88,12 @@
   }
 
   private async commit (batch: readonly Staged[]): Promise<boolean> {
-    const { store, log, onDeposed } = this.options
+    const { store, partition, log, onDeposed } = this.options
     const epochVersion = this.options.epochVersion()
     // What is sent is fixed here; later changes of a job are staged again.
     const writes = batch.map(({ job }) => ({ job, key: progressKey(job), version: job.progressVersion, value: valueOf(job, this.options.clock) }))
     const tx: Transaction = {
-      partition: LEADER_PARTITION,
+      partition,
       expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, ...writes.map(({ key, version }) => ({ ...key, version }))],
       puts: writes.map(({ key, value }) => ({ ...key, value })),
       removes: []
@@ -111,8 +112,10 @@
       onDeposed()
       return false
     }
-    // An earlier transaction whose answer was lost has taken effect.
+    // An earlier transaction whose answer was lost has taken effect, perhaps this very one.
     for (const { job, key } of writes) job.progressVersion = versionIn(rows, key)
+    const isSame = writes.every(({ key, value }) => JSON.stringify(rows.get(`${key.table}/${key.key}`)?.value) === JSON.stringify(value))
+    if (isSame) return true
     log.info('Versions read again after a conflict.', { jobs: batch.length })
     return false
   }
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -1,12 +1,14 @@
 /**
  * The store handles the transactions of one partition one after another, about two a second while it is slow.
- * Admissions are spread over several partitions; the leader's writes are few and large and share one.
+ * Admissions are spread over several partitions; the leader's writes are few and large and share a few.
  */
 export const ADMISSION_PARTITIONS = 128
-/** Partition of what only the leader writes, fenced by the epoch row in it. */
-export const LEADER_PARTITION = 'leader'
+/** Partitions of what only the leader writes, each fenced by an epoch row of its own. */
+export const LEADER_PARTITIONS = 4
 /** Partition of the lease, so that its renewal doesn't wait for other transactions. */
 export const LEASE_PARTITION = 'lease'
+/** Partition of the addresses of the daemons. */
+export const DAEMONS_PARTITION = 'daemons'
 
 export const TABLES = {
   /** Admitted jobs by `ID` and cancellations by `ID.cancel`, in the partition of the job. */
@@ -33,7 +35,7 @@
 /** Pause between two reads of the changes that notifications may have missed. */
 export const CHANGES_POLL_MS = 1_000
 /** Pause that lets further changes join a transaction of the leader. */
-export const COMMIT_GAP_MS = 8
+export const COMMIT_GAP_MS = 12
 export const COMMIT_RETRY_MS = 150
 /** Entries of one transaction that the store allows, less one for the epoch. */
 export const MAX_TRANSACTION_ENTRIES = 99
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import { ENDED_RETENTION_SLACK_MS, LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import { partitionOf } from './jobs.js'
+import { ENDED_RETENTION_SLACK_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
 import type { EndedRecord } from './jobs.js'
 import type { RowStore, Transaction } from './ports.js'
 
@@ -34,7 +34,8 @@
 export class Janitor {
   private readonly ended = new Map<string, { readonly since: number, readonly jobs: EndedJob[] }>()
   private readonly reduced: EndedJob[] = []
-  private readonly progressRows: string[] = []
+  /** Rows of progress to drop, by leader partition. */
+  private readonly progressRows = new Map<number, string[]>()
 
   private constructor (private readonly options: JanitorOptions) {}
 
@@ -83,14 +84,22 @@
     if (version === undefined) return
     for (const job of batch) {
       this.reduced.push({ ...job, version })
-      this.progressRows.push(job.id)
+      const index = leaderPartitionOf(job.id)
+      this.progressRows.set(index, [...(this.progressRows.get(index) ?? []), job.id])
     }
   }
 
   private async dropProgress () {
-    if (this.progressRows.length < JOBS_PER_TRANSACTION) return
-    const batch = this.progressRows.splice(0, 2 * JOBS_PER_TRANSACTION)
-    await this.transact({ partition: LEADER_PARTITION, expect: [], puts: [], removes: batch.map(key => ({ table: TABLES.progress, key })) })
+    const next = [...this.progressRows].find(([, keys]) => keys.length >= JOBS_PER_TRANSACTION)
+    if (next === undefined) return
+    const [index, keys] = next
+    this.progressRows.delete(index)
+    await this.transact({
+      partition: leaderPartitionName(index),
+      expect: [],
+      puts: [],
+      removes: keys.slice(0, 3 * JOBS_PER_TRANSACTION).map(key => ({ table: TABLES.progress, key }))
+    })
   }
 
   private async removeExpired () {
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -1,5 +1,6 @@
 import type { Log } from '@citronnotch/daemon/logger'
-import { ADMISSION_PARTITIONS, LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { admissionPartitionName, leaderPartitionName } from './jobs.js'
 import type { RangeQuery, RowStore, StoredRow } from './ports.js'
 
 /** Rows of one read; the store's own limit. */
@@ -22,13 +23,20 @@
   }
 
   /**
-   * Writes the epoch row, on which every later transaction of an earlier leader fails. Returns its version,
-   * undefined when the store didn't answer, and `deposed` when a later epoch is there.
+   * Writes the epoch rows, on which every later transaction of an earlier leader fails. Returns their versions by
+   * leader partition, undefined when the store didn't answer, and `deposed` when a later epoch is there.
    */
-  async fence (epoch: number): Promise<number | 'deposed' | undefined> {
-    const row = await this.store.range({ table: TABLES.leader, partition: LEADER_PARTITION, from: 'epoch', to: 'epoch\0', limit: 1 }, STORE_TIMEOUT_MS)
+  async fence (epoch: number): Promise<readonly number[] | 'deposed' | undefined> {
+    const partitions = Array.from({ length: LEADER_PARTITIONS }, (_, index) => leaderPartitionName(index))
+    const versions = await Promise.all(partitions.map(partition => this.fencePartition(partition, epoch)))
+    if (versions.includes('deposed')) return 'deposed'
+    return versions.every(version => typeof version === 'number') ? versions : undefined
+  }
+
+  private async fencePartition (partition: string, epoch: number): Promise<number | 'deposed' | undefined> {
+    const row = await this.store.range({ table: TABLES.leader, partition, from: 'epoch', to: 'epoch\0', limit: 1 }, STORE_TIMEOUT_MS)
     if (row.err) {
-      this.log.warn('Epoch could not be read.', { epoch, reason: row.val.reason })
+      this.log.warn('Epoch could not be read.', { epoch, partition, reason: row.val.reason })
       return undefined
     }
     const current = row.val.rows[0]
@@ -36,28 +44,34 @@
     if (stored > epoch) return 'deposed'
     if (stored === epoch && current !== undefined) return current.version
     const res = await this.store.transact({
-      partition: LEADER_PARTITION,
+      partition,
       expect: [{ table: TABLES.leader, key: 'epoch', version: current?.version ?? 0 }],
       puts: [{ table: TABLES.leader, key: 'epoch', value: { epoch } }],
       removes: []
     }, STORE_TIMEOUT_MS)
     if (res.ok && res.val.committed) return res.val.version
-    this.log.warn('Epoch is not stored yet.', { epoch, reason: res.err ? res.val.reason : 'conflict' })
+    this.log.warn('Epoch is not stored yet.', { epoch, partition, reason: res.err ? res.val.reason : 'conflict' })
     return undefined
   }
 
   /** Returns undefined when the store didn't answer every read. */
   async load (): Promise<JobRows | undefined> {
-    const progress = await this.readAll({ table: TABLES.progress, partition: LEADER_PARTITION })
+    const progress = await this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName)
     if (progress === undefined) return undefined
-    const partitions = Array.from({ length: ADMISSION_PARTITIONS }, (_, index) => `jobs-${index}`)
-    const pages = await Promise.all(partitions.map(partition => this.readAll({ table: TABLES.jobs, partition })))
-    const jobs: StoredRow[] = []
+    const jobs = await this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
+    return jobs === undefined ? undefined : { jobs: jobs.rows, progress: progress.rows, version: Math.min(progress.version, jobs.version) }
+  }
+
+  private async readPartitions (table: string, count: number, nameOf: (index: number) => string) {
+    const pages = await Promise.all(Array.from({ length: count }, (_, index) => this.readAll({ table, partition: nameOf(index) })))
+    const rows: StoredRow[] = []
+    let version = Infinity
     for (const page of pages) {
       if (page === undefined) return undefined
-      jobs.push(...page.rows)
+      rows.push(...page.rows)
+      version = Math.min(version, page.version)
     }
-    return { jobs, progress: progress.rows, version: progress.version }
+    return { rows, version }
   }
 
   private async readAll (query: RangeQuery): Promise<{ readonly rows: readonly StoredRow[], readonly version: number } | undefined> {
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -3,8 +3,8 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { Err, Ok } from '@citronnotch/protocol'
 import type { Result } from '@citronnotch/protocol'
-import { LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import { partitionOf } from './jobs.js'
+import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
 import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
@@ -135,7 +135,7 @@
     if (reduced !== undefined) return Ok(reduced)
     const { key } = job
     const page = await this.withinBudget(key, 'show', budgetMs, () =>
-      this.options.store.range({ table: TABLES.progress, partition: LEADER_PARTITION, from: key, to: `${key}\0`, limit: 1 }, STORE_TIMEOUT_MS))
+      this.options.store.range({ table: TABLES.progress, partition: leaderPartitionName(leaderPartitionOf(key)), from: key, to: `${key}\0`, limit: 1 }, STORE_TIMEOUT_MS))
     if (page.err) return page
     const progress = page.val.rows[0]?.value as StoredProgress | undefined
     return Ok(progress !== undefined && 'outcome' in progress ? progress.outcome : undefined)
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,4 +1,4 @@
-import { ADMISSION_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
+import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobOutcome, JobSpec, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -39,7 +39,20 @@
 
 /** Partition of the rows that admit and cancel a job. */
 export function partitionOf (jobId: string): string {
-  return `jobs-${Number.parseInt(jobId.slice(-4), 16) % ADMISSION_PARTITIONS}`
+  return admissionPartitionName(Number.parseInt(jobId.slice(-4), 16) % ADMISSION_PARTITIONS)
+}
+
+export function admissionPartitionName (index: number): string {
+  return `jobs-${index}`
+}
+
+/** Index of the leader partition with the progress of a job. */
+export function leaderPartitionOf (jobId: string): number {
+  return Number.parseInt(jobId.slice(-4), 16) % LEADER_PARTITIONS
+}
+
+export function leaderPartitionName (index: number): string {
+  return `leader-${index}`
 }
 
 /** One run of a task on one worker, from the moment its start is decided until its end is known. */
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -4,13 +4,13 @@
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
 import {
-  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, REGISTRY_POLL_MS, TABLES, WORKER_CLOCK_RATE,
+  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, LEADER_PARTITIONS, REGISTRY_POLL_MS, TABLES, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE,
   WORKER_RETRY_MS
 } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
-import { Job } from './jobs.js'
+import { Job, leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { EndedRecord, JobRecord, Run, Step, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
 import type { Directory, RefusalReason, RowStore, StoredRow, WorkerClients } from './ports.js'
@@ -56,7 +56,10 @@
   private readonly jobs = new Map<string, Job>()
   private readonly recent = new Map<string, RecentEnd>()
   private readonly links = new Map<string, WorkerLink>()
-  private readonly commits: CommitQueue
+  /** Highest fencing token sent to a worker that was dropped, by id: it may start again under the same id. */
+  private readonly lastTokens = new Map<string, number>()
+  /** By leader partition. */
+  private readonly commits: readonly CommitQueue[]
   private readonly advice: AdviceBook
   private readonly dispatcher: Dispatcher
   private readonly health: WorkerHealth
@@ -66,22 +69,23 @@
   private readonly janitor: Janitor
   private readonly loader: JobLoader
   private changesVersion = 0
-  /** Version of the epoch row; jobs with a lower one may have been started by an earlier leader. */
-  private epochVersion = 0
+  /** Versions of the epoch rows by leader partition; jobs with a lower one may have been started by an earlier leader. */
+  private epochVersions: readonly number[] = []
   private isLoaded = false
   private isGateOpen = false
   private passScheduled = false
 
   private constructor (private readonly options: LeaderOptions) {
     const { clock, logs, store, epoch, mayOrder, onDeposed } = options
-    const epochVersion = () => this.epochVersion
     this.log = logs.for('leader')
     this.health = WorkerHealth.create(clock, this.log)
-    this.commits = CommitQueue.create({ store, epochVersion, mayOrder, onDeposed, clock, log: logs.for('commits') })
+    this.commits = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
+      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersions[index] ?? 0, mayOrder, onDeposed, clock, log: logs.for('commits')
+    }))
     this.advice = AdviceBook.create({ agents: options.agents, onAnswer: () => this.schedulePass(), clock, log: logs.for('advice') })
     this.janitor = Janitor.create({ store, retentionMs: options.statusRetentionMs, mayOrder, clock, log: this.log })
     this.loader = JobLoader.create(store, this.log)
-    this.roster = Roster.create({ store, epochVersion, log: this.log })
+    this.roster = Roster.create({ store, epochVersion: () => this.epochVersions[0] ?? 0, log: this.log })
     this.dispatcher = Dispatcher.create({
       epoch,
       workers: () => this.links.values(),
@@ -108,7 +112,7 @@
     await this.load(signal)
     if (signal.aborted) return
     await Promise.all([
-      this.commits.run(signal),
+      ...this.commits.map(commits => commits.run(signal)),
       this.watchRegistry(signal),
       this.watchChanges(signal),
       this.janitor.run(signal),
@@ -165,7 +169,7 @@
     if (job.outcome !== undefined) return
     if (end === 'done') this.taskDone(link, job, task.step, task, run)
     else if (end === 'failed') this.taskFailed(link, job, task.step, task, run)
-    await this.commits.stage(job)
+    await this.stage(job)
   }
 
   lost (link: WorkerLink, run: Run, reason: LossReason): void {
@@ -244,7 +248,7 @@
     metrics.observe('admission_to_end_ms', clock.date().getTime() - job.record.admittedAtMs)
     for (const run of [...job.runs()]) run.worker.stop(run)
     for (const step of job.liveSteps()) this.advice.forget(step)
-    this.commits.stage(job).then(() => {
+    this.stage(job).then(() => {
       job.isStored = true
       this.remember(job.id, outcome)
       this.janitor.jobEnded(job.id, job.version, { outcome, endedAtMs: clock.date().getTime() })
@@ -253,6 +257,11 @@
     })
   }
 
+  /** Resolves when the job's present state is stored. */
+  private async stage (job: Job): Promise<void> {
+    await this.commits[leaderPartitionOf(job.id)]?.stage(job)
+  }
+
   private forgetWhenEmpty (job: Job) {
     if (job.isStored && [...job.runs()].length === 0) this.jobs.delete(job.id)
   }
@@ -275,7 +284,8 @@
 
   /** Jobs of which it is known where their tasks run. */
   private * dispatchable (): Iterable<Job> {
-    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > this.epochVersion) yield job
+    const newest = Math.max(...this.epochVersions)
+    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > newest) yield job
   }
 
   // Loops
@@ -293,10 +303,10 @@
   }
 
   private async fence (): Promise<boolean> {
-    const version = await this.loader.fence(this.options.epoch)
-    if (version === 'deposed') this.options.onDeposed()
-    if (typeof version !== 'number') return false
-    this.epochVersion = version
+    const versions = await this.loader.fence(this.options.epoch)
+    if (versions === 'deposed') this.options.onDeposed()
+    if (versions === undefined || versions === 'deposed') return false
+    this.epochVersions = versions
     return true
   }
 
@@ -411,7 +421,8 @@
 
   private connect (entry: WorkerEntry, signal: AbortSignal) {
     const { clients, epoch, taskLeaseMs, mayOrder, clock } = this.options
-    const link = WorkerLink.create({ entry, clients, epoch, taskLeaseMs, events: this, mayOrder, clock, log: this.log })
+    const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
+    const link = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events: this, mayOrder, clock, log: this.log })
     this.links.set(entry.id, link)
     link.run(signal)
   }
@@ -419,6 +430,7 @@
   private drop (link: WorkerLink, reason: string) {
     link.declareDead()
     this.links.delete(link.id)
+    this.lastTokens.set(link.id, link.lastToken())
     this.health.forget(link.id)
     this.log.info('Worker dropped.', { worker: link.id, born: link.entry.born, reason })
   }
@@ -461,7 +473,7 @@
       }
       this.stopStalled()
       metrics.gauge('jobs_live', this.jobs.size)
-      metrics.gauge('commits_waiting', this.commits.size())
+      metrics.gauge('commits_waiting', this.commits.reduce((sum, commits) => sum + commits.size(), 0))
       this.schedulePass()
     }
   }
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -37,6 +37,8 @@
 export class LeaderLease {
   private row: { readonly value: LeaseValue, readonly version: number } | undefined
   private validity: Stopwatch | undefined
+  /** When the first renewal of the row as it is was sent; it may have taken effect without an answer. */
+  private renewingSince: Stopwatch | undefined
   /** Monotonic time of the first read that found the row as it is. A step of the wall clock must not count. */
   private unchangedSince: number | undefined
   private isLeaving = false
@@ -97,6 +99,7 @@
     const row = this.row
     if (row === undefined) return
     const sent = Stopwatch.start(clock)
+    this.renewingSince ??= sent
     const res = await store.transact({
       partition: LEASE_PARTITION,
       expect: [{ table: TABLES.leader, key: 'lease', version: row.version }],
@@ -109,21 +112,27 @@
       return
     }
     if (res.val.committed) {
-      if (!this.isValid()) log.info('Lease is valid again.', { epoch: row.value.epoch })
-      this.row = { value: row.value, version: res.val.version }
-      this.validity = sent
+      this.renewed({ value: row.value, version: res.val.version }, sent)
       return
     }
     const current = parseLease(res.val.current.find(({ key }) => key === 'lease'))
     if (current?.value.holder === holder && !current.value.released) {
       // An earlier renewal whose answer was lost has taken effect.
-      this.row = current
+      this.renewed(current, this.renewingSince)
       return
     }
     this.row = current
     this.lose(`epoch ${current?.value.epoch ?? 0} belongs to ${current?.value.holder ?? 'nobody'}`)
   }
 
+  private renewed (row: { readonly value: LeaseValue, readonly version: number }, sent: Stopwatch) {
+    const wasValid = this.isValid()
+    this.row = row
+    this.validity = sent
+    this.renewingSince = undefined
+    if (!wasValid && this.isValid()) this.options.log.info('Lease is valid again.', { epoch: row.value.epoch, version: row.version })
+  }
+
   private async observe () {
     const { store, clock, holder, log } = this.options
     const res = await store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, LEASE_CALL_TIMEOUT_MS)
@@ -170,6 +179,7 @@
     const previous = this.row?.value
     this.row = row
     this.validity = sent
+    this.renewingSince = undefined
     this.options.log.info('Leadership gained.', { epoch: row.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
     this.options.onGained(row.value.epoch)
   }
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -1,8 +1,11 @@
 import type { Log } from '@citronnotch/daemon/logger'
-import { LEADER_PARTITION, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { leaderPartitionName } from './jobs.js'
 import type { RowStore } from './ports.js'
 import type { WorkerEntry } from './types.js'
 
+const PARTITION = leaderPartitionName(0)
+
 interface Member {
   readonly id: string
   readonly born: number
@@ -10,7 +13,7 @@
 
 export interface RosterOptions {
   readonly store: RowStore
-  /** Version of the epoch row, which fences earlier leaders. */
+  /** Version of the epoch row of the roster's partition, which fences earlier leaders. */
   readonly epochVersion: () => number
   readonly log: Log
 }
@@ -46,7 +49,7 @@
   /** Reads the row; returns false when the store didn't answer. */
   async load (): Promise<boolean> {
     const { store, log } = this.options
-    const res = await store.range({ table: TABLES.leader, partition: LEADER_PARTITION, from: 'roster', limit: 1 }, STORE_TIMEOUT_MS)
+    const res = await store.range({ table: TABLES.leader, partition: PARTITION, from: 'roster', limit: 1 }, STORE_TIMEOUT_MS)
     if (res.err) {
       log.warn('Roster could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
       return false
@@ -64,7 +67,7 @@
     if (members.length === this.stored.length && members.every(member => this.has(member))) return false
     const { store, epochVersion, log } = this.options
     const res = await store.transact({
-      partition: LEADER_PARTITION,
+      partition: PARTITION,
       expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion() }, { table: TABLES.leader, key: 'roster', version: this.version }],
       puts: [{ table: TABLES.leader, key: 'roster', value: { workers: members } }],
       removes: []
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
 import {
-  HOLD_GAP_MS, HOLD_WAIT_MS, LAPSE_MARGIN_MS, MAX_ENDS_LISTED, STOP_RETRY_MS, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE,
+  HOLD_GAP_MS, HOLD_WAIT_MS, LAPSE_MARGIN_MS, MAX_ENDS_LISTED, STOP_RETRY_MS, WORKER_CLOCK_RATE,
   WORKER_RETRY_MS, WORKER_TIMEOUT_MS
 } from './constants.js'
+import { Hedge } from './hedge.js'
 import type { Run, Task } from './jobs.js'
 import { Run as TaskRun } from './jobs.js'
 import type { RefusalReason, WorkerClient, WorkerClients } from './ports.js'
@@ -14,6 +15,10 @@
 /** A longer time between two reports says nothing about the progress of runs. */
 const MAX_REPORT_GAP_MS = 1_600
 
+/** Typical time of a start across regions, and the shortest after which it is repeated, in milliseconds. */
+const TYPICAL_START_MS = 50
+const OVERDUE_START_MS = 150
+
 /** Why a run that has no listed end is known not to be running. */
 export type LossReason = 'worker-restarted' | 'lease-lapsed' | 'not-listed' | 'not-started'
 
@@ -34,7 +39,8 @@
 export interface WorkerLinkOptions {
   readonly entry: WorkerEntry
   readonly clients: WorkerClients
-  readonly epoch: number
+  /** First fencing token; above all that were sent to earlier lives of the worker. */
+  readonly firstToken: number
   /** Length of the lease on everything that runs there, in milliseconds. */
   readonly taskLeaseMs: number
   readonly events: WorkerEvents
@@ -70,11 +76,14 @@
   /** Monotonic time at which every lease sent so far has ended. */
   private lapsesAt = 0
   private readonly client: WorkerClient
+  /** A start can be repeated: the worker takes each run number once. */
+  private readonly starts: Hedge
 
   private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
     this.id = entry.id
-    this.token = options.epoch * TOKENS_PER_EPOCH + 1
+    this.token = options.firstToken
     this.client = options.clients.create(entry)
+    this.starts = Hedge.create({ clock: options.clock, initialMs: TYPICAL_START_MS, minimumMs: OVERDUE_START_MS })
   }
 
   static create (options: WorkerLinkOptions): WorkerLink {
@@ -95,6 +104,11 @@
       this.options.clock.now() >= this.notBefore
   }
 
+  /** Highest fencing token sent so far. */
+  lastToken (): number {
+    return this.token
+  }
+
   /** Monotonic time of the newest report. */
   reportedAt (): number {
     return this.clockReadAt
@@ -168,9 +182,9 @@
   private async sendStart (run: Run, payload: string, ticket: string) {
     const { log, events } = this.options
     const leaseUntilMs = this.nextLease()
-    const res = await this.client.start({
+    const res = await this.starts.call(() => this.client.start({
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
-    }, WORKER_TIMEOUT_MS)
+    }, WORKER_TIMEOUT_MS))
     if (!this.runs.has(keyOf(run.id, run.number))) return
     if (res.ok && res.val.accepted) {
       run.confirmedAtMs = res.val.clockMs
