--- /dev/null
+++ b/packages/cell/src/__tests__/jobService.test.ts
@@ -0,0 +1,60 @@
+import test from 'ava'
+import { TestCell, createQueue, createStep } from '../testing/index.js'
+
+const spec = { payload: 'p', steps: [createStep()] }
+
+test('the same id is one job, at any daemon and also when the first answer was lost', async t => {
+  const cell = TestCell.create()
+  const [first, second] = [cell.startDaemon('d1'), cell.startDaemon('d2')]
+  const jobId = cell.newJobId()
+  let lost = 0
+  cell.store.writeFault = tx => tx.puts.some(({ key }) => key === jobId) && lost++ === 0 ? { kind: 'answer-lost' } : undefined
+  const res = await cell.during(first.jobs.submit(jobId, createQueue(), spec, 3_000))
+  t.true(res.ok)
+  t.is((await cell.during(second.jobs.submit(jobId, createQueue(), spec, 3_000))).unwrap(), 'known')
+  t.is(cell.store.committed.filter(tx => tx.puts.some(({ key }) => key === jobId)).length, 1)
+})
+
+test('a submission that is applied late does not bring back an ended job', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const jobId = cell.newJobId()
+  let sent = 0
+  cell.store.writeFault = tx => tx.puts.some(({ table, key }) => table === 'jobs' && key === jobId) && sent++ === 0
+    ? { kind: 'applied-late', afterMs: 15_000 }
+    : undefined
+  cell.audit.expectJob(jobId, spec)
+  t.true((await cell.during(daemon.jobs.submit(jobId, createQueue(), spec, 3_000))).ok)
+  t.true(await cell.until(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  await cell.clock.advance(20_000)
+  t.is(cell.leader()?.stateOf(jobId), 'completed')
+  t.deepEqual(cell.audit.violations, [])
+})
+
+test('a refusal says that nothing has run only when no attempt can take effect', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  cell.store.writeFault = () => ({ kind: 'refused' })
+  const refused = await cell.during(daemon.jobs.submit(cell.newJobId(), createQueue(), spec, 1_000))
+  t.is(refused.err && refused.val.verdict, 'not-run')
+  cell.store.writeFault = () => ({ kind: 'answer-lost' })
+  const lost = await cell.during(daemon.jobs.submit(cell.newJobId(), createQueue(), spec, 1_000))
+  t.is(lost.err && lost.val.verdict, 'may-have-run')
+})
+
+test('a job that was never submitted is unknown, and can not be cancelled', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  t.is((await cell.during(daemon.jobs.stateOf(cell.newJobId(), 1_000))).unwrap(), undefined)
+  t.is((await cell.during(daemon.jobs.cancel(cell.newJobId(), 1_000))).unwrap(), 'unknown')
+})
+
+test('pending counts the jobs of a queue of which no task has started', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 60_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  for (let i = 0; i < 5; i++) await cell.submit(daemon, [createStep({ need: { milliCores: 4_000, memoryMb: 1, accelerators: 0 } })])
+  await cell.clock.advance(1_000)
+  t.is((await cell.during(daemon.jobs.pendingOf(createQueue()))).unwrap(), 3)
+})
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log, LogFactory } from '@citronnotch/daemon/logger'
 import { AdviceBook } from './advice.js'
@@ -77,6 +78,8 @@
 
   private constructor (private readonly options: LeaderOptions) {
     const { clock, logs, store, epoch, mayOrder, onDeposed } = options
+    // One loop for each worker waits on it.
+    setMaxListeners(0, this.stopping.signal)
     this.log = logs.for('leader')
     this.health = WorkerHealth.create(clock, this.log)
     this.commits = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
--- /dev/null
+++ b/packages/cell/src/testing/testCell.ts
@@ -0,0 +1,211 @@
+import { ManualClock } from '@citronnotch/daemon/clock'
+import { LogFactory } from '@citronnotch/daemon/logger'
+import { Ok } from '@citronnotch/protocol'
+import type { AdviceAgent } from '../advice.js'
+import { HedgedStore } from '../hedgedStore.js'
+import { JobService } from '../jobService.js'
+import type { LeaderContact } from '../jobService.js'
+import { Leader } from '../leader.js'
+import { LeaderLease } from '../leaderLease.js'
+import { MemoryMetrics } from '../metrics.js'
+import type { Directory } from '../ports.js'
+import { StoreHealth } from '../storeHealth.js'
+import type { JobSpec, Queue, ResourceVector, StepSpec, TaskId, WorkerEntry } from '../types.js'
+import { Audit } from './audit.js'
+import { MemoryStore } from './memoryStore.js'
+import { MemoryWorker, MemoryWorkers } from './memoryWorker.js'
+
+export const SERVICE = 'dispatch'
+const silent = LogFactory.create({ levels: { '*': 'fatal' } })
+
+export function createQueue (fields: Partial<Queue> = {}): Queue {
+  return {
+    name: 'renewals', host: 'a.example', pathPrefix: '/renewals/', service: SERVICE, priority: 0, maxAttempts: 3, slackFactor: 2, targetLatencyMs: 500, ...fields
+  }
+}
+
+export function createStep (fields: Partial<StepSpec> = {}): StepSpec {
+  return {
+    count: 1,
+    need: { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 },
+    estimateMs: 500,
+    after: [],
+    gang: false,
+    rackLocal: false,
+    requiredLabel: '',
+    affinityRack: '',
+    maxPerWorker: 0,
+    speculative: false,
+    longRunning: false,
+    checkpoints: false,
+    ...fields
+  }
+}
+
+export function createEntry (id: string, fields: Partial<WorkerEntry> = {}): WorkerEntry {
+  return {
+    id, born: 1, service: SERVICE, address: `10.0.0.${id.replace(/\D/g, '')}:80`, zone: 'a', state: 'ready', capacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 }, labels: ['a', 'r1'], ...fields
+  }
+}
+
+export interface TestCellOptions {
+  readonly workers?: readonly WorkerEntry[]
+  readonly queues?: readonly Queue[]
+  readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
+  readonly agent?: AdviceAgent
+}
+
+/** A daemon of a cell in memory, without its listeners. */
+export interface TestDaemon {
+  readonly name: string
+  readonly lease: LeaderLease
+  readonly jobs: JobService
+  leader (): Leader | undefined
+  /** Ends the daemon without a word. */
+  kill (): void
+}
+
+/** A cell in memory on a manual clock: a store, workers, an audit, and daemons that are started and killed. */
+export class TestCell {
+  readonly clock = ManualClock.create()
+  readonly store = MemoryStore.create({ clock: this.clock })
+  readonly audit = Audit.create()
+  readonly workers = MemoryWorkers.create()
+  readonly daemons: TestDaemon[] = []
+  private readonly specs = new Map<string, JobSpec>()
+  private registry: readonly WorkerEntry[]
+  private nextJob = 1
+
+  private constructor (private readonly options: TestCellOptions) {
+    this.registry = options.workers ?? [createEntry('w1'), createEntry('w2')]
+    for (const entry of this.registry) {
+      this.workers.add(MemoryWorker.create({
+        entry,
+        clock: this.clock,
+        audit: this.audit,
+        behaviour: options.behaviour ?? (() => ({ durationMs: 500, end: 'done' })),
+        needOf: task => this.needOf(task)
+      }))
+    }
+  }
+
+  static create (options: TestCellOptions = {}): TestCell {
+    return new TestCell(options)
+  }
+
+  queue (): Queue {
+    return this.options.queues?.[0] ?? createQueue()
+  }
+
+  setRegistry (entries: readonly WorkerEntry[]): void {
+    this.registry = entries
+  }
+
+  startDaemon (name: string, address = `${name}:1`): TestDaemon {
+    const { clock, workers, options } = this
+    const stopping = new AbortController()
+    const store = HedgedStore.create(this.store, clock)
+    const metrics = MemoryMetrics.create()
+    const queues = new Map((options.queues ?? [createQueue()]).map(queue => [queue.name, queue]))
+    const directory: Directory = {
+      readConfig: async () => Ok({ config: undefined, version: 0 }),
+      watchConfig: async () => Ok({ config: undefined, version: 0 }),
+      listWorkers: async () => Ok(this.registry)
+    }
+    let leader: Leader | undefined
+    const stopLeading = () => {
+      leader?.stop()
+      leader = undefined
+    }
+    const lease = LeaderLease.create({
+      holder: `${name}/${this.daemons.length}`,
+      peerAddress: address,
+      store,
+      clock,
+      log: silent.for('lease'),
+      onGained: epoch => {
+        stopLeading()
+        leader = Leader.create({
+          epoch,
+          store,
+          directory,
+          clients: workers,
+          agents: () => options.agent === undefined ? [] : [options.agent],
+          queue: name => queues.get(name),
+          mayOrder: () => lease.isValid(),
+          onDeposed: stopLeading,
+          taskLeaseMs: 5_000,
+          statusRetentionMs: 120_000,
+          clock,
+          logs: silent,
+          metrics
+        })
+        leader.run().catch(err => this.audit.violations.push(`leader failed: ${String(err)}`))
+      },
+      onLost: stopLeading
+    })
+    const daemon: TestDaemon = {
+      name,
+      lease,
+      leader: () => leader,
+      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silent.for('store')), leader: this.contact(), clock, log: silent.for('jobs'), metrics }),
+      kill: () => {
+        stopping.abort()
+        stopLeading()
+      }
+    }
+    lease.run(stopping.signal).catch(err => this.audit.violations.push(`lease failed: ${String(err)}`))
+    this.daemons.push(daemon)
+    return daemon
+  }
+
+  leader (): Leader | undefined {
+    return this.daemons.find(daemon => daemon.lease.isValid() && daemon.leader() !== undefined)?.leader()
+  }
+
+  /** Submits a job through a daemon and returns its id. */
+  async submit (daemon: TestDaemon, steps: readonly StepSpec[], jobId = this.newJobId()): Promise<string> {
+    const spec: JobSpec = { payload: `payload of ${jobId}`, steps }
+    this.specs.set(jobId, spec)
+    this.audit.expectJob(jobId, spec)
+    const res = await this.during(daemon.jobs.submit(jobId, this.queue(), spec, 3_000))
+    if (res.err) throw new Error(res.val.reason)
+    return jobId
+  }
+
+  newJobId (): string {
+    return (this.nextJob++).toString(16).padStart(16, '0')
+  }
+
+  /** Lets time pass until a promise settles. */
+  async during<T> (promise: Promise<T>): Promise<T> {
+    let settled = false
+    const watched = promise.finally(() => { settled = true })
+    for (let i = 0; i < 2_000 && !settled; i++) await this.clock.advance(10)
+    return watched
+  }
+
+  /** Lets time pass until a condition holds; returns whether it did. */
+  async until (condition: () => boolean, limitMs = 20_000): Promise<boolean> {
+    for (let passed = 0; passed < limitMs; passed += 20) {
+      if (condition()) return true
+      await this.clock.advance(20)
+    }
+    return condition()
+  }
+
+  private contact (): LeaderContact {
+    return {
+      admitted: (jobId, record, version) => this.leader()?.admitted(jobId, record, version),
+      cancelled: jobId => this.leader()?.cancelled(jobId),
+      submit: async (jobId, record) => this.daemons[0]?.jobs.admit(jobId, record, 1_000) ?? Promise.reject(new Error('no daemon')),
+      cancel: async jobId => this.daemons[0]?.jobs.storeCancel(jobId, 1_000) ?? Promise.reject(new Error('no daemon')),
+      stateOf: async jobId => this.leader()?.stateOf(jobId),
+      pendingOf: async queue => this.leader()?.pendingOf(queue)
+    }
+  }
+
+  private needOf (task: TaskId): ResourceVector {
+    return this.specs.get(task.jobId)?.steps[task.step]?.need ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
+  }
+}
