fix(cell): a refused repeat of a start says nothing about the first one

Change: a refusal counts only when every send of the start has been answered. The dispatcher asks for advice only about workers with room, and looks at the workers with tickets first.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -52,6 +52,24 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+test('the refusal of a repeated start does not mean that the first one can not be carried out', async t => {
+  const cell = TestCell.create({ workers: [createEntry('w1'), createEntry('w2')], behaviour: () => ({ durationMs: 3_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  let starts = 0
+  for (const worker of cell.workers.all()) {
+    worker.fault = command => {
+      if (command !== 'start') return undefined
+      starts++
+      if (starts === 1) return { kind: 'applied-late', afterMs: 500 }
+      return starts === 2 ? { kind: 'refused', reason: 'no-room' } : undefined
+    }
+  }
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.until(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.violations, [])
+})
+
 test('tasks of a worker that is cut off start elsewhere only after its lease has ended', async t => {
   const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
   const daemon = cell.startDaemon('d1')
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -77,9 +77,24 @@
     return advice !== undefined && advice.asked.has(worker.id) && !advice.tickets.has(worker.id)
   }
 
-  /** Whether the service has answered about the step before. */
-  isAsked (step: Step): boolean {
-    return (this.steps.get(step)?.asked.size ?? 0) > 0
+  /** Workers with a ticket that can be used now. */
+  ticketed (step: Step, byId: ReadonlyMap<string, WorkerLink>): readonly WorkerLink[] {
+    const workers: WorkerLink[] = []
+    for (const id of this.steps.get(step)?.tickets.keys() ?? []) {
+      const worker = byId.get(id)
+      if (worker !== undefined && this.ticket(step, worker) !== undefined) workers.push(worker)
+    }
+    return workers
+  }
+
+  /** Whether the service has allowed the worker for this step, also when the ticket has run out. */
+  isApproved (step: Step, worker: WorkerLink): boolean {
+    return this.steps.get(step)?.tickets.has(worker.id) === true
+  }
+
+  /** Whether some agent can take a call now. */
+  hasFreeAgent (): boolean {
+    return this.pickAgent(false) !== undefined
   }
 
   isPending (step: Step): boolean {
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -32,10 +32,26 @@
 /** A late job counts until this multiple of its objective. */
 const LATE_MULTIPLE = 3
 
+/** Workers named in a call for advice at least, and places among those named for each task: the service allows a part. */
+const MIN_NAMED = 10
+const PLACES_PER_TASK = 4
+/** Distance between the first workers named in two calls. */
+const TURN_STEP = 7
+
 type FreeRoom = Map<WorkerLink, ResourceVector>
 
+/** Where something can be started in one pass. */
+interface Room {
+  readonly free: FreeRoom
+  readonly byId: ReadonlyMap<string, WorkerLink>
+  /** Workers kept for a gang, with the priority of its queue. */
+  readonly reservedFor: Map<WorkerLink, number>
+}
+
 /** Decides which waiting tasks start where. */
 export class Dispatcher {
+  private turn = 0
+
   private constructor (private readonly options: DispatcherOptions) {}
 
   static create (options: DispatcherOptions): Dispatcher {
@@ -49,17 +65,14 @@
     for (const worker of this.options.workers()) {
       if (worker.canStart() && !this.options.isSuspended(worker)) free.set(worker, worker.free())
     }
-    const reservedFor = new Map<WorkerLink, number>()
+    const room: Room = { free, byId: new Map([...free.keys()].map(worker => [worker.id, worker])), reservedFor: new Map() }
     let reserving = 0
     for (const candidate of candidates) {
-      const workers = this.eligible(candidate, free, reservedFor)
-      if (candidate.step.spec.gang) {
-        if (this.placeGang(candidate, workers, free)) continue
-        if (candidate.lateness === 0 && reserving < MAX_RESERVING_GANGS) {
-          this.reserve(candidate, workers, reservedFor)
-          reserving++
-        }
-      } else this.placeTasks(candidate, workers, free)
+      const { spec } = candidate.step
+      const isPlaced = spec.gang ? this.placeGang(candidate, room) : this.placeTasks(candidate, room)
+      if (isPlaced || !spec.gang || candidate.lateness > 0 || reserving >= MAX_RESERVING_GANGS) continue
+      this.reserve(candidate, room)
+      reserving++
     }
   }
 
@@ -84,48 +97,70 @@
       a.lateness - b.lateness || a.queue.priority - b.queue.priority || a.step.job.record.admittedAtMs - b.step.job.record.admittedAtMs)
   }
 
-  private eligible ({ step, queue }: Candidate, free: FreeRoom, reservedFor: ReadonlyMap<WorkerLink, number>): readonly WorkerLink[] {
+  private isEligible ({ step, queue }: Candidate, worker: WorkerLink, { reservedFor }: Room): boolean {
     const { requiredLabel, need } = step.spec
-    return [...free.keys()].filter(worker =>
-      worker.entry.service === queue.service &&
+    return worker.entry.service === queue.service &&
       (requiredLabel === '' || worker.entry.labels.includes(requiredLabel)) &&
       fits(need, worker.entry.capacity) &&
-      (reservedFor.get(worker) ?? Infinity) > queue.priority - 1)
+      (reservedFor.get(worker) ?? Infinity) >= queue.priority
+  }
+
+  private eligible (candidate: Candidate, room: Room): readonly WorkerLink[] {
+    return [...room.free.keys()].filter(worker => this.isEligible(candidate, worker, room))
   }
 
   /**
    * Workers that the placement policy allows now. Asks about more when they have too little room and the workers
    * that could be allowed have enough: a ticket that can't be used in time only costs the service's time.
    */
-  private allowed (candidate: Candidate, workers: readonly WorkerLink[], free: FreeRoom): readonly WorkerLink[] {
+  private allowed (candidate: Candidate, room: Room): readonly WorkerLink[] {
     const { advice } = this.options
     const { step, queue, waiting } = candidate
-    if (queue.advice === undefined) return workers
-    const roomOn = (some: readonly WorkerLink[]) =>
-      some.reduce((sum, worker) => sum + timesThatFit(step.spec.need, free.get(worker) ?? worker.free()), 0)
-    const wanted = step.spec.gang ? waiting.length : 1
-    const ticketed = workers.filter(worker => advice.ticket(step, worker) !== undefined)
-    if (advice.isPending(step) || roomOn(ticketed) >= waiting.length) return ticketed
-    const open = workers.filter(worker => !advice.isRefused(step, worker))
-    const usable = open.filter(worker => fits(step.spec.need, free.get(worker) ?? worker.free()))
-    const unticketed = usable.filter(worker => advice.ticket(step, worker) === undefined)
-    if (unticketed.length > 0 && roomOn(usable) >= wanted) advice.request(step, queue.advice, advice.isAsked(step) ? usable : open)
+    if (queue.advice === undefined) return this.eligible(candidate, room)
+    const { need, gang } = step.spec
+    const roomOn = (worker: WorkerLink) => timesThatFit(need, room.free.get(worker) ?? worker.free())
+    const sum = (workers: readonly WorkerLink[]) => workers.reduce((total, worker) => total + roomOn(worker), 0)
+    const ticketed = advice.ticketed(step, room.byId).filter(worker => this.isEligible(candidate, worker, room))
+    if (advice.isPending(step) || !advice.hasFreeAgent() || sum(ticketed) >= waiting.length) return ticketed
+    const usable = this.eligible(candidate, room).filter(worker => roomOn(worker) > 0 && !advice.isRefused(step, worker))
+    const isNew = usable.some(worker => advice.ticket(step, worker) === undefined)
+    if (!isNew || sum(usable) < (gang ? waiting.length : 1)) return ticketed
+    const known = usable.filter(worker => advice.isApproved(step, worker))
+    const isKnownEnough = sum(known) >= (gang ? waiting.length : 1)
+    advice.request(step, queue.advice, isKnownEnough ? known : this.choose(usable, waiting.length, roomOn))
     return ticketed
   }
 
-  private placeTasks (candidate: Candidate, eligible: readonly WorkerLink[], free: FreeRoom) {
-    const workers = this.allowed(candidate, eligible, free)
+  /** Some of the workers with room, others each time, so that those allowed are expected to have enough. */
+  private choose (workers: readonly WorkerLink[], tasks: number, roomOn: (worker: WorkerLink) => number): readonly WorkerLink[] {
+    const first = this.turn++ * TURN_STEP % workers.length
+    const chosen: WorkerLink[] = []
+    let places = 0
+    for (let i = 0; i < workers.length; i++) {
+      const worker = workers[(first + i) % workers.length]
+      if (worker === undefined || (chosen.length >= MIN_NAMED && places >= tasks * PLACES_PER_TASK)) break
+      chosen.push(worker)
+      places += roomOn(worker)
+    }
+    return chosen
+  }
+
+  /** Returns whether all waiting tasks were placed. */
+  private placeTasks (candidate: Candidate, room: Room): boolean {
     const { step, waiting } = candidate
+    const workers = this.allowed(candidate, room)
     for (const task of waiting) {
-      const worker = this.best(step, workers, free)
-      if (worker === undefined) return
-      this.start(candidate, task, step.nextRun(this.options.epoch), worker, free, task.lastRun)
+      const worker = this.best(step, workers, room.free)
+      if (worker === undefined) return false
+      this.start(candidate, task, step.nextRun(this.options.epoch), worker, room.free, task.lastRun)
     }
+    return true
   }
 
-  private placeGang (candidate: Candidate, eligible: readonly WorkerLink[], free: FreeRoom): boolean {
+  private placeGang (candidate: Candidate, room: Room): boolean {
     const { step } = candidate
-    const workers = this.allowed(candidate, eligible, free)
+    const { free } = room
+    const workers = this.allowed(candidate, room)
     if (workers.length === 0) return false
     const places = step.spec.rackLocal
       ? this.planOnOneRack(step, workers, free) ?? this.plan(step, workers, free)
@@ -193,10 +228,12 @@
   }
 
   /** Keeps the workers with the most room for a gang that doesn't fit yet. */
-  private reserve ({ step, queue }: Candidate, eligible: readonly WorkerLink[], reservedFor: Map<WorkerLink, number>) {
+  private reserve (candidate: Candidate, room: Room) {
     const { advice } = this.options
-    const usable = eligible.filter(worker => !reservedFor.has(worker) && !advice.isRefused(step, worker))
-    const byRoom = usable.sort((a, b) => b.free().milliCores - a.free().milliCores)
+    const { step, queue } = candidate
+    const { reservedFor } = room
+    const usable = this.eligible(candidate, room).filter(worker => !reservedFor.has(worker) && !advice.isRefused(step, worker))
+    const byRoom = [...usable].sort((a, b) => b.free().milliCores - a.free().milliCores)
     let places = 0
     for (const worker of byRoom) {
       if (places >= step.tasks.length) return
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -25,6 +25,8 @@
 const CANCEL_SUFFIX = '.cancel'
 /** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
 const STALL_MS = 2_500
+/** Pause before a pass, so that events that come close together share one. */
+const PASS_GAP_MS = 5
 /** Pause of a step after a refused start, so that refusals don't come in a tight loop. */
 const REFUSAL_PAUSE_MS = 60
 /** Pause of a worker that said it had no room or was unhealthy. */
@@ -272,10 +274,10 @@
   private schedulePass () {
     if (this.passScheduled || this.stopping.signal.aborted) return
     this.passScheduled = true
-    setImmediate(() => {
+    setTimeout(() => {
       this.passScheduled = false
       this.pass()
-    })
+    }, PASS_GAP_MS)
   }
 
   private pass () {
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -12,6 +12,8 @@
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
   | { readonly kind: 'applied-late', readonly afterMs: number }
+  /** It does nothing and says so. */
+  | { readonly kind: 'refused', readonly reason: RefusalReason }
 
 export interface MemoryWorkerOptions {
   readonly entry: WorkerEntry
@@ -99,6 +101,7 @@
     await clock.sleep(ANSWER_MS)
     const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task)
     if (fault === undefined) return Ok(await execute())
+    if (fault.kind === 'refused') return Ok(refuse(fault.reason) as T)
     if (fault.kind === 'answer-lost') await execute()
     if (fault.kind === 'applied-late') clock.sleep(fault.afterMs).then(execute).catch(() => {})
     await clock.sleep(timeoutMs)
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '@citronnotch/daemon/clock'
+import { Failure } from '@citronnotch/daemon/errors'
 import type { Log } from '@citronnotch/daemon/logger'
+import { Err, Ok } from '@citronnotch/protocol'
+import type { Result } from '@citronnotch/protocol'
 import {
   HOLD_GAP_MS, HOLD_WAIT_MS, LAPSE_MARGIN_MS, MAX_ENDS_LISTED, STOP_RETRY_MS, WORKER_CLOCK_RATE,
   WORKER_RETRY_MS, WORKER_TIMEOUT_MS
@@ -7,7 +10,7 @@
 import { Hedge } from './hedge.js'
 import type { Run, Task } from './jobs.js'
 import { Run as TaskRun } from './jobs.js'
-import type { RefusalReason, WorkerClient, WorkerClients } from './ports.js'
+import type { RefusalReason, StartCommand, WorkerClient, WorkerClients } from './ports.js'
 import { NOTHING, add, subtract } from './resources.js'
 import { formatTaskId } from './types.js'
 import type { EndedRun, ResourceVector, RunningTask, TaskId, WorkerEntry, WorkerReport } from './types.js'
@@ -19,6 +22,9 @@
 const TYPICAL_START_MS = 50
 const OVERDUE_START_MS = 150
 
+/** Prefix of the code of a failure that is a worker's refusal. */
+const REFUSED = 'start-refused:'
+
 /** Why a run that has no listed end is known not to be running. */
 export type LossReason = 'worker-restarted' | 'lease-lapsed' | 'not-listed' | 'not-started'
 
@@ -182,12 +188,12 @@
   private async sendStart (run: Run, payload: string, ticket: string) {
     const { log, events } = this.options
     const leaseUntilMs = this.nextLease()
-    const res = await this.starts.call(() => this.client.start({
+    const res = await this.starts.call(() => this.startOnce({
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
-    }, WORKER_TIMEOUT_MS))
+    }))
     if (!this.runs.has(keyOf(run.id, run.number))) return
-    if (res.ok && res.val.accepted) {
-      run.confirmedAtMs = res.val.clockMs
+    if (res.ok) {
+      run.confirmedAtMs = res.val
       if (run.state === 'starting') run.state = 'running'
       return
     }
@@ -196,13 +202,20 @@
       this.distrust()
       return
     }
-    const reason = res.ok && !res.val.accepted ? res.val.reason : 'unreachable'
+    const reason = refusalOf(res.val)
     log.info('Start refused.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason })
     this.removeRun(run)
     if (reason === 'unreachable' || reason === 'other-life') this.distrust()
     events.refused(this, run, reason)
   }
 
+  /** Resolves with the worker's clock. A refusal is a failure, so that it doesn't outweigh an earlier send without an answer. */
+  private async startOnce (cmd: StartCommand): Promise<Result<number, Failure>> {
+    const res = await this.client.start(cmd, WORKER_TIMEOUT_MS)
+    if (res.err) return res
+    return res.val.accepted ? Ok(res.val.clockMs) : Err(Failure.notRun(`${REFUSED}${res.val.reason}`, 'The worker refused the start.'))
+  }
+
   private async sendStop (run: Run) {
     const { clock, mayOrder, log } = this.options
     while (this.runs.has(keyOf(run.id, run.number)) && !this.isDead) {
@@ -357,3 +370,7 @@
 function keyOf (task: TaskId, run: number): string {
   return `${formatTaskId(task)}#${run}`
 }
+
+function refusalOf ({ code }: Failure): RefusalReason | 'unreachable' {
+  return code.startsWith(REFUSED) ? code.slice(REFUSED.length) as RefusalReason : 'unreachable'
+}
