fix(cell): strong daemons lead, and a leader that the store refuses hands over

Change: daemons publish their strength, weak ones wait and hand over; a leader whose renewal fails asks others to take over; 16 partitions are read at a time; early notifications are kept; log lines with one sentence are bounded to 100 a second.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -15,11 +15,25 @@
 import { PeerClients, PeerServer } from './peers.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
-import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
+import type { Directory, PolicyService, RowStore, StoredRow, WorkerClients } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
 
-/** Interval between reads of the addresses of the other daemons. */
+/** Interval between reads of the other daemons by the leader, by others, and until some are known. */
 const PEERS_POLL_MS = 2_000
+const PEERS_IDLE_POLL_MS = 8_000
+const PEERS_RETRY_MS = 400
+/** A daemon this many times as strong leads in place of a weaker one. */
+const WEAK_MULTIPLE = 1.5
+const SUCCESSOR_CANDIDATES = 4
+/** Bound on the takeover by one candidate. */
+const TAKEOVER_TIMEOUT_MS = 400
+
+interface Member {
+  readonly name: string
+  readonly peerAddress: string
+  readonly strength: number
+}
+
 const REGISTER_RETRY_MS = 500
 /** Time that a call for advice may take on the way to another daemon and back. */
 const AGENT_WAY_MS = 200
@@ -31,6 +45,8 @@
   readonly name: string
   /** `ip:port` of the listener for other daemons. */
   readonly peerAddress: string
+  /** Fitness to lead, relative to other daemons, such as the cores of its VM. */
+  readonly strength: number
   /** Longest lease that a worker grants, in milliseconds. */
   readonly maxTaskLeaseMs: number
   readonly statusRetentionMs: number
@@ -55,6 +71,8 @@
   private readonly peers = PeerClients.create()
   private readonly stopping = new AbortController()
   private agents: readonly AdviceAgent[] = []
+  /** The other daemons that have made themselves known. */
+  private members: readonly Member[] = []
   private leader: Leader | undefined
   private peerServer: PeerServer | undefined
 
@@ -71,7 +89,9 @@
       clock,
       log: logs.for('lease'),
       onGained: epoch => this.lead(epoch),
-      onLost: () => this.stopLeading()
+      onLost: () => this.stopLeading(),
+      isWeak: () => this.isWeak(),
+      findSuccessor: holder => this.findSuccessor(holder)
     })
     this.agents = [this.ownAgent()]
     this.jobs = JobService.create({ store, storeHealth, leader: this.leaderContact(), clock, log: logs.for('jobs'), metrics: this.metrics })
@@ -205,6 +225,7 @@
         const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
         return pending === undefined ? {} : { pending }
       },
+      takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isAway() && await this.lease.takeOverFrom(holder) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
         const res = await this.ownAgent().approve(step, workerIds, timeoutMs)
         return res.ok ? { approved: [...res.val] } : { reason: res.val.reason }
@@ -242,7 +263,7 @@
       const res = await store.transact({
         partition: DAEMONS_PARTITION,
         expect: [],
-        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress } }],
+        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: this.options.strength } }],
         removes: []
       }, STORE_TIMEOUT_MS)
       if (res.ok) return
@@ -251,25 +272,47 @@
     }
   }
 
-  /** The leader reads which daemons can be asked for advice. */
+  /** Reads which other daemons there are: the leader asks them for advice, and the stronger ones lead. */
   private async watchPeers (signal: AbortSignal) {
     const { store } = this
     const { name, clock } = this.options
     while (!signal.aborted) {
-      if (this.leader !== undefined) {
-        const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
-        if (page.ok) {
-          const others = page.val.rows.filter(({ key }) => key !== name)
-          const known = new Map(this.agents.map(agent => [agent.name, agent]))
-          this.agents = [this.ownAgent(), ...others.map(({ key, value }) => {
-            const address = String((value as { peerAddress?: unknown } | undefined)?.peerAddress ?? '')
-            const agentName = `${key} ${address}`
-            return known.get(agentName) ?? this.peerAgent(agentName, address)
-          })]
-        }
+      const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
+      if (page.ok) this.applyPeers(page.val.rows.filter(({ key }) => key !== name))
+      if (this.leader !== undefined && this.isWeak()) await this.lease.moveAway()
+      const interval = this.members.length === 0 ? PEERS_RETRY_MS : this.leader === undefined ? PEERS_IDLE_POLL_MS : PEERS_POLL_MS
+      await clock.sleep(interval, signal)
+    }
+  }
+
+  private applyPeers (rows: readonly StoredRow[]) {
+    this.members = rows.map(({ key, value }) => {
+      const { peerAddress, strength } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown }
+      return { name: key, peerAddress: String(peerAddress ?? ''), strength: Number(strength ?? 0) }
+    })
+    const known = new Map(this.agents.map(agent => [agent.name, agent]))
+    this.agents = [this.ownAgent(), ...this.members.map(({ name, peerAddress }) => {
+      const agentName = `${name} ${peerAddress}`
+      return known.get(agentName) ?? this.peerAgent(agentName, peerAddress)
+    })]
+  }
+
+  /** Whether some daemon is much stronger than this one. */
+  private isWeak (): boolean {
+    return this.members.some(({ strength }) => strength > WEAK_MULTIPLE * this.options.strength)
+  }
+
+  /** Asks the strongest other daemons, in turn, to take over. */
+  private async findSuccessor (holder: string): Promise<boolean> {
+    const candidates = [...this.members].sort((a, b) => b.strength - a.strength).slice(0, SUCCESSOR_CANDIDATES)
+    for (const { peerAddress } of candidates) {
+      const res = await this.peers.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
+      if (res.ok && res.val.isTaken) {
+        this.log.info('Leadership handed over.', { successor: peerAddress })
+        return true
       }
-      await clock.sleep(this.leader !== undefined && this.agents.length > 1 ? PEERS_POLL_MS : PEERS_POLL_MS / 10, signal)
     }
+    return false
   }
 }
 
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -32,9 +32,6 @@
 /** A late job counts until this multiple of its objective. */
 const LATE_MULTIPLE = 3
 
-/** Workers named in a call for advice at least, and places among those named for each task: the service allows a part. */
-const MIN_NAMED = 10
-const PLACES_PER_TASK = 4
 /** Distance between the first workers named in two calls. */
 const TURN_STEP = 7
 
@@ -122,27 +119,20 @@
     const sum = (workers: readonly WorkerLink[]) => workers.reduce((total, worker) => total + roomOn(worker), 0)
     const ticketed = advice.ticketed(step, room.byId).filter(worker => this.isEligible(candidate, worker, room))
     if (advice.isPending(step) || !advice.hasFreeAgent() || sum(ticketed) >= waiting.length) return ticketed
-    const usable = this.eligible(candidate, room).filter(worker => roomOn(worker) > 0 && !advice.isRefused(step, worker))
+    const open = this.eligible(candidate, room).filter(worker => !advice.isRefused(step, worker))
+    const usable = open.filter(worker => roomOn(worker) > 0)
     const isNew = usable.some(worker => advice.ticket(step, worker) === undefined)
     if (!isNew || sum(usable) < (gang ? waiting.length : 1)) return ticketed
     const known = usable.filter(worker => advice.isApproved(step, worker))
     const isKnownEnough = sum(known) >= (gang ? waiting.length : 1)
-    advice.request(step, queue.advice, isKnownEnough ? known : this.choose(usable, waiting.length, roomOn))
+    advice.request(step, queue.advice, isKnownEnough ? known : this.inTurn(usable, open))
     return ticketed
   }
 
-  /** Some of the workers with room, others each time, so that those allowed are expected to have enough. */
-  private choose (workers: readonly WorkerLink[], tasks: number, roomOn: (worker: WorkerLink) => number): readonly WorkerLink[] {
-    const first = this.turn++ * TURN_STEP % workers.length
-    const chosen: WorkerLink[] = []
-    let places = 0
-    for (let i = 0; i < workers.length; i++) {
-      const worker = workers[(first + i) % workers.length]
-      if (worker === undefined || (chosen.length >= MIN_NAMED && places >= tasks * PLACES_PER_TASK)) break
-      chosen.push(worker)
-      places += roomOn(worker)
-    }
-    return chosen
+  /** Workers with room first, beginning with others each time; the call names as many as it may. */
+  private inTurn (usable: readonly WorkerLink[], open: readonly WorkerLink[]): readonly WorkerLink[] {
+    const first = this.turn++ * TURN_STEP % usable.length
+    return [...new Set([...usable.slice(first), ...usable.slice(0, first), ...open])]
   }
 
   /** Returns whether all waiting tasks were placed. */
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -6,6 +6,9 @@
 /** Rows of one read; the store's own limit. */
 const PAGE_ROWS = 500
 
+/** Partitions read at the same time; more would choke a narrow link. */
+const PARALLEL_READS = 16
+
 export interface JobRows {
   /** Rows that admit and cancel jobs. */
   readonly jobs: readonly StoredRow[]
@@ -63,15 +66,22 @@
   }
 
   private async readPartitions (table: string, count: number, nameOf: (index: number) => string) {
-    const pages = await Promise.all(Array.from({ length: count }, (_, index) => this.readAll({ table, partition: nameOf(index) })))
     const rows: StoredRow[] = []
     let version = Infinity
-    for (const page of pages) {
-      if (page === undefined) return undefined
-      rows.push(...page.rows)
-      version = Math.min(version, page.version)
+    let next = 0
+    let isComplete = true
+    const readNext = async () => {
+      while (next < count && isComplete) {
+        const page = await this.readAll({ table, partition: nameOf(next++) })
+        if (page === undefined) isComplete = false
+        else {
+          rows.push(...page.rows)
+          version = Math.min(version, page.version)
+        }
+      }
     }
-    return { rows, version }
+    await Promise.all(Array.from({ length: PARALLEL_READS }, readNext))
+    return isComplete ? { rows, version } : undefined
   }
 
   private async readAll (query: RangeQuery): Promise<{ readonly rows: readonly StoredRow[], readonly version: number } | undefined> {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -75,6 +75,8 @@
   /** Versions of the epoch rows by leader partition; jobs with a lower one may have been started by an earlier leader. */
   private epochVersions: readonly number[] = []
   private isLoaded = false
+  /** Notifications that came while the state was being loaded. */
+  private readonly early: Array<() => void> = []
   private isGateOpen = false
   private passScheduled = false
 
@@ -148,12 +150,14 @@
   // Commands
 
   admitted (jobId: string, record: JobRecord, version: number): void {
+    if (!this.isLoaded) this.early.push(() => this.admitted(jobId, record, version))
     if (!this.isLoaded || this.jobs.has(jobId) || this.recent.has(jobId)) return
     this.jobs.set(jobId, Job.create(jobId, record, version))
     this.schedulePass()
   }
 
   cancelled (jobId: string): void {
+    if (!this.isLoaded) this.early.push(() => this.cancelled(jobId))
     const job = this.jobs.get(jobId)
     if (job === undefined || job.isCancelled) return
     job.isCancelled = true
@@ -274,10 +278,10 @@
   private schedulePass () {
     if (this.passScheduled || this.stopping.signal.aborted) return
     this.passScheduled = true
-    setTimeout(() => {
+    this.options.clock.sleep(PASS_GAP_MS, this.stopping.signal).then(() => {
       this.passScheduled = false
       this.pass()
-    }, PASS_GAP_MS)
+    }).catch((err: unknown) => this.log.error('A pass failed.', { err }))
   }
 
   private pass () {
@@ -304,6 +308,7 @@
     }
     if (signal.aborted) return
     this.isLoaded = true
+    for (const apply of this.early.splice(0)) apply()
     this.log.info('State loaded.', { jobs: this.jobs.size, version: this.changesVersion, rosterWorkers: this.roster.size(), tookMs: Math.round(clock.now() - started) })
   }
 
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -6,6 +6,8 @@
 } from './constants.js'
 import type { RowStore, StoredRow } from './ports.js'
 
+/** Time that a daemon leaves to those better suited to lead. */
+const WEAK_DELAY_MS = 1_200
 /** Calls that try to release the lease; it runs out if none succeeds. */
 const RELEASE_ATTEMPTS = 3
 
@@ -27,6 +29,10 @@
   readonly log: Log
   readonly onGained: (epoch: number) => void
   readonly onLost: (reason: string) => void
+  /** Whether others are better suited to lead; such a daemon waits longer before it takes over. */
+  readonly isWeak?: () => boolean
+  /** Asks other daemons to take over from this one. Returns whether one has done so. */
+  readonly findSuccessor?: (holder: string) => Promise<boolean>
 }
 
 /**
@@ -42,6 +48,9 @@
   /** Monotonic time of the first read that found the row as it is. A step of the wall clock must not count. */
   private unchangedSince: number | undefined
   private isLeaving = false
+  private isAcquiring = false
+  /** True while this daemon has stopped ordering and asks others to take over. */
+  private isYielding = false
 
   private constructor (private readonly options: LeaderLeaseOptions) {}
 
@@ -51,7 +60,7 @@
 
   /** True while this daemon may give orders. */
   isValid (): boolean {
-    return this.validity !== undefined && this.validity.elapsedMs() < LEASE_TTL_MS
+    return !this.isYielding && this.validity !== undefined && this.validity.elapsedMs() < LEASE_TTL_MS
   }
 
   /** Peer address of the leader that was last seen. */
@@ -85,7 +94,10 @@
         puts: [{ table: TABLES.leader, key: 'lease', value }],
         removes: []
       }, LEASE_CALL_TIMEOUT_MS)
-      if (res.ok && res.val.committed) return
+      if (res.ok && res.val.committed) {
+        await this.options.findSuccessor?.(value.holder)
+        return
+      }
       const current = res.ok && !res.val.committed ? parseLease(res.val.current.find(({ key }) => key === 'lease')) : undefined
       if (current !== undefined && (current.value.holder !== value.holder || current.value.released)) return
       // A renewal that was under way has taken effect.
@@ -109,6 +121,7 @@
     if (this.validity === undefined) return
     if (res.err) {
       log.warn('Lease renewal failed.', { verdict: res.val.verdict, reason: res.val.reason, validForMs: Math.round(LEASE_TTL_MS - this.validity.elapsedMs()) })
+      await this.yieldLeadership()
       return
     }
     if (res.val.committed) {
@@ -125,6 +138,30 @@
     this.lose(`epoch ${current?.value.epoch ?? 0} belongs to ${current?.value.holder ?? 'nobody'}`)
   }
 
+  /** While the store refuses this daemon, another one may still reach it. */
+  private async yieldLeadership () {
+    const { findSuccessor, holder, log } = this.options
+    if (findSuccessor === undefined || this.isYielding) return
+    this.isYielding = true
+    const isTaken = await findSuccessor(holder)
+    this.isYielding = false
+    if (isTaken && this.validity !== undefined) this.lose('another daemon has taken over')
+    else log.info('No daemon has taken over.', { holder })
+  }
+
+  /** Takes over from a holder that has stopped ordering. Returns whether this daemon leads now. */
+  async takeOverFrom (holder: string): Promise<boolean> {
+    if (this.isLeaving || this.validity !== undefined) return false
+    await this.observe()
+    if (this.validity === undefined && this.row?.value.holder === holder) await this.acquire()
+    return this.validity !== undefined
+  }
+
+  /** Has another daemon take over, if this one is not the best suited. */
+  async moveAway (): Promise<void> {
+    if (this.isValid()) await this.yieldLeadership()
+  }
+
   private renewed (row: { readonly value: LeaseValue, readonly version: number }, sent: Stopwatch) {
     const wasValid = this.isValid()
     this.row = row
@@ -151,15 +188,26 @@
     }
     if (this.isLeaving) return
     if (row?.value.holder === holder && !row.value.released) this.gain(row, Stopwatch.start(clock))
-    else if (row === undefined || this.isFree(row.value) || clock.now() - this.unchangedSince > TAKEOVER_AFTER_MS) await this.acquire()
+    else if (clock.now() - this.unchangedSince > this.takeoverAfterMs(row?.value)) await this.acquire()
   }
 
-  /** A holder at this daemon's own address is an earlier life of it, which has ended. */
-  private isFree ({ released, peerAddress }: LeaseValue): boolean {
-    return released || peerAddress === this.options.peerAddress
+  /** Time for which the row must be unchanged. A holder at this daemon's own address is an earlier life of it, which has ended. */
+  private takeoverAfterMs (value: LeaseValue | undefined): number {
+    const isFree = value === undefined || value.released || value.peerAddress === this.options.peerAddress
+    return (isFree ? -1 : TAKEOVER_AFTER_MS) + (this.options.isWeak?.() === true ? WEAK_DELAY_MS : 0)
   }
 
   private async acquire () {
+    if (this.isAcquiring) return
+    this.isAcquiring = true
+    try {
+      await this.writeLease()
+    } finally {
+      this.isAcquiring = false
+    }
+  }
+
+  private async writeLease () {
     const { store, clock, holder, peerAddress, log } = this.options
     const epoch = (this.row?.value.epoch ?? 0) + 1
     const value: LeaseValue = { holder, peerAddress, epoch, released: false }
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -23,6 +23,8 @@
   /** State as the leader knows it; missing when it doesn't know the job or doesn't lead. */
   jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
   pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
+  /** Asks a daemon to take over from a leader that has stopped ordering. */
+  takeOver: { readonly req: { readonly holder: string }, readonly res: { readonly isTaken: boolean } }
   /** Asks the placement policy service on behalf of the leader; answers with pairs of worker id and ticket. */
   advise: {
     readonly req: { readonly step: string, readonly workerIds: readonly string[], readonly timeoutMs: number }
@@ -33,7 +35,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'takeOver', 'advise']
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** A connection that answers no ping within two of these is given up. */
 const KEEPALIVE_MS = 1_000
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -181,7 +181,7 @@
   async during<T> (promise: Promise<T>): Promise<T> {
     let settled = false
     const watched = promise.finally(() => { settled = true })
-    // eslint-disable-next-line no-unmodified-loop-condition -- the promise sets it
+
     for (let i = 0; i < 2_000 && !settled; i++) await this.clock.advance(10)
     return watched
   }
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -47,7 +47,13 @@
       prefix: [`[${part}]`],
       hideLogPositionForProduction: true
     })
-    if (isJson) logger.attachTransport(record => { process.stdout.write(formatLine(part, record)) })
+    const limiter = new LineLimiter()
+    if (isJson) {
+      logger.attachTransport(record => {
+        const leftOut = limiter.admit(String(record[1]), performance.now())
+        if (leftOut !== undefined) process.stdout.write(formatLine(part, record, leftOut))
+      })
+    }
     return {
       debug: (sentence, fields) => write(logger.debug.bind(logger), sentence, fields),
       info: (sentence, fields) => write(logger.info.bind(logger), sentence, fields),
@@ -60,12 +66,39 @@
 /** Log that drops everything; for tests. */
 export const silentLog: Log = { debug () {}, info () {}, warn () {}, error () {} }
 
+/** Lines of one part with the same sentence that are written at once, and the rate after that. */
+const LINES_AT_ONCE = 200
+const LINES_PER_SECOND = 100
+
+/** Bounds the lines with one sentence; what is left out is counted in the next line. */
+class LineLimiter {
+  private readonly buckets = new Map<string, { tokens: number, at: number, leftOut: number }>()
+
+  /** Returns the number of lines left out before this one, or undefined to leave this one out. */
+  admit (sentence: string, nowMs: number): number | undefined {
+    const bucket = this.buckets.get(sentence) ?? { tokens: LINES_AT_ONCE, at: nowMs, leftOut: 0 }
+    this.buckets.set(sentence, bucket)
+    bucket.tokens = Math.min(LINES_AT_ONCE, bucket.tokens + Math.max(0, nowMs - bucket.at) * LINES_PER_SECOND / 1_000)
+    bucket.at = nowMs
+    if (bucket.tokens < 1) {
+      bucket.leftOut++
+      return undefined
+    }
+    bucket.tokens--
+    const { leftOut } = bucket
+    bucket.leftOut = 0
+    return leftOut
+  }
+}
+
 /** One line of JSON; tslog's own carries metadata several times as long as the message. */
-function formatLine (part: string, record: ILogObj): string {
+function formatLine (part: string, record: ILogObj, leftOut: number): string {
   const { 0: prefix, 1: message, 2: fields, _meta: meta } = record as Readonly<Record<string, unknown>>
   const { date, logLevelName: level } = meta as { readonly date: Date, readonly logLevelName: string }
-  const line = { time: date.toISOString(), level: level.toLowerCase(), part: String(prefix ?? part), message, ...(fields as object | undefined) }
-  return `${JSON.stringify(line, (_key, value: unknown) => value instanceof Error ? value.stack : value)}\n`
+  const line: Record<string, unknown> = { time: date.toISOString(), level: level.toLowerCase(), part: String(prefix ?? part), message, ...(fields as object | undefined) }
+  for (const [name, value] of Object.entries(line)) if (value instanceof Error) line[name] = value.stack
+  if (leftOut > 0) line.leftOut = leftOut
+  return `${JSON.stringify(line)}\n`
 }
 
 function write (method: (...args: unknown[]) => unknown, sentence: string, fields?: LogFields) {
