--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -130,6 +130,7 @@
     this.stopLeading()
     this.peerServer?.close()
     this.peers.close()
+    this.options.policyService?.close().catch((err: unknown) => this.log.error('Policy client did not close.', { err }))
   }
 
   private runPart (part: string, run: Promise<void>) {
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -136,4 +136,5 @@
 /** The placement policy service. It serves one call at a time for each calling VM. */
 export interface PolicyService {
   approve (step: string, workerIds: readonly string[], timeoutMs: number): Promise<Result<Approvals, Failure>>
+  close (): Promise<void>
 }
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -70,6 +70,8 @@
   isAdopted = false
   /** True when this life of the worker is known to be over. */
   isDead = false
+  /** True once the link has ended; what runs is left to a successor. */
+  private isClosed = false
   /** Monotonic time before which nothing is started here, after refusals. */
   notBefore = 0
 
@@ -138,6 +140,7 @@
       else await Promise.race([stored, clock.sleep(HOLD_WAIT_MS, signal)])
       await clock.sleep(Math.max(0, HOLD_GAP_MS - (clock.now() - started)), signal)
     }
+    this.isClosed = true
     await this.client.close()
   }
 
@@ -218,7 +221,7 @@
 
   private async sendStop (run: Run) {
     const { clock, mayOrder, log } = this.options
-    while (this.runs.has(keyOf(run.id, run.number)) && !this.isDead) {
+    while (this.runs.has(keyOf(run.id, run.number)) && !this.isDead && !this.isClosed) {
       if (mayOrder()) {
         const res = await this.client.stop({ task: run.id, run: run.number, fencingToken: this.token }, WORKER_TIMEOUT_MS)
         if (res.err) log.debug('Stop failed.', { task: formatTaskId(run.id), run: run.number, worker: this.id, verdict: res.val.verdict, reason: res.val.reason })
