--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -32,6 +32,8 @@
   readonly name: string
   readonly peerAddress: string
   readonly strength: number
+  /** Unix milliseconds of its start. */
+  readonly startedMs: number
 }
 
 const REGISTER_RETRY_MS = 500
@@ -264,7 +266,7 @@
       const res = await store.transact({
         partition: DAEMONS_PARTITION,
         expect: [],
-        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: this.options.strength } }],
+        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: this.options.strength, startedMs: clock.date().getTime() } }],
         removes: []
       }, STORE_TIMEOUT_MS)
       if (res.ok) return
@@ -288,8 +290,8 @@
 
   private applyPeers (rows: readonly StoredRow[]) {
     this.members = rows.map(({ key, value }) => {
-      const { peerAddress, strength } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown }
-      return { name: key, peerAddress: String(peerAddress ?? ''), strength: Number(strength ?? 0) }
+      const { peerAddress, strength, startedMs } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown, readonly startedMs?: unknown }
+      return { name: key, peerAddress: String(peerAddress ?? ''), strength: Number(strength ?? 0), startedMs: Number(startedMs ?? 0) }
     })
     const known = new Map(this.agents.map(agent => [agent.name, agent]))
     this.agents = [this.ownAgent(), ...this.members.map(({ name, peerAddress }) => {
@@ -303,9 +305,9 @@
     return this.members.some(({ strength }) => strength > WEAK_MULTIPLE * this.options.strength)
   }
 
-  /** Asks the strongest other daemons, in turn, to take over. */
+  /** Asks the strongest other daemons, in turn, to take over; in a rolling restart the youngest has its own behind it. */
   private async findSuccessor (holder: string): Promise<boolean> {
-    const candidates = [...this.members].sort((a, b) => b.strength - a.strength).slice(0, SUCCESSOR_CANDIDATES)
+    const candidates = [...this.members].sort((a, b) => b.strength - a.strength || b.startedMs - a.startedMs).slice(0, SUCCESSOR_CANDIDATES)
     for (const { peerAddress } of candidates) {
       const res = await this.peers.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
       if (res.ok && res.val.isTaken) {
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -7,7 +7,7 @@
 const PAGE_ROWS = 500
 
 /** Partitions read at the same time; more would choke a narrow link. */
-const PARALLEL_READS = 16
+const PARALLEL_READS = 32
 
 export interface JobRows {
   /** Rows that admit and cancel jobs. */
@@ -59,10 +59,11 @@
 
   /** Returns undefined when the store didn't answer every read. */
   async load (): Promise<JobRows | undefined> {
-    const progress = await this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName)
-    if (progress === undefined) return undefined
-    const jobs = await this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
-    return jobs === undefined ? undefined : { jobs: jobs.rows, progress: progress.rows, version: Math.min(progress.version, jobs.version) }
+    const [progress, jobs] = await Promise.all([
+      this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName),
+      this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
+    ])
+    return progress === undefined || jobs === undefined ? undefined : { jobs: jobs.rows, progress: progress.rows, version: Math.min(progress.version, jobs.version) }
   }
 
   private async readPartitions (table: string, count: number, nameOf: (index: number) => string) {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -303,7 +303,7 @@
     const { clock } = this.options
     const started = clock.now()
     while (!signal.aborted) {
-      if (await this.fence() && await this.roster.load() && await this.loadJobs()) break
+      if (await this.fence() && (await Promise.all([this.roster.load(), this.loadJobs()])).every(isDone => isDone)) break
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
     if (signal.aborted) return
