--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -221,7 +221,7 @@
     this.options.metrics.count('runs_started')
     const ageMs = this.options.clock.date().getTime() - (run.task?.step.job.record.admittedAtMs ?? 0)
     this.options.metrics.observe('admission_to_start_ms', ageMs)
-    this.log.debug('Run started.', { task: formatTaskId(run.id), run: run.number, worker: run.worker.id, token: run.fencingToken, ageMs })
+    this.log.info('Run started.', { task: formatTaskId(run.id), run: run.number, worker: run.worker.id, token: run.fencingToken, ageMs })
   }
 
   private taskDone (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -67,8 +67,8 @@
 export const silentLog: Log = { debug () {}, info () {}, warn () {}, error () {} }
 
 /** Lines of one part with the same sentence that are written at once, and the rate after that. */
-const LINES_AT_ONCE = 200
-const LINES_PER_SECOND = 100
+const LINES_AT_ONCE = 600
+const LINES_PER_SECOND = 300
 
 /** Bounds the lines with one sentence; what is left out is counted in the next line. */
 class LineLimiter {
