--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -11,8 +11,6 @@
 
 /** Expected time of the calls at one agent up to which it gets another; hides the way to the agent. */
 const MAX_PENDING_MS = 60
-/** Weight of the newest call in the estimate of an agent's overhead. */
-const OVERHEAD_WEIGHT = 0.2
 /** A call longer than this is long. */
 const LONG_CALL_MS = 100
 /** Part of the agents that may carry long calls at the same time, so that short ones find a free agent. */
@@ -51,8 +49,6 @@
   /** Expected time of the calls that wait at the agent, in milliseconds. */
   pendingMs: number
   hasLongCall: boolean
-  /** Time of a call beyond the service's own: the ways to the agent and from there to the service. */
-  overheadMs: number
   /** Monotonic time before which the agent isn't asked, after a failure. */
   notBefore: number
 }
@@ -140,7 +136,6 @@
     if (isLong) load.hasLongCall = true
     const name = formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index })
     const sentAt = clock.now()
-    const expectedMs = load.pendingMs
     const res = await agent.approve(name, named.map(({ id }) => id), load.pendingMs + ADVICE_TIMEOUT_MS)
     load.pendingMs = Math.max(0, load.pendingMs - costMs)
     if (isLong) load.hasLongCall = false
@@ -150,7 +145,6 @@
       log.warn('Advice failed.', { step: name, agent: agent.name, workers: named.length, tookMs: Math.round(now - sentAt), verdict: res.val.verdict, reason: res.val.reason })
       return
     }
-    load.overheadMs += OVERHEAD_WEIGHT * (Math.max(0, now - sentAt - expectedMs) - load.overheadMs)
     const expiresAt = now + policy.validityMs - TICKET_SLACK_MS
     for (const { id, entry } of named) {
       advice.asked.add(id)
@@ -169,13 +163,13 @@
       const long = usable.filter(agent => this.loadOf(agent).hasLongCall).length
       if (long >= Math.max(1, Math.floor(usable.length * LONG_CALL_SHARE))) return undefined
     }
-    const costOf = (agent: AdviceAgent) => this.loadOf(agent).pendingMs + this.loadOf(agent).overheadMs
-    const least = usable.reduce<AdviceAgent | undefined>((best, agent) => best === undefined || costOf(agent) < costOf(best) ? agent : best, undefined)
+    const least = usable.reduce<AdviceAgent | undefined>((best, agent) =>
+      best === undefined || this.loadOf(agent).pendingMs < this.loadOf(best).pendingMs ? agent : best, undefined)
     return least !== undefined && this.loadOf(least).pendingMs <= MAX_PENDING_MS ? least : undefined
   }
 
   private loadOf (agent: AdviceAgent): AgentLoad {
-    const load = this.loads.get(agent.name) ?? { pendingMs: 0, hasLongCall: false, overheadMs: 0, notBefore: 0 }
+    const load = this.loads.get(agent.name) ?? { pendingMs: 0, hasLongCall: false, notBefore: 0 }
     this.loads.set(agent.name, load)
     return load
   }
