--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -1,5 +1,5 @@
 import { formatTaskId } from '../types.js'
-import type { JobSpec, RunEnd, TaskId } from '../types.js'
+import type { JobSpec, ResourceVector, RunEnd, TaskId } from '../types.js'
 
 interface RunningCopy {
   readonly worker: string
@@ -56,6 +56,11 @@
     else for (let index = 0; index < step.count; index++) this.done.add(formatTaskId({ ...task, index }))
   }
 
+  /** What a task needs; nothing when its job isn't known. */
+  needOf (task: TaskId): ResourceVector {
+    return this.jobs.get(task.jobId)?.steps[task.step]?.need ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
+  }
+
   overCapacity (worker: string, task: TaskId): void {
     this.violations.push(`${formatTaskId(task)} brought ${worker} over its capacity`)
   }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -10,7 +10,7 @@
 import { MemoryMetrics } from '../metrics.js'
 import type { Directory } from '../ports.js'
 import { StoreHealth } from '../storeHealth.js'
-import type { JobSpec, Queue, ResourceVector, StepSpec, TaskId, WorkerEntry } from '../types.js'
+import type { JobSpec, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
 import { MemoryStore } from './memoryStore.js'
 import { MemoryWorker, MemoryWorkers } from './memoryWorker.js'
@@ -72,7 +72,6 @@
   readonly audit = Audit.create()
   readonly workers = MemoryWorkers.create()
   readonly daemons: TestDaemon[] = []
-  private readonly specs = new Map<string, JobSpec>()
   private registry: readonly WorkerEntry[]
   private nextJob = 1
 
@@ -84,7 +83,7 @@
         clock: this.clock,
         audit: this.audit,
         behaviour: options.behaviour ?? (() => ({ durationMs: 500, end: 'done' })),
-        needOf: task => this.needOf(task)
+        needOf: task => this.audit.needOf(task)
       }))
     }
   }
@@ -166,7 +165,6 @@
   /** Submits a job through a daemon and returns its id. */
   async submit (daemon: TestDaemon, steps: readonly StepSpec[], jobId = this.newJobId()): Promise<string> {
     const spec: JobSpec = { payload: `payload of ${jobId}`, steps }
-    this.specs.set(jobId, spec)
     this.audit.expectJob(jobId, spec)
     const res = await this.during(daemon.jobs.submit(jobId, this.queue(), spec, 3_000))
     if (res.err) throw new Error(res.val.reason)
@@ -204,8 +202,4 @@
       pendingOf: async queue => this.leader()?.pendingOf(queue)
     }
   }
-
-  private needOf (task: TaskId): ResourceVector {
-    return this.specs.get(task.jobId)?.steps[task.step]?.need ?? { milliCores: 0, memoryMb: 0, accelerators: 0 }
-  }
 }
