--- /dev/null
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -0,0 +1,65 @@
+import test from 'ava'
+import { ManualClock } from '@citronnotch/daemon/clock'
+import { silentLog } from '@citronnotch/daemon/logger'
+import { CommitQueue } from '../commitQueue.js'
+import { Job } from '../jobs.js'
+import type { StoredProgress } from '../jobs.js'
+import { MemoryStore, createStep } from '../testing/index.js'
+
+const PARTITION = 'leader-0'
+
+function createQueue () {
+  const clock = ManualClock.create()
+  const store = MemoryStore.create({ clock })
+  store.put('leader', PARTITION, 'epoch', { epoch: 1 })
+  const epochVersion = store.get('leader', PARTITION, 'epoch')?.version ?? 0
+  const stopping = new AbortController()
+  let isDeposed = false
+  const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayOrder: () => true, onDeposed: () => { isDeposed = true }, clock, log: silentLog })
+  commits.run(stopping.signal).catch(() => {})
+  const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { payload: '', steps: [createStep({ count: 2 })] } }, 1)
+  const finish = (index: number) => {
+    const task = job.task({ jobId: job.id, occurrence: 0, step: 0, index })
+    if (task !== undefined) task.step.markDone(task)
+  }
+  const stored = () => store.get('progress', PARTITION, job.id)?.value as StoredProgress | undefined
+  return { clock, store, commits, job, finish, stored, isDeposed: () => isDeposed, stop: () => stopping.abort() }
+}
+
+test('a transaction that is applied late does not undo a later one', async t => {
+  const { clock, store, commits, job, finish, stored, stop } = createQueue()
+  let sent = 0
+  store.writeFault = () => sent++ === 0 ? { kind: 'applied-late', afterMs: 3_000 } : undefined
+  finish(0)
+  commits.stage(job).catch(() => {})
+  await clock.advance(2_000)
+  finish(1)
+  commits.stage(job).catch(() => {})
+  await clock.advance(4_000)
+  t.deepEqual(stored(), { occurrences: { 0: [{ done: '11' }] } })
+  stop()
+})
+
+test('a transaction whose answer was lost is recognised and not repeated for ever', async t => {
+  const { clock, store, commits, job, finish, stop } = createQueue()
+  let sent = 0
+  store.writeFault = () => sent++ === 0 ? { kind: 'answer-lost' } : undefined
+  finish(0)
+  let isStored = false
+  commits.stage(job).then(() => { isStored = true }).catch(() => {})
+  await clock.advance(3_000)
+  t.true(isStored)
+  t.is(commits.size(), 0)
+  stop()
+})
+
+test('a deposed leader stores nothing', async t => {
+  const { clock, store, commits, job, finish, stored, isDeposed, stop } = createQueue()
+  store.put('leader', PARTITION, 'epoch', { epoch: 2 })
+  finish(0)
+  commits.stage(job).catch(() => {})
+  await clock.advance(1_000)
+  t.true(isDeposed())
+  t.is(stored(), undefined)
+  stop()
+})
--- /dev/null
+++ b/packages/cell/src/__tests__/hedge.test.ts
@@ -0,0 +1,56 @@
+import test from 'ava'
+import { ManualClock } from '@citronnotch/daemon/clock'
+import { Failure } from '@citronnotch/daemon/errors'
+import { Err, Ok } from '@citronnotch/protocol'
+import type { Result } from '@citronnotch/protocol'
+import { Hedge } from '../hedge.js'
+
+/** A server that answers each send after the given time, or fails with a verdict. */
+function createServer (answers: ReadonlyArray<{ readonly afterMs: number, readonly verdict?: 'not-run' | 'may-have-run' }>) {
+  const clock = ManualClock.create()
+  const hedge = Hedge.create({ clock, initialMs: 20, minimumMs: 60 })
+  let sent = 0
+  const send = async (): Promise<Result<number, Failure>> => {
+    const index = sent++
+    const { afterMs, verdict } = answers[Math.min(index, answers.length - 1)] ?? { afterMs: 0 }
+    await clock.sleep(afterMs)
+    return verdict === undefined ? Ok(index) : Err(Failure.create({ code: 'test', verdict, reason: 'test' }))
+  }
+  const call = async (limitMs = 5_000) => {
+    const answer = hedge.call(send)
+    const started = clock.now()
+    const ends: number[] = []
+    answer.then(() => ends.push(clock.now())).catch(() => {})
+    while (ends.length === 0 && clock.now() - started < limitMs) await clock.advance(10)
+    return { res: await answer, tookMs: (ends[0] ?? clock.now()) - started }
+  }
+  return { hedge, call, sent: () => sent }
+}
+
+test('a lost answer costs the time after which it is overdue, not the time-out', async t => {
+  const { call } = createServer([{ afterMs: 1_400, verdict: 'may-have-run' }, { afterMs: 10 }])
+  const { res, tookMs } = await call()
+  t.is(res.unwrap(), 1)
+  t.true(tookMs < 150, `took ${tookMs} ms`)
+})
+
+test('a refusal does not outweigh an earlier send that may have run', async t => {
+  const { call } = createServer([{ afterMs: 900, verdict: 'may-have-run' }, { afterMs: 10, verdict: 'not-run' }])
+  const { res } = await call()
+  t.is(res.err && res.val.verdict, 'may-have-run')
+})
+
+test('a refusal of the only send is given at once', async t => {
+  const { call, sent } = createServer([{ afterMs: 10, verdict: 'not-run' }])
+  const { res, tookMs } = await call()
+  t.is(res.err && res.val.verdict, 'not-run')
+  t.true(tookMs <= 20)
+  t.is(sent(), 1)
+})
+
+test('a server that becomes slow is not flooded with repeats', async t => {
+  const { call, sent, hedge } = createServer([{ afterMs: 900 }])
+  for (let i = 0; i < 20; i++) await call()
+  t.true(hedge.overdueMs() > 900, 'its time is learned')
+  t.true(sent() <= 20 + 10, `${sent()} sends for 20 calls`)
+})
--- /dev/null
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -0,0 +1,108 @@
+import test from 'ava'
+import { ManualClock } from '@citronnotch/daemon/clock'
+import { silentLog } from '@citronnotch/daemon/logger'
+import { LeaderLease } from '../leaderLease.js'
+import { MemoryStore } from '../testing/index.js'
+
+/** Lease holders on one store; each may have a clock of its own. */
+function createHolders () {
+  const clock = ManualClock.create()
+  const store = MemoryStore.create({ clock })
+  const stopping = new AbortController()
+  return {
+    clock,
+    store,
+    stop: () => stopping.abort(),
+    start (holder: string, ownClock = clock, fields: Partial<Parameters<typeof LeaderLease.create>[0]> = {}) {
+      const epochs: number[] = []
+      const lease = LeaderLease.create({ holder, peerAddress: `${holder}:1`, store, clock: ownClock, log: silentLog, onGained: epoch => epochs.push(epoch), onLost: () => {}, ...fields })
+      lease.run(stopping.signal).catch(() => {})
+      return { lease, epochs }
+    }
+  }
+}
+
+test('a holder whose VM was suspended finds its lease ended by the wall clock', async t => {
+  const { clock, start, stop } = createHolders()
+  const { lease } = start('a')
+  await clock.advance(1_000)
+  t.true(lease.isValid())
+  clock.stepWallClock(4_000)
+  t.false(lease.isValid(), 'the monotonic clock stood still meanwhile')
+  stop()
+})
+
+test('a candidate whose wall clock steps ahead does not take over early', async t => {
+  const { clock, start, stop } = createHolders()
+  const first = start('a')
+  await clock.advance(1_000)
+  const second = start('b')
+  await clock.advance(700)
+  clock.stepWallClock(60_000)
+  await clock.advance(1_500)
+  t.deepEqual(second.epochs, [])
+  t.true(first.lease.isValid())
+  stop()
+})
+
+test('two holders are never valid at the same time, whatever answers of the store are lost', async t => {
+  for (let pattern = 0; pattern < 8; pattern++) {
+    const { clock, store, start, stop } = createHolders()
+    const [first, second] = [start('a'), start('b')]
+    let call = 0
+    store.writeFault = () => {
+      const faults = [undefined, { kind: 'answer-lost' }, { kind: 'applied-late', afterMs: 1_700 }, { kind: 'refused' }] as const
+      return faults[(call++ * (pattern + 3) + pattern) % faults.length]
+    }
+    for (let passed = 0; passed < 20_000; passed += 50) {
+      await clock.advance(50)
+      t.false(first.lease.isValid() && second.lease.isValid(), `pattern ${pattern} at ${passed} ms`)
+    }
+    stop()
+  }
+})
+
+test('a released lease is taken at the next look, with a higher epoch', async t => {
+  const { clock, start, stop } = createHolders()
+  const first = start('a')
+  await clock.advance(500)
+  const second = start('b')
+  await clock.advance(500)
+  const released = first.lease.release()
+  await clock.advance(800)
+  await released
+  t.deepEqual(second.epochs, [2])
+  stop()
+})
+
+test('nobody takes over while the store is away, and the holder goes on when it is back', async t => {
+  const { clock, store, start, stop } = createHolders()
+  const [first, second] = [start('a'), start('b')]
+  await clock.advance(1_000)
+  const holder = first.lease.isValid() ? first : second
+  store.isDown = true
+  await clock.advance(8_000)
+  t.false(first.lease.isValid() || second.lease.isValid())
+  store.isDown = false
+  await clock.advance(2_500)
+  t.true(holder.lease.isValid())
+  t.deepEqual([...first.epochs, ...second.epochs], [1])
+  stop()
+})
+
+test('a holder that the store refuses stops ordering before it asks others to take over', async t => {
+  const { clock, store, start, stop } = createHolders()
+  const asked: boolean[] = []
+  const first = start('a', clock, {
+    findSuccessor: async () => {
+      asked.push(first.lease.isValid())
+      return true
+    }
+  })
+  await clock.advance(1_000)
+  store.writeFault = () => ({ kind: 'refused' })
+  await clock.advance(1_000)
+  t.is(asked[0], false)
+  t.false(first.lease.isValid())
+  stop()
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -86,6 +86,8 @@
   fault: (command: 'start' | 'stop' | 'hold', task?: TaskId) => CommandFault | undefined = () => undefined
   /** While set, commands get no answer and have no effect; what runs goes on. */
   isCutOff = false
+  /** While set, whatever starts here fails. */
+  failsEverything = false
   /** While set, what runs makes no progress. */
   isStalled = false
 
@@ -188,7 +190,7 @@
     if (this.runs.has(name) || run <= (this.highestEnded.get(name) ?? 0)) return refuse('stale-run')
     if (leaseUntilMs <= this.clockMs()) return refuse('lease-passed')
     this.extend(leaseUntilMs)
-    this.runs.set(name, { task, run, startedAt: this.clockMs(), checkpoint, ...behaviour(task, run) })
+    this.runs.set(name, { task, run, startedAt: this.clockMs(), checkpoint, ...behaviour(task, run), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
     if (this.isGang(task)) this.options.gangs?.join(task, run, this.options.gangSizeOf?.(task) ?? 0, this.options.clock.now())
     audit.started(this.entry.id, task, run, payload)
     const used = [...this.runs.values()].reduce((sum, present) => add(sum, needOf(present.task)), NOTHING)
--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -48,13 +48,15 @@
 
   /** Looks at a job; a final state never changes, and an accepted job is never unknown. */
   async look (job: Submitted): Promise<void> {
+    // Only what was known before the look was sent can be held against its answer.
+    const { isAccepted, shown } = job
     const { status, state } = await this.send('GET', job.id)
-    if (status === 410 && job.isAccepted) this.audit.violations.push(`${job.id} was accepted and is unknown`)
+    if (status === 410 && isAccepted) this.audit.violations.push(`${job.id} was accepted and is unknown`)
     if (state === undefined) return
-    if (isFinal(job.shown) && state !== job.shown) this.audit.violations.push(`${job.id} was shown as ${job.shown} and then as ${state}`)
+    if (isFinal(shown) && state !== shown) this.audit.violations.push(`${job.id} was shown as ${shown} and then as ${state}`)
     if (state === 'failed') this.audit.violations.push(`${job.id} is shown as failed, and no run has failed`)
     if (state === 'completed' && !this.audit.isDone({ jobId: job.id, occurrence: 0, step: 0, index: 0 })) this.audit.violations.push(`${job.id} is shown as completed and is not`)
-    job.shown = state
+    if (!isFinal(job.shown)) job.shown = state
   }
 
   /** What must hold at the end, when all is calm. */
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -4,7 +4,13 @@
 /** Seeds that failed once, each with its cause; played with `--regressions`. */
 const REGRESSION_SEEDS: readonly number[] = [
   // SIGHUP before the program had installed its handler ended the process; still red, see KNOWN-RED.txt.
-  152
+  134, 152,
+  // A cancellation whose notification was lost at a takeover; still red, see KNOWN-RED.txt.
+  107, 108,
+  // The soak held an acceptance against a look that had been sent before it.
+  117, 138,
+  // The stand-in let members of a gang end before all were present.
+  100, 121, 140, 142
 ]
 
 const DEFAULTS = { seeds: 1, seconds: 20, daemons: 3, workers: 6, port: 20_000 }
