refactor(cell): remove dead members and say things once

Cause: Run.listed and WorkerLink.usedNow were never read, the type of a stored outcome stood twice, and two callers of the leader checked its address alike. Change: both members removed, one type, leaderElsewhere. Behaviour is unchanged.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -191,15 +191,21 @@
     }
   }
 
-  private async askLeader<M extends 'submit' | 'cancel'> (method: M, req: PeerMethods[M]['req']): Promise<Result<PeerMethods[M]['res'], Failure>> {
+  /** Peer address of the leader, unless it is this daemon or unknown. */
+  private leaderElsewhere (): string | undefined {
     const address = this.lease.leaderAddress()
-    if (address === undefined || address === this.options.peerAddress) return Err(Failure.notRun('leader-unknown', 'No other daemon leads the cell.'))
+    return address === this.options.peerAddress ? undefined : address
+  }
+
+  private async askLeader<M extends 'submit' | 'cancel'> (method: M, req: PeerMethods[M]['req']): Promise<Result<PeerMethods[M]['res'], Failure>> {
+    const address = this.leaderElsewhere()
+    if (address === undefined) return Err(Failure.notRun('leader-unknown', 'No other daemon leads the cell.'))
     return this.peers.call(address, method, req, ON_BEHALF_TIMEOUT_MS)
   }
 
   private async callLeader<M extends 'admitted' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
-    const address = this.lease.leaderAddress()
-    if (address === undefined || address === this.options.peerAddress) return undefined
+    const address = this.leaderElsewhere()
+    if (address === undefined) return undefined
     const res = await this.peers.call(address, method, req, PEER_TIMEOUT_MS)
     if (res.ok) return res.val
     this.metrics.count(`leader_unreachable_${method}`)
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -26,17 +26,15 @@
 
 export type RunState = 'starting' | 'running' | 'stopping'
 
-/** Value of a row of progress. */
-export type StoredProgress =
-  | { readonly occurrences: JobProgress }
-  | { readonly outcome: JobOutcome, readonly endedAtMs: number }
-
-/** Value of the row of an admitted job once its outcome is final: only the outcome is left. */
+/** A job whose outcome is final: what is left of the row that admitted it, and its last progress. */
 export interface EndedRecord {
   readonly outcome: JobOutcome
   readonly endedAtMs: number
 }
 
+/** Value of a row of progress. */
+export type StoredProgress = { readonly occurrences: JobProgress } | EndedRecord
+
 /** Partition of the rows that admit and cancel a job. */
 export function partitionOf (jobId: string): string {
   return admissionPartitionName(Number.parseInt(jobId.slice(-4), 16) % ADMISSION_PARTITIONS)
@@ -64,8 +62,6 @@
   /** Monotonic time of the last progress, in milliseconds. */
   progressAt: number
   checkpoint: string
-  /** Whether the run has been listed as present. */
-  listed = false
 
   private constructor (
     readonly id: TaskId,
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -102,10 +102,6 @@
     return this.unsizedRuns > 0 ? NOTHING : subtract(this.entry.capacity, this.used)
   }
 
-  usedNow (): ResourceVector {
-    return this.used
-  }
-
   /** Whether a run can be started here now. */
   canStart (): boolean {
     return this.isAdopted && !this.isDead && this.entry.state === 'ready' && this.unsizedRuns === 0 &&
@@ -169,7 +165,6 @@
       id: listed.task, number: listed.run, worker: this, task, fencingToken: this.token, startedAt: this.options.clock.now()
     })
     run.state = 'running'
-    run.listed = true
     run.percent = listed.percent
     run.checkpoint = listed.checkpoint
     run.confirmedAtMs = -1
@@ -200,7 +195,7 @@
       if (run.state === 'starting') run.state = 'running'
       return
     }
-    if (res.err && res.val.verdict !== 'not-run') {
+    if (res.val.verdict !== 'not-run') {
       log.warn('Start has no answer.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason: res.val.reason })
       this.distrust()
       return
@@ -304,7 +299,6 @@
       const key = keyOf(each.task, each.run)
       listed.add(key)
       const run = this.runs.get(key) ?? this.adoptListed(each)
-      run.listed = true
       if (each.checkpoint !== '') run.checkpoint = each.checkpoint
       if (each.percent > run.percent) {
         run.percent = each.percent
