fix(cell): show a job as cancelled only once that outcome is stored

Daemons showed the job as cancelled as soon as the row was there, and the leader as soon as it was told, while a leader that had not read the row yet could still complete the job and store that outcome. Ruled out: the order of the two rows; both transactions are conditional, but on different rows in different partitions. Change: only a stored outcome is shown as final. Until then the job is shown as active. The whole-path test waits for the state, since the tasks can be gone before the outcome is stored.

--- a/packages/cell/src/__tests__/jobService.test.ts
+++ b/packages/cell/src/__tests__/jobService.test.ts
@@ -58,3 +58,33 @@
   await cell.clock.advance(1_000)
   t.is((await cell.during(daemon.jobs.pendingOf(createQueue()))).unwrap(), 3)
 })
+
+test('a job whose end was decided before its cancellation is never shown as cancelled', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const jobId = await cell.submit(daemon, [createStep()])
+  cell.store.writeFault = tx => tx.puts.some(({ table }) => table === 'progress') ? { kind: 'refused' } : undefined
+  await cell.clock.advance(1_000)
+  const shown = new Set<string | undefined>()
+  const res = await cell.during(daemon.jobs.cancel(jobId, 3_000))
+  t.is(res.unwrap(), 'cancelled')
+  shown.add(cell.leader()?.stateOf(jobId))
+  cell.store.writeFault = () => undefined
+  t.true(await cell.until(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual([...shown], ['active'])
+})
+
+test('a stored cancellation that no leader has decided on yet is not shown as a final state', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 3_000, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const jobId = await cell.submit(first, [createStep()])
+  await cell.clock.advance(500)
+  first.kill()
+  const second = cell.startDaemon('d2')
+  t.is((await cell.during(second.jobs.cancel(jobId, 3_000))).unwrap(), 'cancelled')
+  t.is((await cell.during(second.jobs.stateOf(jobId, 3_000))).unwrap(), 'active')
+  t.true(await cell.until(() => second.leader()?.stateOf(jobId) === 'cancelled'))
+  t.is((await cell.during(second.jobs.stateOf(jobId, 3_000))).unwrap(), 'cancelled')
+})
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -119,7 +119,8 @@
     const job = rows.val.find(({ key }) => key === jobId)
     const outcome = await this.outcomeIn(job, budgetMs)
     if (outcome.err || outcome.val !== undefined || job === undefined) return outcome
-    return Ok(rows.val.some(({ key }) => key === `${jobId}.cancel`) ? 'cancelled' : 'active')
+    // A stored cancellation is not an outcome: the leader may complete the job before it sees it.
+    return Ok('active')
   }
 
   async pendingOf (queue: Queue): Promise<Result<number, Failure>> {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -134,7 +134,7 @@
   stateOf (jobId: string): JobState | undefined {
     const job = this.jobs.get(jobId)
     if (job === undefined) return this.recent.get(jobId)?.outcome
-    if (job.isCancelled) return 'cancelled'
+    // A successor may decide otherwise as long as the outcome is not stored.
     if (job.outcome !== undefined && job.isStored) return job.outcome
     return job.hasStarted ? 'active' : 'queued'
   }
