feat(cell): maintain the VMs of the operator's waves, and keep tasks on idle capacity away from tasks with a latency target

Cause: waves of maintenance, tasks that fill idle capacity and tasks with a latency target were decoded by nobody: a wave was never done, and a filling task counted its processor time and could disturb a serving one. Change: the leader reads the waves, drains and orders VMs within the limit of the wave, idle ones first, under its epoch's token and only once the orders of its predecessor have arrived; it doesn't interrupt tasks whose step has too many away. Tasks on idle capacity take only memory and are never beside tasks with a latency target; a serving task that finds no other place displaces them. Moves between pools and pacing stay open: displacement makes pacing needless for the target.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -10,6 +10,7 @@
 import { JobService } from './jobService.js'
 import type { LeaderContact } from './jobService.js'
 import { Leader } from './leader.js'
+import type { VmMaintenance } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer } from './peers.js'
@@ -57,6 +58,8 @@
   readonly directory: Directory
   readonly clients: WorkerClients
   readonly policyService: PolicyService | undefined
+  /** The service that maintains the VMs of the workers, if there is one. */
+  readonly maintenance?: VmMaintenance
   readonly clock: Clock
   readonly logs: LogFactory
 }
@@ -69,6 +72,8 @@
 
   private readonly log: Log
   private readonly store: RowStore
+  /** Unique for this life of the daemon. */
+  private readonly holder: string
   private readonly lease: LeaderLease
   private readonly peers = PeerClients.create()
   private readonly stopping = new AbortController()
@@ -84,8 +89,9 @@
     this.store = store
     this.log = logs.for('daemon')
     this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
+    this.holder = `${name}/${randomUUID()}`
     this.lease = LeaderLease.create({
-      holder: `${name}/${randomUUID()}`,
+      holder: this.holder,
       peerAddress,
       store,
       clock,
@@ -132,6 +138,7 @@
     this.stopLeading()
     this.peerServer?.close()
     this.peers.close()
+    this.options.maintenance?.vms.close().catch((err: unknown) => this.log.error('VM client did not close.', { err }))
     this.options.policyService?.close().catch((err: unknown) => this.log.error('Policy client did not close.', { err }))
   }
 
@@ -143,10 +150,12 @@
 
   private lead (epoch: number) {
     const { store } = this
-    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs } = this.options
+    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, maintenance } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
+      holder: this.holder,
+      ...(maintenance === undefined ? {} : { maintenance }),
       store,
       directory,
       clients,
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -95,10 +95,10 @@
   }
 
   private isEligible ({ step, queue }: Candidate, worker: WorkerLink, { reservedFor }: Room): boolean {
-    const { requiredLabel, need } = step.spec
+    const { requiredLabel } = step.spec
     return worker.entry.service === queue.service &&
       (requiredLabel === '' || worker.entry.labels.includes(requiredLabel)) &&
-      fits(need, worker.entry.capacity) &&
+      fits(step.room, worker.entry.capacity) &&
       (reservedFor.get(worker) ?? Infinity) >= queue.priority
   }
 
@@ -114,8 +114,8 @@
     const { advice } = this.options
     const { step, queue, waiting } = candidate
     if (queue.advice === undefined) return this.eligible(candidate, room)
-    const { need, gang } = step.spec
-    const roomOn = (worker: WorkerLink) => timesThatFit(need, room.free.get(worker) ?? worker.free())
+    const { gang } = step.spec
+    const roomOn = (worker: WorkerLink) => timesThatFit(step.room, room.free.get(worker) ?? worker.free())
     const sum = (workers: readonly WorkerLink[]) => workers.reduce((total, worker) => total + roomOn(worker), 0)
     const ticketed = advice.ticketed(step, room.byId).filter(worker => this.isEligible(candidate, worker, room))
     if (advice.isPending(step) || !advice.hasFreeAgent() || sum(ticketed) >= waiting.length) return ticketed
@@ -181,7 +181,7 @@
     for (let member = 0; member < step.tasks.length; member++) {
       const worker = this.best(step, workers, room, counts)
       if (worker === undefined) return undefined
-      room.set(worker, subtract(room.get(worker) ?? worker.free(), step.spec.need))
+      room.set(worker, subtract(room.get(worker) ?? worker.free(), step.room))
       counts.set(worker, (counts.get(worker) ?? 0) + 1)
       places.push(worker)
     }
@@ -190,16 +190,20 @@
 
   /** The worker with the least room left that fits, near the data if possible. */
   private best (step: Step, workers: readonly WorkerLink[], free: FreeRoom, planned?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
-    const { need, affinityRack, maxPerWorker } = step.spec
+    const { affinityRack, maxPerWorker, usesIdleCapacity } = step.spec
+    const { room: need } = step
     let best: WorkerLink | undefined
     let bestScore = Infinity
     for (const worker of workers) {
       const room = free.get(worker)
       if (room === undefined || !fits(need, room)) continue
       if (maxPerWorker > 0 && countOn(step, worker) + (planned?.get(worker) ?? 0) >= maxPerWorker) continue
+      if (usesIdleCapacity && (room.milliCores <= 0 || hosts(worker, other => other.isServing()))) continue
       const isFar = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
-      const penalty = (step.avoided.has(worker.id) ? 2 : 0) + (isFar ? 1 : 0)
-      const score = penalty * PENALTY + room.milliCores - need.milliCores
+      const isShared = step.isServing() && hosts(worker, other => other.spec.usesIdleCapacity)
+      const penalty = (step.avoided.has(worker.id) ? 2 : 0) + (isFar ? 1 : 0) + (isShared ? 1 : 0)
+      // Tasks on idle capacity go where the most is left.
+      const score = penalty * PENALTY + (usesIdleCapacity ? -room.milliCores : room.milliCores - need.milliCores)
       if (score < bestScore) {
         best = worker
         bestScore = score
@@ -212,6 +216,8 @@
     const { advice, onStart } = this.options
     const ticket = queue.advice === undefined ? '' : advice.ticket(step, worker) ?? ''
     step.job.hasStarted = true
+    // Tasks on idle capacity disturb those with a latency target; they resume elsewhere.
+    if (step.isServing()) for (const other of [...worker.runs.values()]) if (other.task?.step.spec.usesIdleCapacity === true) worker.stop(other)
     const started = worker.start(task, Math.max(run, lastRun + 1), step.job.record.spec.payload, ticket)
     free.set(worker, worker.free())
     onStart(started)
@@ -227,7 +233,7 @@
     let places = 0
     for (const worker of byRoom) {
       if (places >= step.tasks.length) return
-      places += timesThatFit(step.spec.need, worker.entry.capacity)
+      places += timesThatFit(step.room, worker.entry.capacity)
       reservedFor.set(worker, queue.priority)
     }
   }
@@ -257,6 +263,11 @@
   return count
 }
 
+function hosts (worker: WorkerLink, matches: (step: Step) => boolean): boolean {
+  for (const { task } of worker.runs.values()) if (task !== undefined && matches(task.step)) return true
+  return false
+}
+
 function rackOf (worker: WorkerLink): string {
   return worker.entry.labels.slice(1).join('/')
 }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -82,7 +82,7 @@
 
   /** Undefined when the size isn't known; nothing may be started beside such a run. */
   need (): ResourceVector | undefined {
-    return this.task?.step.spec.need
+    return this.task?.step.room
   }
 }
 
@@ -108,6 +108,8 @@
 /** One step of one occurrence. */
 export class Step {
   readonly tasks: readonly Task[]
+  /** What a task takes from the capacity of its worker. */
+  readonly room: ResourceVector
   /** Tasks that are not done. */
   remaining: number
   /** No start before this monotonic time, after refusals. */
@@ -118,6 +120,12 @@
   constructor (readonly job: Job, readonly occurrence: number, readonly index: number, readonly spec: StepSpec) {
     this.tasks = Array.from({ length: spec.count }, (_, task) => new Task(this, task))
     this.remaining = spec.count
+    this.room = spec.usesIdleCapacity ? { ...spec.need, milliCores: 0 } : spec.need
+  }
+
+  /** Whether the tasks have a latency target that tasks on idle capacity beside them could miss. */
+  isServing (): boolean {
+    return this.spec.latencyTargetMs > 0
   }
 
   isDone (): boolean {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -14,7 +14,8 @@
 import { Job, leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { EndedRecord, JobRecord, Run, Step, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
-import type { Directory, RefusalReason, RowStore, StoredRow, WorkerClients } from './ports.js'
+import { Maintenance } from './maintenance.js'
+import type { Directory, RefusalReason, RowStore, StoredRow, VmService, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
 import { formatTaskId } from './types.js'
 import type { EndedRun, JobOutcome, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
@@ -32,8 +33,19 @@
 /** Pause of a worker that said it had no room or was unhealthy. */
 const WORKER_PAUSE_MS = 500
 
+export interface VmMaintenance {
+  readonly vms: VmService
+  /** Time after an order for a VM in which no other holder may give one, in milliseconds. */
+  readonly orderGapMs: number
+  /** Time that the maintenance of a VM takes, in milliseconds. */
+  readonly maintenanceMs: number
+}
+
 export interface LeaderOptions {
   readonly epoch: number
+  /** Unique for each life of a daemon. */
+  readonly holder: string
+  readonly maintenance?: VmMaintenance
   readonly store: RowStore
   readonly directory: Directory
   readonly clients: WorkerClients
@@ -70,6 +82,7 @@
   private readonly log: Log
   private readonly stopping = new AbortController()
   private readonly janitor: Janitor
+  private readonly maintenance: Maintenance | undefined
   private readonly loader: JobLoader
   private changesVersion = 0
   /** Versions of the epoch rows by leader partition; jobs with a lower one may have been started by an earlier leader. */
@@ -93,12 +106,25 @@
     this.janitor = Janitor.create({ store, retentionMs: options.statusRetentionMs, mayOrder, clock, log: this.log })
     this.loader = JobLoader.create(store, this.log)
     this.roster = Roster.create({ store, epochVersion: () => this.epochVersions[0] ?? 0, log: this.log })
+    this.maintenance = options.maintenance === undefined
+      ? undefined
+      : Maintenance.create({
+        ...options.maintenance,
+        directory: options.directory,
+        holder: options.holder,
+        fencingToken: epoch * TOKENS_PER_EPOCH,
+        worker: id => this.links.get(id),
+        mayOrder,
+        onChange: () => this.schedulePass(),
+        clock,
+        log: logs.for('maintenance')
+      })
     this.dispatcher = Dispatcher.create({
       epoch,
       workers: () => this.links.values(),
       queue: options.queue,
       advice: this.advice,
-      isSuspended: worker => !this.roster.has(worker.entry) || this.health.isSuspended(worker.id),
+      isSuspended: worker => !this.roster.has(worker.entry) || this.health.isSuspended(worker.id) || this.maintenance?.isDraining(worker.id) === true,
       clock,
       onStart: run => this.started(run)
     })
@@ -124,6 +150,7 @@
       this.watchChanges(signal),
       this.janitor.run(signal),
       this.openGate(gateAt, signal),
+      this.maintenance?.run(signal),
       this.tick(signal)
     ])
   }
@@ -495,7 +522,8 @@
         if (run.state !== 'running' || run.task === undefined || link.reportedAt() - run.progressAt < STALL_MS || run.percent >= 100) continue
         this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(link.reportedAt() - run.progressAt) })
         run.task.step.avoided.add(link.id)
-        this.health.stalled(link.id)
+        // A task on idle capacity stands still when others use all of it.
+        if (!run.task.step.spec.usesIdleCapacity) this.health.stalled(link.id)
         link.stop(run)
       }
     }
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -1,6 +1,6 @@
 import type { Failure } from '@citronnotch/daemon/errors'
 import type { Result } from '@citronnotch/protocol'
-import type { CellConfig, TaskId, WorkerEntry, WorkerReport } from './types.js'
+import type { CellConfig, MaintenanceWave, TaskId, WorkerEntry, WorkerReport, WorkerVm } from './types.js'
 
 /** Key of a row. Rows of one partition can be changed in one transaction, across tables. */
 export interface RowKey {
@@ -68,6 +68,35 @@
   /** Waits up to `waitMs` for a newer configuration; undefined when there is none. */
   watchConfig (version: number, waitMs: number): Promise<Result<{ readonly config: CellConfig | undefined, readonly version: number } | 'history-lost', Failure>>
   listWorkers (): Promise<Result<readonly WorkerEntry[], Failure>>
+  listWaves (): Promise<Result<readonly MaintenanceWave[], Failure>>
+  /** Tells the operator how far a wave is. */
+  publishWave (wave: number, state: WaveState): Promise<Result<void, Failure>>
+}
+
+export type WaveState = 'active' | 'completed'
+
+export interface MaintenanceOrder {
+  readonly vmId: string
+  readonly wave: number
+  /** Unique for each life of a daemon. */
+  readonly holder: string
+  readonly fencingToken: number
+}
+
+export type MaintenanceOutcome =
+  /** The maintenance has begun, or was already done for this wave. */
+  | 'accepted'
+  /** The VM isn't up, or its worker is leaving. */
+  | 'busy'
+  | 'fenced'
+  /** The VM doesn't exist or isn't part of the wave. */
+  | 'not-in-wave'
+
+/** The VMs of the workers. An order without an answer may have been carried out; it can be repeated. */
+export interface VmService {
+  list (): Promise<Result<readonly WorkerVm[], Failure>>
+  startMaintenance (order: MaintenanceOrder): Promise<Result<MaintenanceOutcome, Failure>>
+  close (): Promise<void>
 }
 
 export type RefusalReason =
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -8,9 +8,9 @@
 import { Leader } from '../leader.js'
 import { LeaderLease } from '../leaderLease.js'
 import { MemoryMetrics } from '../metrics.js'
-import type { Directory } from '../ports.js'
+import type { Directory, VmService } from '../ports.js'
 import { StoreHealth } from '../storeHealth.js'
-import type { JobSpec, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
+import type { JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
 import { MemoryStore } from './memoryStore.js'
 import { GangRoom, MemoryWorker, MemoryWorkers } from './memoryWorker.js'
@@ -38,6 +38,9 @@
     speculative: false,
     longRunning: false,
     checkpoints: false,
+    usesIdleCapacity: false,
+    latencyTargetMs: 0,
+    maxUnavailable: 0,
     ...fields
   }
 }
@@ -49,10 +52,12 @@
 }
 
 export interface TestCellOptions {
+  readonly clock?: ManualClock
   readonly workers?: readonly WorkerEntry[]
   readonly queues?: readonly Queue[]
   readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agent?: AdviceAgent
+  readonly vms?: VmService
 }
 
 /** A daemon of a cell in memory, without its listeners. */
@@ -67,16 +72,21 @@
 
 /** A cell in memory on a manual clock: a store, workers, an audit, and daemons that are started and killed. */
 export class TestCell {
-  readonly clock = ManualClock.create()
-  readonly store = MemoryStore.create({ clock: this.clock })
+  readonly clock: ManualClock
+  readonly store: MemoryStore
   readonly audit = Audit.create()
   readonly workers = MemoryWorkers.create()
   private readonly gangs = GangRoom.create()
   readonly daemons: TestDaemon[] = []
+  /** What the operator asks for, and what it was told. */
+  waves: readonly MaintenanceWave[] = []
+  readonly waveStates: string[] = []
   private registry: readonly WorkerEntry[]
   private nextJob = 1
 
   private constructor (private readonly options: TestCellOptions) {
+    this.clock = options.clock ?? ManualClock.create()
+    this.store = MemoryStore.create({ clock: this.clock })
     this.registry = options.workers ?? [createEntry('w1'), createEntry('w2')]
     for (const entry of this.registry) {
       this.workers.add(MemoryWorker.create({
@@ -112,7 +122,12 @@
     const directory: Directory = {
       readConfig: async () => Ok({ config: undefined, version: 0 }),
       watchConfig: async () => Ok({ config: undefined, version: 0 }),
-      listWorkers: async () => Ok(this.registry)
+      listWorkers: async () => Ok(this.registry),
+      listWaves: async () => Ok(this.waves),
+      publishWave: async (wave, state) => {
+        this.waveStates.push(`${wave} ${state}`)
+        return Ok(undefined)
+      }
     }
     let leader: Leader | undefined
     const stopLeading = () => {
@@ -129,6 +144,8 @@
         stopLeading()
         leader = Leader.create({
           epoch,
+          holder: `${name}/${this.daemons.length}`,
+          ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
           store,
           directory,
           clients: workers,
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -30,6 +30,12 @@
   /** The tasks run until the job is cancelled and are restarted however they end. */
   readonly longRunning: boolean
   readonly checkpoints: boolean
+  /** The tasks need no processor time of their own and use what the others on a worker leave. */
+  readonly usesIdleCapacity: boolean
+  /** Tail of the response times that each task must keep towards its own users, in milliseconds; 0 when it serves none. */
+  readonly latencyTargetMs: number
+  /** Tasks that orders of the system may keep from work at the same time; 0 when unlimited. */
+  readonly maxUnavailable: number
 }
 
 /** Recurrence of a job whose steps run several times. */
@@ -102,6 +108,23 @@
   readonly labels: readonly string[]
 }
 
+/** A VM of the platform; each of its lives is a worker of its own. */
+export interface WorkerVm {
+  readonly id: string
+  readonly state: 'up' | 'moving' | 'maintenance' | 'down'
+  /** Worker that the VM runs; empty when it runs none. */
+  readonly workerId: string
+}
+
+/** A request of the operator that each of these VMs has its maintenance in time. */
+export interface MaintenanceWave {
+  readonly number: number
+  readonly vmIds: readonly string[]
+  readonly durationMs: number
+  /** VMs that may be in maintenance at the same time. */
+  readonly maxConcurrent: number
+}
+
 /** Identifies a task: occurrence and step count from 0 within the job, index within the step. */
 export interface TaskId {
   readonly jobId: string
--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -114,7 +114,10 @@
     maxPerWorker: 0,
     speculative: false,
     longRunning: false,
-    checkpoints: false
+    checkpoints: false,
+    usesIdleCapacity: false,
+    latencyTargetMs: 0,
+    maxUnavailable: 0
   }
 }
 
