fix(cell): hold a worker again at once, and extend leases while an end can not be stored

Cause: WorkerLink.hold returned the promise of the stored ends from an async function, which awaits it. The loop therefore waited for the store before the next hold, and took every hold for a failed one and paused 300 ms after it. Ends were seen up to 300 ms late, and a store that was slow or away for 5 s ended the leases of everything else on a worker. Ruled out: the commit queue and the stand-in; the trace shows holds 300 ms apart on an idle cell. Change: hold returns an object with that promise. An end that is listed again while it is being stored joins the first storing, and an end of a job whose outcome is decided is acknowledged only once that outcome is stored: the second hold would otherwise have acknowledged it early, which the test `an end is acknowledged to the worker only after it is stored` caught.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -202,7 +202,8 @@
     if (job === undefined || task === undefined) return
     task.step.saveCheckpoint(task, checkpoint)
     if (end !== 'done') this.log.info('Run ended.', { task: formatTaskId(id), run, worker: link.id, end })
-    if (job.outcome !== undefined) return
+    // The end of a run of an ended job may be acknowledged once that outcome is stored.
+    if (job.outcome !== undefined) return job.isStored ? undefined : this.stage(job)
     if (end === 'done') this.taskDone(link, job, task.step, task, run)
     else if (end === 'failed') this.taskFailed(link, job, task.step, task, run)
     await this.stage(job)
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -56,6 +56,12 @@
   readonly log: Log
 }
 
+/** A hold that the worker answered. A promise that is returned bare would be awaited with it. */
+interface Held {
+  /** Resolves once the ends that the worker listed are stored. */
+  readonly stored: Promise<unknown>
+}
+
 /**
  * The leader's authority over one life of a worker: adopts it with a fencing token, extends the lease on what
  * runs there, starts and stops runs, and keeps account of the room that they take.
@@ -79,6 +85,8 @@
   private unsizedRuns = 0
   private token: number
   private acknowledged = 0
+  /** Ends that are being stored, by sequence number; a worker lists them until they are acknowledged. */
+  private readonly storing = new Map<number, Promise<void>>()
   private clockMs = -1
   private clockReadAt = 0
   /** Monotonic time at which every lease sent so far has ended. */
@@ -127,19 +135,35 @@
     const { clock, mayOrder } = this.options
     while (!signal.aborted && !this.isDead) {
       if (!mayOrder()) {
-        await clock.sleep(HOLD_GAP_MS, signal)
+        await clock.sleep(HOLD_GAP_MS)
         continue
       }
       const started = clock.now()
-      const stored = await this.hold(this.isAdopted ? HOLD_WAIT_MS : 0)
-      if (stored === undefined) await clock.sleep(WORKER_RETRY_MS, signal)
-      else await Promise.race([stored, clock.sleep(HOLD_WAIT_MS, signal)])
-      await clock.sleep(Math.max(0, HOLD_GAP_MS - (clock.now() - started)), signal)
+      const held = await this.hold(this.isAdopted ? HOLD_WAIT_MS : 0)
+      if (held === undefined) await clock.sleep(WORKER_RETRY_MS)
+      else await this.storedOrOverdue(held.stored)
+      const restMs = HOLD_GAP_MS - (clock.now() - started)
+      if (restMs > 0) await clock.sleep(restMs)
     }
     this.isClosed = true
     await this.client.close()
   }
 
+  /** Resolves once the ends of a report are stored, or after the time of a hold: a slow store must not end the leases. */
+  private storedOrOverdue (stored: Promise<unknown>): Promise<void> {
+    return new Promise(resolve => {
+      const cancel = this.options.clock.after(HOLD_WAIT_MS, resolve)
+      const finish = () => {
+        cancel()
+        resolve()
+      }
+      stored.then(finish, (err: unknown) => {
+        this.options.log.error('Ends could not be handled.', { worker: this.id, err })
+        finish()
+      })
+    })
+  }
+
   /** Ends the link because another life of the worker has begun: nothing of this one runs any more. */
   declareDead (): void {
     if (this.isDead) return
@@ -234,15 +258,15 @@
     if (this.options.mayOrder()) this.hold(0)
   }
 
-  /** Returns undefined when the worker can't be held, else what resolves once its ends are stored. */
-  private async hold (waitMs: number): Promise<Promise<unknown> | undefined> {
+  /** Returns undefined when the worker can't be held. */
+  private async hold (waitMs: number): Promise<Held | undefined> {
     const { clock, log, events } = this.options
     const token = this.token
     // A worker that doesn't answer gets no longer lease, so that it lapses at a known time.
     const leaseUntilMs = this.isAdopted ? this.nextLease() : undefined
     const res = await this.client.hold({ fencingToken: token, acknowledged: this.acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) }, waitMs + WORKER_TIMEOUT_MS)
     if (this.isDead) return undefined
-    if (res.ok && res.val.accepted) return this.apply(res.val.report, token)
+    if (res.ok && res.val.accepted) return { stored: this.apply(res.val.report, token) }
     const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
     if (res.ok && !res.val.accepted && res.val.reason === 'other-life') this.declareDead()
     if (this.isAdopted) {
@@ -284,12 +308,19 @@
     const fresh = report.ended.filter(end => end.sequence > this.acknowledged)
     if (fresh.length === 0) return Promise.resolve()
     const stored = fresh.map(end => {
+      const known = this.storing.get(end.sequence)
+      if (known !== undefined) return known
       const run = this.runs.get(keyOf(end.task, end.run))
       if (run !== undefined) this.removeRun(run)
-      return events.ended(this, end)
+      const storing = events.ended(this, end)
+      this.storing.set(end.sequence, storing)
+      return storing
     })
     const last = Math.max(...fresh.map(end => end.sequence))
-    return Promise.all(stored).then(() => { this.acknowledged = Math.max(this.acknowledged, last) })
+    return Promise.all(stored).then(() => {
+      this.acknowledged = Math.max(this.acknowledged, last)
+      for (const { sequence } of fresh) this.storing.delete(sequence)
+    })
   }
 
   private applyRunning (report: WorkerReport, token: number) {
