fix(cell): count the limit of tasks on one worker when deciding whether to ask for more advice

Cause: a step with anti-affinity has as many places on a worker as its limit says, but the decision to name further workers counted how often a task fits. A wide step stayed on the approved workers of the first call (40 named) and ran in waves. Ruled out: the choice of a worker itself, which keeps the limit. Change: places are the smaller of the two; runs are counted on the worker instead of over all tasks of the step. Measured: the new test fails before (40 of 50 workers used) and passes after.

--- a/packages/cell/src/__tests__/advice.test.ts
+++ b/packages/cell/src/__tests__/advice.test.ts
@@ -86,3 +86,13 @@
   t.true(await cell.until(() => jobs.every(jobId => cell.leader()?.stateOf(jobId) === 'completed'), 30_000))
   t.deepEqual(cell.audit.violations, [])
 })
+
+test('a step with a limit of tasks on one worker asks for more workers than those with room for all', async t => {
+  const workers = Array.from({ length: 50 }, (_, index) => createEntry(`w${index}`))
+  const { cell } = createPolicyCell(() => true, { workers, behaviour: () => ({ durationMs: 20_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  await cell.submit(daemon, [createStep({ count: 50, maxPerWorker: 1, need: { milliCores: 100, memoryMb: 100, accelerators: 0 } })])
+  t.true(await cell.until(() => cell.workers.all().every(worker => worker.runningTasks().length === 1), 1_500))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -116,7 +116,7 @@
     const { step, queue, waiting } = candidate
     if (queue.advice === undefined) return this.eligible(candidate, room)
     const { gang } = step.spec
-    const roomOn = (worker: WorkerLink) => timesThatFit(step.room, room.free.get(worker) ?? worker.free())
+    const roomOn = (worker: WorkerLink) => Math.min(timesThatFit(step.room, room.free.get(worker) ?? worker.free()), placesLeft(step, worker))
     const sum = (workers: readonly WorkerLink[]) => workers.reduce((total, worker) => total + roomOn(worker), 0)
     const ticketed = advice.ticketed(step, room.byId).filter(worker => this.isEligible(candidate, worker, room))
     if (advice.isPending(step) || !advice.hasFreeAgent() || sum(ticketed) >= waiting.length) return ticketed
@@ -193,14 +193,14 @@
 
   /** The worker with the least room left that fits, near the data if possible. */
   private best (step: Step, workers: readonly WorkerLink[], free: FreeRoom, planned?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
-    const { affinityRack, maxPerWorker, usesIdleCapacity } = step.spec
+    const { affinityRack, usesIdleCapacity } = step.spec
     const { room: need } = step
     let best: WorkerLink | undefined
     let bestScore = Infinity
     for (const worker of workers) {
       const room = free.get(worker)
       if (room === undefined || !fits(need, room)) continue
-      if (maxPerWorker > 0 && countOn(step, worker) + (planned?.get(worker) ?? 0) >= maxPerWorker) continue
+      if (placesLeft(step, worker) <= (planned?.get(worker) ?? 0)) continue
       if (usesIdleCapacity && (room.milliCores <= 0 || hosts(worker, other => other.isServing()))) continue
       const isFar = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
       const isShared = step.isServing() && hosts(worker, other => other.spec.usesIdleCapacity)
@@ -260,10 +260,13 @@
   return Math.max(0, ...ends)
 }
 
-function countOn (step: Step, worker: WorkerLink): number {
+/** Tasks of the step that its limit for one worker still allows there. */
+function placesLeft (step: Step, worker: WorkerLink): number {
+  const { maxPerWorker } = step.spec
+  if (maxPerWorker === 0) return Infinity
   let count = 0
-  for (const task of step.tasks) for (const run of task.runs) if (run.worker === worker) count++
-  return count
+  for (const { task } of worker.runs.values()) if (task?.step === step) count++
+  return maxPerWorker - count
 }
 
 function hosts (worker: WorkerLink, matches: (step: Step) => boolean): boolean {
