perf(cell): load the state of a takeover in fewer rounds, and retry a failed task elsewhere

It fences, then reads 132 partitions 32 at a time, a quarter of a second each round. With the load sooner, the test of a worker that fails everything failed: an avoided worker is taken again as soon as the others are full, and three attempts end there. Ruled out: adoption of the workers (one round), the calls for advice. The janitor's removal of progress rows now fails on a later epoch. A task waits for a worker on which it has not failed, unless there is none; a gang does so as a whole.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -142,7 +142,7 @@
     const workers = this.allowed(candidate, room)
     const started: Run[] = []
     for (const task of waiting) {
-      const worker = this.best(step, workers, room.free)
+      const worker = this.best(step, workers, room.free, task.failedOn)
       if (worker === undefined) break
       started.push(this.start(candidate, task, step.nextRun(this.options.epoch), worker, room.free, task.lastRun))
     }
@@ -182,7 +182,7 @@
     const counts = new Map<WorkerLink, number>()
     const places: WorkerLink[] = []
     for (let member = 0; member < step.tasks.length; member++) {
-      const worker = this.best(step, workers, room, counts)
+      const worker = this.best(step, workers, room, step.avoided, counts)
       if (worker === undefined) return undefined
       room.set(worker, subtract(room.get(worker) ?? worker.free(), step.room))
       counts.set(worker, (counts.get(worker) ?? 0) + 1)
@@ -192,14 +192,16 @@
   }
 
   /** The worker with the least room left that fits, near the data if possible. */
-  private best (step: Step, workers: readonly WorkerLink[], free: FreeRoom, planned?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
+  private best (step: Step, workers: readonly WorkerLink[], free: FreeRoom, failedOn: ReadonlySet<string>, planned?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
     const { affinityRack, usesIdleCapacity } = step.spec
     const { room: need } = step
+    // A failed run costs one of few attempts: a task waits for another worker, if there is one.
+    const mayRepeat = failedOn.size > 0 && workers.every(worker => failedOn.has(worker.id))
     let best: WorkerLink | undefined
     let bestScore = Infinity
     for (const worker of workers) {
       const room = free.get(worker)
-      if (room === undefined || !fits(need, room)) continue
+      if (room === undefined || !fits(need, room) || (failedOn.has(worker.id) && !mayRepeat)) continue
       if (placesLeft(step, worker) <= (planned?.get(worker) ?? 0)) continue
       if (usesIdleCapacity && (room.milliCores <= 0 || hosts(worker, other => other.isServing()))) continue
       const isFar = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -22,6 +22,8 @@
 export interface JanitorOptions {
   readonly store: RowStore
   readonly retentionMs: number
+  /** Version of the epoch row of a leader partition. */
+  readonly epochVersion: (leaderPartition: number) => number
   readonly mayOrder: () => boolean
   readonly clock: Clock
   readonly log: Log
@@ -62,7 +64,7 @@
       await clock.sleep(PAUSE_MS, signal)
       if (!mayOrder()) continue
       await this.reduceNext()
-      await this.dropProgress()
+      if (mayOrder()) await this.dropProgress()
       await this.removeExpired()
     }
   }
@@ -96,7 +98,8 @@
     this.progressRows.delete(index)
     await this.transact({
       partition: leaderPartitionName(index),
-      expect: [],
+      // A successor that has read the full row of a job must still find its outcome.
+      expect: [{ table: TABLES.leader, key: 'epoch', version: this.options.epochVersion(index) }],
       puts: [],
       removes: keys.slice(0, 3 * JOBS_PER_TRANSACTION).map(key => ({ table: TABLES.progress, key }))
     })
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -6,13 +6,11 @@
 /** Rows of one read; the store's own limit. */
 const PAGE_ROWS = 500
 
-/** Partitions read at the same time; more would choke a narrow link. */
-const PARALLEL_READS = 32
+/** Partitions read at the same time; a slow store takes a quarter of a second for each read. */
+const PARALLEL_READS = 64
 
-export interface JobRows {
-  /** Rows that admit and cancel jobs. */
-  readonly jobs: readonly StoredRow[]
-  readonly progress: readonly StoredRow[]
+export interface LoadedRows {
+  readonly rows: readonly StoredRow[]
   /** Version of the store before the read; later changes may be missing. */
   readonly version: number
 }
@@ -57,16 +55,17 @@
     return undefined
   }
 
-  /** Returns undefined when the store didn't answer every read. */
-  async load (): Promise<JobRows | undefined> {
-    const [progress, jobs] = await Promise.all([
-      this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName),
-      this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
-    ])
-    return progress === undefined || jobs === undefined ? undefined : { jobs: jobs.rows, progress: progress.rows, version: Math.min(progress.version, jobs.version) }
+  /** Reads the rows that admit and cancel jobs. Returns undefined when the store didn't answer every read. */
+  readJobs (): Promise<LoadedRows | undefined> {
+    return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
   }
 
-  private async readPartitions (table: string, count: number, nameOf: (index: number) => string) {
+  /** Reads the progress of jobs; complete only once the epoch rows are written. */
+  readProgress (): Promise<LoadedRows | undefined> {
+    return this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName)
+  }
+
+  private async readPartitions (table: string, count: number, nameOf: (index: number) => string): Promise<LoadedRows | undefined> {
     const rows: StoredRow[] = []
     let version = Infinity
     let next = 0
@@ -85,7 +84,7 @@
     return isComplete ? { rows, version } : undefined
   }
 
-  private async readAll (query: RangeQuery): Promise<{ readonly rows: readonly StoredRow[], readonly version: number } | undefined> {
+  private async readAll (query: RangeQuery): Promise<LoadedRows | undefined> {
     const rows: StoredRow[] = []
     let version: number | undefined
     let from: string | undefined
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -91,6 +91,8 @@
   lastRun = 0
   checkpoint = ''
   readonly failedRuns = new Set<number>()
+  /** Workers on which a run of this task has failed or stood still. */
+  readonly failedOn = new Set<string>()
   readonly runs: Run[] = []
 
   constructor (readonly step: Step, readonly index: number) {}
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -11,6 +11,7 @@
 import { Dispatcher } from './dispatcher.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
+import type { LoadedRows } from './jobLoader.js'
 import { Job, leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { EndedRecord, JobRecord, Run, Step, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
@@ -103,7 +104,9 @@
       store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersions[index] ?? 0, mayOrder, onDeposed, clock, log: logs.for('commits')
     }))
     this.advice = AdviceBook.create({ agents: options.agents, onAnswer: () => this.schedulePass(), clock, log: logs.for('advice') })
-    this.janitor = Janitor.create({ store, retentionMs: options.statusRetentionMs, mayOrder, clock, log: this.log })
+    this.janitor = Janitor.create({
+      store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersions[index] ?? 0, mayOrder, clock, log: this.log
+    })
     this.loader = JobLoader.create(store, this.log)
     this.roster = Roster.create({ store, epochVersion: () => this.epochVersions[0] ?? 0, log: this.log })
     this.maintenance = options.maintenance === undefined
@@ -270,6 +273,7 @@
   private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
     this.health.failed(link.id, job.id)
     step.avoided.add(link.id)
+    task.failedOn.add(link.id)
     const failures = step.markFailed(task, run)
     const queue = this.options.queue(job.record.queue)
     if (step.spec.longRunning || queue === undefined || failures < queue.maxAttempts) return
@@ -337,7 +341,9 @@
     const { clock } = this.options
     const started = clock.now()
     while (!signal.aborted) {
-      if (await this.fence() && (await Promise.all([this.roster.load(), this.loadJobs()])).every(isDone => isDone)) break
+      // Only the progress of jobs must be read after the epoch is written: earlier leaders don't admit or cancel.
+      const [jobs, isFenced] = await Promise.all([this.loader.readJobs(), this.fence()])
+      if (jobs !== undefined && isFenced && (await Promise.all([this.roster.load(), this.loadJobs(jobs)])).every(isDone => isDone)) break
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
     if (signal.aborted) return
@@ -355,13 +361,13 @@
   }
 
   /** Returns false when the store didn't answer. */
-  private async loadJobs (): Promise<boolean> {
-    const rows = await this.loader.load()
-    if (rows === undefined) return false
-    this.changesVersion = rows.version
-    const progress = new Map(rows.progress.map(row => [row.key, row]))
-    for (const row of rows.jobs) if (!row.deleted && !row.key.includes('.')) this.restore(row, progress.get(row.key))
-    this.applyCancels(rows.jobs)
+  private async loadJobs (jobs: LoadedRows | undefined): Promise<boolean> {
+    const progress = await this.loader.readProgress()
+    if (progress === undefined || jobs === undefined) return false
+    this.changesVersion = jobs.version
+    const progressById = new Map(progress.rows.map(row => [row.key, row]))
+    for (const row of jobs.rows) if (!row.deleted && !row.key.includes('.')) this.restore(row, progressById.get(row.key))
+    this.applyCancels(jobs.rows)
     return true
   }
 
@@ -420,7 +426,7 @@
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('History of jobs is lost; reading all.', { version: this.changesVersion })
-        await this.loadJobs()
+        await this.loadJobs(await this.loader.readJobs())
       } else {
         this.applyChanges(res.val.rows)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
@@ -529,6 +535,7 @@
         if (run.state !== 'running' || run.task === undefined || link.reportedAt() - run.progressAt < STALL_MS || run.percent >= 100) continue
         this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(link.reportedAt() - run.progressAt) })
         run.task.step.avoided.add(link.id)
+        run.task.failedOn.add(link.id)
         // A task on idle capacity stands still when others use all of it.
         if (!run.task.step.spec.usesIdleCapacity) this.health.stalled(link.id)
         link.stop(run)
