fix(daemon): write log lines without blocking on a full pipe

Cause: Node writes to a pipe on the main thread, so a reader of the logs that doesn't keep up stops renewals, holds and answers. The last lines are written when the process exits. Measured: unit tests with a reader that stands still, takes parts and says EAGAIN.

--- /dev/null
+++ b/packages/daemon/src/__tests__/lineWriter.test.ts
@@ -0,0 +1,36 @@
+import test from 'ava'
+import { LineWriter } from '../lineWriter.js'
+
+test('a reader that does not keep up delays nobody, bounds the memory and is told how many lines are missing', async t => {
+  const written: string[] = []
+  let resume = () => {}
+  const writer = LineWriter.create((data, callback) => {
+    written.push(data.toString())
+    resume = () => callback(null, data.length)
+  })
+  const line = `${'x'.repeat(99)}\n`
+  writer.write(line)
+  await new Promise(resolve => setTimeout(resolve, 60))
+  for (let i = 0; i < 30_000; i++) writer.write(line)
+  t.deepEqual(written, [line], 'one write is under way')
+  resume()
+  const [, second = ''] = written
+  t.true(second.length < 1_100_000)
+  const lines = second.trimEnd().split('\n')
+  t.is(lines.length - 1 + (JSON.parse(lines[lines.length - 1] ?? '') as { leftOut: number }).leftOut, 30_000)
+})
+
+test('a write that takes only a part, or nothing now, is continued', async t => {
+  let taken = ''
+  let calls = 0
+  const writer = LineWriter.create((data, callback) => {
+    calls++
+    if (calls === 1) return callback(Object.assign(new Error('again'), { code: 'EAGAIN' }), 0)
+    taken += data.subarray(0, 3).toString()
+    callback(null, Math.min(3, data.length))
+  })
+  writer.write('first\n')
+  writer.write('second\n')
+  await new Promise(resolve => setTimeout(resolve, 200))
+  t.is(taken, 'first\nsecond\n')
+})
--- a/packages/daemon/src/logger.ts
+++ b/packages/daemon/src/logger.ts
@@ -1,5 +1,6 @@
 import { Logger } from 'tslog'
 import type { ILogObj } from 'tslog'
+import { LineWriter } from './lineWriter.js'
 
 export const LOG_LEVELS = ['silly', 'trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const
 export type LogLevel = typeof LOG_LEVELS[number]
@@ -17,6 +18,10 @@
   readonly format?: 'json' | 'pretty'
 }
 
+const STDOUT_FD = 1
+const standardOutput = LineWriter.toDescriptor(STDOUT_FD)
+process.once('exit', () => standardOutput.flushSync(STDOUT_FD))
+
 /** Structured fields beside a log line's sentence. */
 export type LogFields = Readonly<Record<string, unknown>>
 
@@ -53,7 +58,7 @@
     if (isJson) {
       logger.attachTransport(record => {
         const leftOut = limiter.admit(String(record[1]), performance.now())
-        if (leftOut !== undefined) process.stdout.write(formatLine(part, record, leftOut))
+        if (leftOut !== undefined) standardOutput.write(formatLine(part, record, leftOut))
       })
     }
     return {
