perf(cell): suspect a worker after one failed run and suspend it after two

While 5% of the workers fail everything, every second gang of 20 has a member on one of them, a gang has three attempts, and a worker was suspended only after failures of three different jobs. Change: a worker whose last run failed within 3 s is taken after all others, and failures of two different jobs in a row suspend it.

--- /dev/null
+++ b/packages/cell/src/__tests__/workerHealth.test.ts
@@ -0,0 +1,50 @@
+import { ManualClock } from '@citronnotch/daemon/clock'
+import { silentLog } from '@citronnotch/daemon/logger'
+import test from 'ava'
+import { TestCell, createEntry, createQueue, createStep } from '../testing/index.js'
+import { WorkerHealth } from '../workerHealth.js'
+
+test('a worker is suspended after failures of two jobs in a row, and not after those of one', t => {
+  const health = WorkerHealth.create(ManualClock.create(), silentLog)
+  health.failed('w1', 'a')
+  health.failed('w1', 'a')
+  t.false(health.isSuspended('w1'), 'a job that always fails says nothing about the worker')
+  health.failed('w1', 'b')
+  t.true(health.isSuspended('w1'))
+  health.failed('w2', 'a')
+  health.done('w2')
+  health.failed('w2', 'b')
+  t.false(health.isSuspended('w2'), 'a run that was done lies between')
+})
+
+test('doubt ends with a run that is done, or after a time', async t => {
+  const clock = ManualClock.create()
+  const health = WorkerHealth.create(clock, silentLog)
+  health.failed('w1', 'a')
+  health.failed('w2', 'a')
+  t.true(health.isDoubtful('w1'))
+  health.done('w1')
+  t.false(health.isDoubtful('w1'))
+  await clock.advance(3_000)
+  t.false(health.isDoubtful('w2'))
+})
+
+test('a gang is placed on workers without a recent failure while they have room', async t => {
+  const workers = ['w1', 'w2', 'w3'].map(id => createEntry(id))
+  const cell = TestCell.create({ queues: [createQueue({ maxAttempts: 2 })], workers, behaviour: () => ({ durationMs: 200, end: 'done' }) })
+  const [bad] = cell.workers.all()
+  if (bad === undefined) throw new Error('no worker')
+  bad.failsEverything = true
+  const daemon = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const first = await cell.submit(daemon, [createStep({ count: 6 })])
+  t.true(await cell.until(() => cell.leader()?.stateOf(first) === 'completed'))
+  let startsOnBad = 0
+  bad.fault = command => {
+    if (command === 'start') startsOnBad++
+    return undefined
+  }
+  const gang = await cell.submit(daemon, [createStep({ count: 4, gang: true })])
+  t.true(await cell.until(() => cell.leader()?.stateOf(gang) === 'completed'))
+  t.is(startsOnBad, 0)
+})
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -12,6 +12,8 @@
   readonly advice: AdviceBook
   /** Whether a worker's recent failures keep it from new work. */
   readonly isSuspended: (worker: WorkerLink) => boolean
+  /** Whether a recent failure makes other workers preferable. */
+  readonly isDoubtful: (worker: WorkerLink) => boolean
   readonly clock: Clock
   /** Tells of the runs of one step that were started together. */
   readonly onStart: (step: Step, runs: readonly Run[]) => void
@@ -206,7 +208,7 @@
       if (usesIdleCapacity && (room.milliCores <= 0 || hosts(worker, other => other.isServing()))) continue
       const isFar = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
       const isShared = step.isServing() && hosts(worker, other => other.spec.usesIdleCapacity)
-      const penalty = (step.avoided.has(worker.id) ? 2 : 0) + (isFar ? 1 : 0) + (isShared ? 1 : 0)
+      const penalty = (step.avoided.has(worker.id) || this.options.isDoubtful(worker) ? 2 : 0) + (isFar ? 1 : 0) + (isShared ? 1 : 0)
       // Tasks on idle capacity go where the most is left.
       const score = penalty * PENALTY + (usesIdleCapacity ? -room.milliCores : room.milliCores - need.milliCores)
       if (score < bestScore) {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -130,6 +130,7 @@
       queue: options.queue,
       advice: this.advice,
       isSuspended: worker => !this.roster.has(worker.entry) || this.health.isSuspended(worker.id) || this.maintenance?.isDraining(worker.id) === true,
+      isDoubtful: worker => this.health.isDoubtful(worker.id),
       clock,
       onStart: (step, runs) => this.started(step, runs)
     })
--- a/packages/cell/src/workerHealth.ts
+++ b/packages/cell/src/workerHealth.ts
@@ -2,12 +2,16 @@
 import type { Log } from '@citronnotch/daemon/logger'
 
 /** Failed runs of different jobs in a row, with none done, that suspend a worker. */
-const FAILURES_TO_SUSPEND = 3
+const FAILURES_TO_SUSPEND = 2
 const FIRST_SUSPENSION_MS = 2_000
+/** Time after a failure in which other workers are preferred, unless a run is done here first. */
+const DOUBT_MS = 3_000
 const LONGEST_SUSPENSION_MS = 10_000
 
 interface Record {
   readonly failedJobs: Set<string>
+  /** Monotonic time of the last failure. */
+  failedAt: number
   suspensionMs: number
   /** Monotonic time of the end of the suspension. */
   until: number
@@ -27,6 +31,12 @@
     return (this.records.get(workerId)?.until ?? 0) > this.clock.now()
   }
 
+  /** Whether the last run that ended here failed, a short time ago. */
+  isDoubtful (workerId: string): boolean {
+    const failedAt = this.records.get(workerId)?.failedAt
+    return failedAt !== undefined && this.clock.now() - failedAt < DOUBT_MS
+  }
+
   done (workerId: string): void {
     this.records.delete(workerId)
   }
@@ -35,6 +45,7 @@
   failed (workerId: string, jobId: string): void {
     const record = this.recordOf(workerId)
     record.failedJobs.add(jobId)
+    record.failedAt = this.clock.now()
     if (record.failedJobs.size >= FAILURES_TO_SUSPEND) this.suspend(workerId, 'fails what it starts')
   }
 
@@ -59,7 +70,7 @@
   }
 
   private recordOf (workerId: string): Record {
-    const record = this.records.get(workerId) ?? { failedJobs: new Set<string>(), suspensionMs: FIRST_SUSPENSION_MS, until: 0 }
+    const record = this.records.get(workerId) ?? { failedJobs: new Set<string>(), failedAt: -Infinity, suspensionMs: FIRST_SUSPENSION_MS, until: 0 }
     this.records.set(workerId, record)
     return record
   }
