refactor(cell): give the leader's jobs and workers modules of their own

JobTable holds live jobs and recent outcomes, WorkerPool follows the registry and keeps the links, the roster and the health of the workers; the leader keeps the events and decisions. No change of behaviour. Measured: the tests of the package pass twice.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -10,8 +10,8 @@
   readonly workers: () => Iterable<WorkerLink>
   readonly queue: (name: string) => Queue | undefined
   readonly advice: AdviceBook
-  /** Whether a worker's recent failures keep it from new work. */
-  readonly isSuspended: (worker: WorkerLink) => boolean
+  /** Whether a worker may get new work now. */
+  readonly isUsable: (worker: WorkerLink) => boolean
   /** Whether a recent failure makes other workers preferable. */
   readonly isDoubtful: (worker: WorkerLink) => boolean
   readonly clock: Clock
@@ -63,7 +63,7 @@
     const candidates = this.candidates(jobs)
     const free: FreeRoom = new Map()
     for (const worker of this.options.workers()) {
-      if (worker.canStart() && !this.options.isSuspended(worker)) free.set(worker, worker.free())
+      if (worker.canStart() && this.options.isUsable(worker)) free.set(worker, worker.free())
     }
     const room: Room = { free, byId: new Map([...free.keys()].map(worker => [worker.id, worker])), reservedFor: new Map() }
     let reserving = 0
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -4,29 +4,22 @@
 import { AdviceBook } from './advice.js'
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
-import {
-  CHANGES_POLL_MS, ENDED_RETENTION_SLACK_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, LEADER_PARTITIONS, REGISTRY_POLL_MS, TABLES, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE,
-  WORKER_RETRY_MS
-} from './constants.js'
+import { CHANGES_POLL_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, LEADER_PARTITIONS, TABLES, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE, WORKER_RETRY_MS } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
-import { Job, leaderPartitionName, leaderPartitionOf } from './jobs.js'
-import type { EndedRecord, JobRecord, Run, Step, StoredProgress } from './jobs.js'
+import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
+import type { Job, JobRecord, Run, Step } from './jobs.js'
+import { JobTable } from './jobTable.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
-import type { Directory, RefusalReason, RowStore, StoredRow, VmService, WorkerClients } from './ports.js'
-import { Roster } from './roster.js'
+import type { Directory, RefusalReason, RowStore, VmService, WorkerClients } from './ports.js'
 import { formatStepId, formatTaskId } from './types.js'
-import type { EndedRun, JobOutcome, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
-import { WorkerHealth } from './workerHealth.js'
-import { WorkerLink } from './workerLink.js'
-import type { LossReason, WorkerEvents } from './workerLink.js'
-
-const CANCEL_SUFFIX = '.cancel'
-/** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
-const STALL_MS = 2_500
+import type { EndedRun, JobOutcome, JobState, Queue, RunningTask } from './types.js'
+import type { LossReason, WorkerEvents, WorkerLink } from './workerLink.js'
+import { WorkerPool } from './workerPool.js'
+
 /** Pause before a pass, so that events that come close together share one. */
 const PASS_GAP_MS = 5
 /** Pause of a step after a refused start, so that refusals don't come in a tight loop. */
@@ -64,24 +57,14 @@
   readonly metrics: CellMetrics
 }
 
-interface RecentEnd {
-  readonly outcome: JobOutcome
-  readonly endedAt: number
-}
-
 /** One epoch of leadership: knows all live jobs, holds all workers, and decides what runs where. */
 export class Leader implements WorkerEvents {
-  private readonly jobs = new Map<string, Job>()
-  private readonly recent = new Map<string, RecentEnd>()
-  private readonly links = new Map<string, WorkerLink>()
-  /** Highest fencing token sent to a worker that was dropped, by id: it may start again under the same id. */
-  private readonly lastTokens = new Map<string, number>()
+  private readonly jobs: JobTable
+  private readonly workers: WorkerPool
   /** By leader partition. */
   private readonly commits: readonly CommitQueue[]
   private readonly advice: AdviceBook
   private readonly dispatcher: Dispatcher
-  private readonly health: WorkerHealth
-  private readonly roster: Roster
   private readonly log: Log
   private readonly stopping = new AbortController()
   private readonly janitor: Janitor
@@ -101,7 +84,6 @@
     // One loop for each worker waits on it.
     setMaxListeners(0, this.stopping.signal)
     this.log = logs.for('leader')
-    this.health = WorkerHealth.create(clock, this.log)
     this.commits = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
       store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersions[index] ?? 0, mayOrder, onDeposed, onRefused: options.onRefused, clock, log: logs.for('commits')
     }))
@@ -110,7 +92,10 @@
       store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersions[index] ?? 0, mayOrder, clock, log: this.log
     })
     this.loader = JobLoader.create(store, this.log)
-    this.roster = Roster.create({ store, epochVersion: () => this.epochVersions[0] ?? 0, log: this.log })
+    this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
+    this.workers = WorkerPool.create({
+      ...options, epochVersion: () => this.epochVersions[0] ?? 0, events: this, onChange: () => this.schedulePass(), log: this.log
+    })
     this.maintenance = options.maintenance === undefined
       ? undefined
       : Maintenance.create({
@@ -118,7 +103,7 @@
         directory: options.directory,
         holder: options.holder,
         fencingToken: epoch * TOKENS_PER_EPOCH,
-        worker: id => this.links.get(id),
+        worker: id => this.workers.get(id),
         mayOrder,
         onChange: () => this.schedulePass(),
         clock,
@@ -126,11 +111,11 @@
       })
     this.dispatcher = Dispatcher.create({
       epoch,
-      workers: () => this.links.values(),
+      workers: () => this.workers.all(),
       queue: options.queue,
       advice: this.advice,
-      isSuspended: worker => !this.roster.has(worker.entry) || this.health.isSuspended(worker.id) || this.maintenance?.isDraining(worker.id) === true,
-      isDoubtful: worker => this.health.isDoubtful(worker.id),
+      isUsable: worker => this.workers.isUsable(worker) && this.maintenance?.isDraining(worker.id) !== true,
+      isDoubtful: worker => this.workers.health.isDoubtful(worker.id),
       clock,
       onStart: (step, runs) => this.started(step, runs)
     })
@@ -152,7 +137,7 @@
     if (signal.aborted) return
     await Promise.all([
       ...this.commits.map(commits => commits.run(signal)),
-      this.watchRegistry(signal),
+      this.workers.run(signal),
       this.watchChanges(signal),
       this.janitor.run(signal),
       this.openGate(gateAt, signal),
@@ -165,27 +150,22 @@
 
   /** State of a job, or undefined when this leader doesn't know it. */
   stateOf (jobId: string): JobState | undefined {
-    const job = this.jobs.get(jobId)
-    if (job === undefined) return this.recent.get(jobId)?.outcome
-    // A successor may decide otherwise as long as the outcome is not stored.
-    if (job.outcome !== undefined && job.isStored) return job.outcome
-    return job.hasStarted ? 'active' : 'queued'
+    return this.jobs.stateOf(jobId)
   }
 
   /** Number of accepted jobs of a queue of which no task has started; undefined while that isn't known. */
   pendingOf (queue: string): number | undefined {
-    if (!this.isLoaded) return undefined
-    let pending = 0
-    for (const job of this.jobs.values()) if (job.record.queue === queue && !job.hasStarted && job.outcome === undefined) pending++
-    return pending
+    return this.isLoaded ? this.jobs.pendingOf(queue) : undefined
   }
 
   // Commands
 
   admitted (jobId: string, record: JobRecord, version: number): void {
-    if (!this.isLoaded) this.early.push(() => this.admitted(jobId, record, version))
-    if (!this.isLoaded || this.jobs.has(jobId) || this.recent.has(jobId)) return
-    this.jobs.set(jobId, Job.create(jobId, record, version))
+    if (!this.isLoaded) {
+      this.early.push(() => this.admitted(jobId, record, version))
+      return
+    }
+    this.jobs.admit(jobId, record, version)
     this.schedulePass()
   }
 
@@ -265,7 +245,7 @@
   }
 
   private taskDone (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
-    this.health.done(link.id)
+    this.workers.health.done(link.id)
     if (step.spec.longRunning || task.isDone) return
     step.markDone(task)
     for (const each of [...task.runs]) if (each.number !== run) each.worker.stop(each)
@@ -274,7 +254,7 @@
   }
 
   private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
-    this.health.failed(link.id, job.id)
+    this.workers.health.failed(link.id, job.id)
     step.avoided.add(link.id)
     task.failedOn.add(link.id)
     const failures = step.markFailed(task, run)
@@ -299,11 +279,8 @@
     for (const run of [...job.runs()]) run.worker.stop(run)
     for (const step of job.liveSteps()) this.advice.forget(step)
     this.stage(job).then(() => {
-      job.isStored = true
-      this.remember(job.id, outcome)
-      this.janitor.jobEnded(job.id, job.version, { outcome, endedAtMs: clock.date().getTime() })
+      this.jobs.ended(job, outcome)
       this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs })
-      this.forgetWhenEmpty(job)
     })
   }
 
@@ -312,10 +289,6 @@
     await this.commits[leaderPartitionOf(job.id)]?.stage(job)
   }
 
-  private forgetWhenEmpty (job: Job) {
-    if (job.isStored && [...job.runs()].length === 0) this.jobs.delete(job.id)
-  }
-
   private schedulePass () {
     if (this.passScheduled || this.stopping.signal.aborted) return
     this.passScheduled = true
@@ -335,7 +308,7 @@
   /** Jobs of which it is known where their tasks run. */
   private * dispatchable (): Iterable<Job> {
     const newest = Math.max(...this.epochVersions)
-    for (const job of this.jobs.values()) if (this.isGateOpen || job.version > newest) yield job
+    for (const job of this.jobs.live()) if (this.isGateOpen || job.version > newest) yield job
   }
 
   // Loops
@@ -346,13 +319,13 @@
     while (!signal.aborted) {
       // Only the progress of jobs must be read after the epoch is written: earlier leaders don't admit or cancel.
       const [jobs, isFenced] = await Promise.all([this.loader.readJobs(), this.fence()])
-      if (jobs !== undefined && isFenced && (await Promise.all([this.roster.load(), this.loadJobs(jobs)])).every(isDone => isDone)) break
+      if (jobs !== undefined && isFenced && (await Promise.all([this.workers.load(), this.loadJobs(jobs)])).every(isDone => isDone)) break
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
     if (signal.aborted) return
     this.isLoaded = true
     for (const apply of this.early.splice(0)) apply()
-    this.log.info('State loaded.', { jobs: this.jobs.size, version: this.changesVersion, rosterWorkers: this.roster.size(), tookMs: Math.round(clock.now() - started) })
+    this.log.info('State loaded.', { jobs: this.jobs.size(), version: this.changesVersion, rosterWorkers: this.workers.rosterSize(), tookMs: Math.round(clock.now() - started) })
   }
 
   private async fence (): Promise<boolean> {
@@ -368,55 +341,10 @@
     const progress = await this.loader.readProgress()
     if (progress === undefined || jobs === undefined) return false
     this.changesVersion = jobs.version
-    const progressById = new Map(progress.rows.map(row => [row.key, row]))
-    for (const row of jobs.rows) if (!row.deleted && !row.key.includes('.')) this.restore(row, progressById.get(row.key))
-    this.applyCancels(jobs.rows)
+    for (const jobId of this.jobs.restore(jobs.rows, progress.rows)) this.cancelled(jobId)
     return true
   }
 
-  private restore (row: StoredRow, progress: StoredRow | undefined) {
-    if (this.jobs.has(row.key) || this.recent.has(row.key)) return
-    const stored = progress?.value as StoredProgress | undefined
-    const ended = row.value as Partial<EndedRecord> | undefined
-    if (ended?.outcome !== undefined) {
-      this.remember(row.key, ended.outcome)
-      this.janitor.jobReduced(row.key, row.version, ended as EndedRecord)
-    } else if (stored !== undefined && 'outcome' in stored) {
-      this.remember(row.key, stored.outcome)
-      this.janitor.jobEnded(row.key, row.version, stored)
-    } else {
-      const job = this.addJob(row)
-      if (job !== undefined && stored !== undefined) job.restore(stored.occurrences, progress?.version ?? 0)
-    }
-  }
-
-  private addJob (row: StoredRow): Job | undefined {
-    const record = row.value as JobRecord | undefined
-    if (record?.spec === undefined) {
-      this.log.error('Row of a job can not be read.', { job: row.key, version: row.version })
-      return undefined
-    }
-    const job = Job.create(row.key, record, row.version)
-    this.jobs.set(row.key, job)
-    return job
-  }
-
-  private remember (jobId: string, outcome: JobOutcome) {
-    this.recent.set(jobId, { outcome, endedAt: this.options.clock.now() })
-  }
-
-  private applyChanges (rows: readonly StoredRow[]) {
-    for (const row of rows) {
-      if (row.deleted || row.key.includes('.') || this.jobs.has(row.key) || this.recent.has(row.key)) continue
-      this.addJob(row)
-    }
-    this.applyCancels(rows)
-  }
-
-  private applyCancels (rows: readonly StoredRow[]) {
-    for (const { key, deleted } of rows) if (!deleted && key.endsWith(CANCEL_SUFFIX)) this.cancelled(key.slice(0, -CANCEL_SUFFIX.length))
-  }
-
   /** Reads what notifications may have missed. */
   private async watchChanges (signal: AbortSignal) {
     const { clock, store } = this.options
@@ -431,118 +359,32 @@
         this.log.info('History of jobs is lost; reading all.', { version: this.changesVersion })
         await this.loadJobs(await this.loader.readJobs())
       } else {
-        this.applyChanges(res.val.rows)
+        for (const jobId of this.jobs.applyChanges(res.val.rows)) this.cancelled(jobId)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
       this.schedulePass()
     }
   }
 
-  private async watchRegistry (signal: AbortSignal) {
-    const { clock, directory, mayOrder } = this.options
-    while (!signal.aborted) {
-      const res = await directory.listWorkers()
-      if (res.err) this.log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
-      else this.applyRegistry(res.val, signal)
-      if (mayOrder()) await this.enrol()
-      await clock.sleep(res.err ? WORKER_RETRY_MS : REGISTRY_POLL_MS, signal)
-    }
-  }
-
-  private applyRegistry (entries: readonly WorkerEntry[], signal: AbortSignal) {
-    const listed = new Map(entries.map(entry => [entry.id, entry]))
-    const byAddress = new Map(entries.map(entry => [entry.address, entry]))
-    for (const link of [...this.links.values()]) {
-      const entry = listed.get(link.id)
-      const successor = byAddress.get(link.entry.address)
-      if (entry !== undefined && entry.born === link.entry.born && !link.isDead) {
-        link.updateEntry(entry)
-        continue
-      }
-      const isReplaced = entry !== undefined ? entry.born > link.entry.born : successor !== undefined && successor.born > link.entry.born
-      if (isReplaced) link.declareDead()
-      // A worker that is missing gets no new work; what it runs stays accounted for until it has ended.
-      link.updateEntry({ ...link.entry, state: 'draining' })
-      if (link.isDead || (link.runs.size === 0 && !link.isAdopted)) this.drop(link, isReplaced ? 'replaced' : 'gone')
-    }
-    for (const entry of entries) {
-      if (this.links.has(entry.id)) continue
-      this.connect(entry, signal)
-    }
-    this.schedulePass()
-  }
-
-  private connect (entry: WorkerEntry, signal: AbortSignal) {
-    const { clients, epoch, taskLeaseMs, mayOrder, clock } = this.options
-    const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
-    const link = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events: this, mayOrder, clock, log: this.log })
-    this.links.set(entry.id, link)
-    link.run(signal)
-  }
-
-  private drop (link: WorkerLink, reason: string) {
-    link.declareDead()
-    this.links.delete(link.id)
-    this.lastTokens.set(link.id, link.lastToken())
-    this.health.forget(link.id)
-    this.log.info('Worker dropped.', { worker: link.id, born: link.entry.born, reason })
-  }
-
-  /** Stores the workers that may run something before anything is started on them. */
-  private async enrol () {
-    const workers = [...this.links.values()].filter(link => !link.isDead).map(({ entry }) => entry)
-    if (await this.roster.store(workers)) this.schedulePass()
-  }
-
   /** Lets the jobs of earlier leaders go on once it is known what every worker runs, or no old lease is left. */
   private async openGate (gateAt: number, signal: AbortSignal) {
     const { clock } = this.options
     const started = clock.now()
-    while (!signal.aborted && clock.now() < gateAt && !this.isEveryWorkerKnown()) await clock.sleep(10, signal)
+    while (!signal.aborted && clock.now() < gateAt && !this.workers.isEveryEarlierKnown()) await clock.sleep(10, signal)
     this.isGateOpen = true
-    this.log.info('Jobs of earlier epochs go on.', { tookMs: Math.round(clock.now() - started), complete: clock.now() < gateAt, jobs: this.jobs.size })
+    this.log.info('Jobs of earlier epochs go on.', { tookMs: Math.round(clock.now() - started), complete: clock.now() < gateAt, jobs: this.jobs.size() })
     this.schedulePass()
   }
 
-  private isEveryWorkerKnown (): boolean {
-    return this.roster.earlier().every(({ id, born }) => {
-      const link = this.links.get(id)
-      return link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))
-    })
-  }
-
   private async tick (signal: AbortSignal) {
-    const { clock, metrics, statusRetentionMs } = this.options
+    const { clock, metrics } = this.options
     while (!signal.aborted) {
       await clock.sleep(IDLE_PASS_MS, signal)
-      const unixMs = clock.date().getTime()
-      for (const job of this.jobs.values()) {
-        job.addDueOccurrences(unixMs)
-        this.forgetWhenEmpty(job)
-      }
-      for (const [id, { endedAt }] of this.recent) {
-        if (clock.now() - endedAt < statusRetentionMs + ENDED_RETENTION_SLACK_MS) break
-        this.recent.delete(id)
-      }
-      this.stopStalled()
-      metrics.gauge('jobs_live', this.jobs.size)
+      this.jobs.tick()
+      this.workers.stopStalled()
+      metrics.gauge('jobs_live', this.jobs.size())
       metrics.gauge('commits_waiting', this.commits.reduce((sum, commits) => sum + commits.size(), 0))
       this.schedulePass()
     }
   }
-
-  private stopStalled () {
-    for (const link of this.links.values()) {
-      if (!link.isAdopted) continue
-      for (const run of link.runs.values()) {
-        if (run.state !== 'running' || run.task === undefined || link.reportedAt() - run.progressAt < STALL_MS || run.percent >= 100) continue
-        this.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(link.reportedAt() - run.progressAt) })
-        run.task.step.avoided.add(link.id)
-        run.task.failedOn.add(link.id)
-        // A task on idle capacity stands still when others use all of it.
-        if (!run.task.step.spec.usesIdleCapacity) this.health.stalled(link.id)
-        link.stop(run)
-      }
-    }
-  }
 }
