--- a/soak/src/daemonProcess.ts
+++ b/soak/src/daemonProcess.ts
@@ -28,6 +28,11 @@
     this.child?.kill(name)
   }
 
+  /** Writes the settings file again, with a field that the daemon doesn't know. */
+  rewriteSettings (): void {
+    writeFileSync(this.settingsPath(), `${settingsFile(this.settings)}rewritten_at: ${Date.now()}\n`)
+  }
+
   /** Ends that nobody asked for, by exit code. */
   unexpectedEnds (): readonly string[] {
     return this.ends
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -20,7 +20,11 @@
   kill: ({ daemons }, random) => random.pick(daemons).signal('SIGKILL'),
   killAll: ({ daemons }) => { for (const daemon of daemons) daemon.signal('SIGKILL') },
   terminate: ({ daemons }, random) => random.pick(daemons).signal('SIGTERM'),
-  reload: ({ daemons }, random) => random.pick(daemons).signal('SIGHUP'),
+  reload: ({ daemons }, random) => {
+    const daemon = random.pick(daemons)
+    daemon.rewriteSettings()
+    daemon.signal('SIGHUP')
+  },
   pause: ({ daemons }, random, forMs) => {
     const daemon = random.pick(daemons)
     daemon.signal('SIGSTOP')
