fix(cell): a takeover waits for fewer jobs and fewer workers

A worker that had drained, run nothing for seconds and left at 34.13 s was still in the roster, so the leader waited for the end of its lease; and jobs accepted between the lease and the epoch rows counted as ones that an earlier leader may have started. Ruled out: loading (0.43 s) and adoption (32 of 32 workers at 36.3 s). Change: a worker that drains and runs nothing leaves the roster; from the moment the removal is sent nothing is started there until it is entered again, and a removal without an answer is repeated. Jobs admitted after the lease was gained start at once: an earlier leader orders nothing after that, as every takeover waits for the end of its lease or its release.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -220,3 +220,62 @@
   jobs.push(await cell.submit(first, [createStep()]))
   t.true(await cell.until(() => jobs.every(jobId => leader.stateOf(jobId) === 'completed'), 5_000))
 })
+
+test('a job admitted after the takeover does not wait for workers of the earlier leader', async t => {
+  const cell = TestCell.create()
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const other = cell.startDaemon('d2')
+  const [, gone] = cell.workers.all()
+  if (gone === undefined) throw new Error('no worker')
+  await cell.clock.advance(1_000)
+  first.kill()
+  gone.isCutOff = true
+  cell.setRegistry([createEntry('w1')])
+  // The epoch is written later than the lease is gained.
+  let isRefused = true
+  cell.store.writeFault = tx => isRefused && tx.puts.some(({ key }) => key === 'epoch') ? { kind: 'refused' } : undefined
+  const again = cell.startDaemon('d1')
+  await cell.until(() => again.leader() !== undefined)
+  const jobId = await cell.submit(other, [createStep()])
+  isRefused = false
+  t.true(await cell.until(() => cell.audit.hasStarted(jobId), 2_000))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+test('a worker that drains and runs nothing holds up no takeover', async t => {
+  const cell = TestCell.create()
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const other = cell.startDaemon('d2')
+  const [, leaving] = cell.workers.all()
+  if (leaving === undefined) throw new Error('no worker')
+  await cell.clock.advance(1_000)
+  cell.setRegistry([createEntry('w1'), createEntry('w2', { state: 'draining' })])
+  await cell.clock.advance(2_000)
+  first.kill()
+  leaving.isCutOff = true
+  cell.setRegistry([createEntry('w1')])
+  const jobId = await cell.submit(other, [createStep()])
+  cell.startDaemon('d1')
+  t.true(await cell.until(() => cell.audit.hasStarted(jobId), 2_000))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+test('a worker that drains and still runs something holds up a takeover until its lease has ended', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const jobId = await cell.submit(first, [createStep({ count: 2, need: { milliCores: 4_000, memoryMb: 1, accelerators: 0 } })])
+  await cell.until(() => cell.workers.all().every(worker => worker.runningTasks().length === 1))
+  cell.setRegistry([createEntry('w1'), createEntry('w2', { state: 'draining' })])
+  await cell.clock.advance(2_000)
+  first.kill()
+  const leaving = cell.workers.all()[1]
+  if (leaving === undefined) throw new Error('no worker')
+  leaving.isCutOff = true
+  cell.setRegistry([createEntry('w1')])
+  cell.startDaemon('d1')
+  await cell.clock.advance(9_000)
+  t.deepEqual(cell.audit.violations, [], `${jobId} runs nowhere twice`)
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -96,7 +96,7 @@
       store,
       clock,
       log: logs.for('lease'),
-      onGained: epoch => this.lead(epoch),
+      onGained: (epoch, version) => this.lead(epoch, version),
       onLost: () => this.stopLeading(),
       isWeak: () => this.isWeak(),
       findSuccessor: holder => this.findSuccessor(holder)
@@ -148,12 +148,13 @@
 
   // Leadership
 
-  private lead (epoch: number) {
+  private lead (epoch: number, sinceVersion: number) {
     const { store } = this
     const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, maintenance } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
+      sinceVersion,
       holder: this.holder,
       ...(maintenance === undefined ? {} : { maintenance }),
       store,
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -37,6 +37,8 @@
 
 export interface LeaderOptions {
   readonly epoch: number
+  /** Version of the store's rows since which no earlier leader has ordered anything. */
+  readonly sinceVersion: number
   /** Unique for each life of a daemon. */
   readonly holder: string
   readonly maintenance?: VmMaintenance
@@ -71,7 +73,7 @@
   private readonly maintenance: Maintenance | undefined
   private readonly loader: JobLoader
   private changesVersion = 0
-  /** Versions of the epoch rows by leader partition; jobs with a lower one may have been started by an earlier leader. */
+  /** Versions of the epoch rows by leader partition. */
   private epochVersions: readonly number[] = []
   private isLoaded = false
   /** Notifications that came while the state was being loaded. */
@@ -307,8 +309,7 @@
 
   /** Jobs of which it is known where their tasks run. */
   private * dispatchable (): Iterable<Job> {
-    const newest = Math.max(...this.epochVersions)
-    for (const job of this.jobs.live()) if (this.isGateOpen || job.version > newest) yield job
+    for (const job of this.jobs.live()) if (this.isGateOpen || job.version > this.options.sinceVersion) yield job
   }
 
   // Loops
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -29,7 +29,8 @@
   readonly store: RowStore
   readonly clock: Clock
   readonly log: Log
-  readonly onGained: (epoch: number) => void
+  /** `version` is that of the row with which the epoch began; no earlier leader has ordered anything since. */
+  readonly onGained: (epoch: number, version: number) => void
   readonly onLost: (reason: string) => void
   /** Whether others are better suited to lead; such a daemon waits longer before it takes over. */
   readonly isWeak?: () => boolean
@@ -251,7 +252,7 @@
     this.validity = sent
     this.renewingSince = undefined
     this.options.log.info('Leadership gained.', { epoch: row.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
-    this.options.onGained(row.value.epoch)
+    this.options.onGained(row.value.epoch, row.version)
   }
 
   private lose (reason: string) {
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -27,6 +27,8 @@
   private stored: ReadonlyMap<string, number> = new Map()
   private earlierMembers: readonly Member[] = []
   private version = 0
+  /** Whether the row is known to name just the stored workers. */
+  private isWritten = true
 
   private constructor (private readonly options: RosterOptions) {}
 
@@ -65,7 +67,10 @@
   /** Stores the workers if they differ. Returns whether the row has changed. */
   async store (workers: readonly WorkerEntry[]): Promise<boolean> {
     const members = workers.map(({ id, born }) => ({ id, born }))
-    if (members.length === this.stored.size && members.every(member => this.has(member))) return false
+    if (this.isWritten && members.length === this.stored.size && members.every(member => this.has(member))) return false
+    // From here on nothing may be started on a worker that the row may no longer name.
+    this.stored = bornById(members.filter(member => this.has(member)))
+    this.isWritten = false
     const { store, epochVersion, log } = this.options
     const res = await store.transact({
       partition: PARTITION,
@@ -84,6 +89,7 @@
     }
     this.version = res.val.version
     this.stored = bornById(members)
+    this.isWritten = true
     log.info('Roster stored.', { workers: members.length, version: this.version })
     return true
   }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -140,10 +140,11 @@
       store,
       clock,
       log: silent.for('lease'),
-      onGained: epoch => {
+      onGained: (epoch, sinceVersion) => {
         stopLeading()
         leader = Leader.create({
           epoch,
+          sinceVersion,
           holder: `${name}/${this.daemons.length}`,
           ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
           store,
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -149,7 +149,13 @@
 
   /** Stores the workers that may run something before anything is started on them. */
   private async enrol () {
-    const workers = [...this.links.values()].filter(link => !link.isDead).map(({ entry }) => entry)
+    const workers = [...this.links.values()].filter(mayRunSomething).map(({ entry }) => entry)
     if (await this.roster.store(workers)) this.options.onChange()
   }
 }
+
+/** A worker that drains gets no more work; once it runs nothing, a successor need not know of it. */
+function mayRunSomething (link: WorkerLink): boolean {
+  const isEmptied = link.entry.state === 'draining' && link.isAdopted && link.runs.size === 0
+  return !link.isDead && !isEmptied
+}
