--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -28,6 +28,10 @@
     this.jobs.set(jobId, spec)
   }
 
+  specOf (jobId: string): JobSpec | undefined {
+    return this.jobs.get(jobId)
+  }
+
   started (worker: string, task: TaskId, run: number, payload: string): void {
     for (const each of this.refresh) each()
     const name = formatTaskId(task)
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+export { QueueClient } from './client.js'
+export type { Answer, QueueOptions } from './client.js'
+export { timeline } from './queries/timeline.js'
--- /dev/null
+++ b/playground/src/cell.ts
@@ -0,0 +1,125 @@
+import { mkdtempSync, readFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { Audit, GangRoom, MemoryStore, MemoryWorker, createEntry } from '@citronnotch/cell/testing'
+import { QueueClient } from '@citronnotch/cli'
+import { SystemClock } from '@citronnotch/daemon/clock'
+import { DaemonProcess, Emulator, decodeJob, oneQueueConfig } from '@citronnotch/platform/testing'
+
+export const HOST = 'pamphlets.example'
+export const PATH = '/pamphlets/'
+const HEARTBEAT_MS = 1_500
+const TASK_MS = 800
+const RETRY_MS = 300
+const SUBMIT_ATTEMPTS = 20
+
+export interface PlaygroundOptions {
+  readonly daemons: number
+  readonly workers: number
+  /** First of the ports that the daemons listen on; each takes four. */
+  readonly firstPort: number
+}
+
+/** A cell on loopback: daemons as processes of their own, and the emulator of the platform in this one. */
+export class Playground {
+  readonly audit = Audit.create()
+  readonly daemons: readonly DaemonProcess[]
+  readonly logFolder = mkdtempSync(join(tmpdir(), 'citronnotch-demo-'))
+  private nextJob = 1
+
+  private constructor (readonly store: MemoryStore, private readonly emulator: Emulator, private readonly heartbeat: NodeJS.Timeout, options: PlaygroundOptions, addresses: { readonly store: string, readonly policy: string }) {
+    this.daemons = Array.from({ length: options.daemons }, (_, index) => {
+      const port = options.firstPort + 4 * index
+      return DaemonProcess.create({
+        name: `d${index}`, callerAddress: `127.0.0.1:${port}`, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: addresses.store, policyAddress: addresses.policy
+      }, this.logFolder)
+    })
+  }
+
+  static async create (options: PlaygroundOptions): Promise<Playground> {
+    const clock = SystemClock.create()
+    const store = MemoryStore.create({ clock })
+    const emulator = Emulator.create(store)
+    emulator.putConfig(oneQueueConfig(HOST, PATH))
+    const addresses = { store: await emulator.serveStore(), policy: await emulator.servePolicy(() => true) }
+    const workers: MemoryWorker[] = []
+    const heartbeat = setInterval(() => { for (const { entry } of workers) emulator.register(entry) }, HEARTBEAT_MS)
+    const playground = new Playground(store, emulator, heartbeat, options, addresses)
+    const gangs = GangRoom.create()
+    for (let index = 0; index < options.workers; index++) {
+      const worker = MemoryWorker.create({
+        entry: createEntry(`w${index}`),
+        clock,
+        audit: playground.audit,
+        behaviour: task => ({ durationMs: playground.isLongRunning(task.jobId) ? Infinity : TASK_MS, end: 'done' }),
+        needOf: task => playground.audit.needOf(task),
+        gangSizeOf: task => playground.audit.gangSizeOf(task),
+        gangs
+      })
+      worker.entry = { ...worker.entry, address: await emulator.serveWorker(worker) }
+      emulator.register(worker.entry)
+      workers.push(worker)
+    }
+    return playground
+  }
+
+  /** Client of the queue at one daemon. */
+  client (index: number): QueueClient {
+    return QueueClient.create({ address: this.daemons[index % this.daemons.length]?.settings.callerAddress ?? '', host: HOST, path: PATH })
+  }
+
+  /** Submits a job, at the next daemon after each answer that isn't its acceptance. Returns its id. */
+  async submit (steps: readonly unknown[], fields: Readonly<Record<string, unknown>> = {}): Promise<string> {
+    const id = (this.nextJob++).toString(16).padStart(16, '0')
+    const body = { spec: `job ${id}`, steps, ...fields }
+    const spec = decodeJob(body)
+    if (typeof spec === 'string') throw new Error(spec)
+    this.audit.expectJob(id, spec)
+    for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
+      if ((await this.statusOf(attempt, 'POST', id, JSON.stringify(body))) === 200) return id
+      await sleep(RETRY_MS)
+    }
+    throw new Error(`job ${id} was not accepted`)
+  }
+
+  /** Status 0 means that there was no answer. */
+  async statusOf (daemon: number, method: 'GET' | 'POST' | 'DELETE', id: string, body?: string): Promise<number> {
+    try {
+      return (await this.client(daemon).send(method, id, body)).status
+    } catch {
+      return 0
+    }
+  }
+
+  /** State of a job as some daemon shows it; undefined when none answers. */
+  async stateOf (id: string): Promise<unknown> {
+    for (let index = 0; index < this.daemons.length; index++) {
+      try {
+        const { status, body } = await this.client(index).send('GET', id)
+        if (status === 200) return body.state
+      } catch {
+        // Another daemon may answer.
+      }
+    }
+    return undefined
+  }
+
+  /** Logs of all daemons by name. */
+  logs (): ReadonlyMap<string, string> {
+    return new Map(this.daemons.map(({ settings: { name } }) => [name, readFileSync(join(this.logFolder, `${name}.log`), 'utf8')]))
+  }
+
+  close (): void {
+    clearInterval(this.heartbeat)
+    for (const daemon of this.daemons) daemon.stop()
+    this.emulator.close()
+  }
+
+  private isLongRunning (jobId: string): boolean {
+    return this.audit.specOf(jobId)?.steps.some(({ longRunning }) => longRunning) === true
+  }
+}
+
+export function sleep (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -1,5 +1,6 @@
 import type { JobSpec } from '@citronnotch/cell'
 import type { Audit } from '@citronnotch/cell/testing'
+import { decodeJob } from '@citronnotch/platform/testing'
 import { Agent, request } from 'undici'
 import type { Random } from './random.js'
 
@@ -35,7 +36,7 @@
     const steps = this.steps()
     const job: Submitted = { id, answers: [], isAccepted: false, isCancelled: false }
     this.jobs.push(job)
-    this.audit.expectJob(id, { payload: id, steps: steps.map(expectedStep) })
+    this.audit.expectJob(id, expectedJob({ spec: id, steps }))
     for (let attempt = 0; attempt < ATTEMPTS; attempt++) {
       const status = await this.call('POST', id, { spec: id, steps })
       job.answers.push(status)
@@ -101,24 +102,10 @@
   }
 }
 
-function expectedStep (step: { readonly count: number, readonly cpu: number, readonly mem_mb: number, readonly gang?: boolean, readonly after?: readonly number[] }): JobSpec['steps'][number] {
-  return {
-    count: step.count,
-    need: { milliCores: step.cpu, memoryMb: step.mem_mb, accelerators: 0 },
-    estimateMs: 0,
-    after: step.after ?? [],
-    gang: step.gang === true,
-    rackLocal: false,
-    requiredLabel: '',
-    affinityRack: '',
-    maxPerWorker: 0,
-    speculative: false,
-    longRunning: false,
-    checkpoints: false,
-    usesIdleCapacity: false,
-    latencyTargetMs: 0,
-    maxUnavailable: 0
-  }
+function expectedJob (body: unknown): JobSpec {
+  const spec = decodeJob(body)
+  if (typeof spec === 'string') throw new Error(spec)
+  return spec
 }
 
 function isFinal (state: string | undefined): boolean {
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -1,5 +1,5 @@
 import type { MemoryStore, MemoryWorker } from '@citronnotch/cell/testing'
-import type { DaemonProcess } from './daemonProcess.js'
+import type { DaemonProcess } from '@citronnotch/platform/testing'
 import type { Proxy } from './proxy.js'
 import type { Random } from './random.js'
 
