refactor(cell): say constants, keys and types once

Change: the key of a cancellation is made and read in jobs.ts (it stood in three modules); the percentage at which a task is at work and the times of VM maintenance are declared once; the leader reads epoch versions through one method; the dispatcher no longer checks a flag that implies an outcome; soak and playground sleep with Node's own timer; a comment on the loops of the leader is true again. No change of behaviour.

--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -79,6 +79,9 @@
 export const ADVICE_TIMEOUT_MS = 1_500
 export const AGENT_BACKOFF_MS = 1_500
 
+/** Progress at which a task that lasts is at work; a run that has reached it can't stall. */
+export const AT_WORK_PERCENT = 100
+
 /** Interval of the pass that no event triggered; bounds the delay of anything that depends on time. */
 export const IDLE_PASS_MS = 200
 /** Time for which the outcome of an ended job is kept beyond what callers are promised. */
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -82,7 +82,7 @@
     const now = clock.now()
     const found: Candidate[] = []
     for (const job of jobs) {
-      if (job.outcome !== undefined || job.isCancelled) continue
+      if (job.outcome !== undefined) continue
       const queue = queueOf(job.record.queue)
       if (queue === undefined) continue
       for (const step of job.liveSteps()) {
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
 import { ENDED_RETENTION_SLACK_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import { leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
+import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
 import type { EndedRecord } from './jobs.js'
 import type { RowStore, Transaction } from './ports.js'
 
@@ -81,7 +81,7 @@
       partition,
       expect: batch.map(({ id, version }) => ({ table: TABLES.jobs, key: id, version })),
       puts: batch.map(({ id, outcome, endedAtMs }) => ({ table: TABLES.jobs, key: id, value: { outcome, endedAtMs } })),
-      removes: batch.map(({ id }) => ({ table: TABLES.jobs, key: `${id}.cancel` }))
+      removes: batch.map(({ id }) => ({ table: TABLES.jobs, key: cancelKeyOf(id) }))
     })
     if (version === undefined) return
     for (const job of batch) {
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -4,7 +4,7 @@
 import { Err, Ok } from '@citronnotch/protocol'
 import type { Result } from '@citronnotch/protocol'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import { leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
+import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
 import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
@@ -93,12 +93,12 @@
       const job = rows.val.find(({ key }) => key === jobId)
       const outcome = await this.outcomeIn(job, remaining)
       if (outcome.err) return outcome
-      if (outcome.val === 'cancelled' || rows.val.some(({ key }) => key === `${jobId}.cancel`)) return Ok('cancelled')
+      if (outcome.val === 'cancelled' || rows.val.some(({ key }) => key === cancelKeyOf(jobId))) return Ok('cancelled')
       if (job === undefined || outcome.val !== undefined) return Ok('unknown')
       const res = await this.withinBudget(jobId, 'cancel', remaining, () => store.transact({
         partition: partitionOf(jobId),
         expect: [{ table: TABLES.jobs, key: jobId, version: job.version }],
-        puts: [{ table: TABLES.jobs, key: `${jobId}.cancel`, value: { atMs: clock.date().getTime() } }],
+        puts: [{ table: TABLES.jobs, key: cancelKeyOf(jobId), value: { atMs: clock.date().getTime() } }],
         removes: []
       }, STORE_TIMEOUT_MS))
       if (res.err) return res
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -2,13 +2,11 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { ENDED_RETENTION_SLACK_MS } from './constants.js'
 import type { Janitor } from './janitor.js'
-import { Job } from './jobs.js'
+import { Job, cancelledBy } from './jobs.js'
 import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
 import type { StoredRow } from './ports.js'
 import type { JobOutcome, JobState } from './types.js'
 
-const CANCEL_SUFFIX = '.cancel'
-
 interface RecentEnd {
   readonly outcome: JobOutcome
   /** Monotonic time at which the outcome was known to be stored. */
@@ -151,5 +149,5 @@
 }
 
 function cancelledIn (rows: readonly StoredRow[]): readonly string[] {
-  return rows.filter(({ key, deleted }) => !deleted && key.endsWith(CANCEL_SUFFIX)).map(({ key }) => key.slice(0, -CANCEL_SUFFIX.length))
+  return rows.flatMap(({ key, deleted }) => deleted ? [] : cancelledBy(key) ?? [])
 }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -40,6 +40,18 @@
   return admissionPartitionName(Number.parseInt(jobId.slice(-4), 16) % ADMISSION_PARTITIONS)
 }
 
+const CANCEL_SUFFIX = '.cancel'
+
+/** Key of the row that cancels a job, beside the row that admits it. */
+export function cancelKeyOf (jobId: string): string {
+  return `${jobId}${CANCEL_SUFFIX}`
+}
+
+/** Id of the job that a row cancels; undefined for a key of another kind. */
+export function cancelledBy (key: string): string | undefined {
+  return key.endsWith(CANCEL_SUFFIX) ? key.slice(0, -CANCEL_SUFFIX.length) : undefined
+}
+
 export function admissionPartitionName (index: number): string {
   return `jobs-${index}`
 }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -14,7 +14,8 @@
 import { JobTable } from './jobTable.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
-import type { Directory, RefusalReason, RowStore, VmService, WorkerClients } from './ports.js'
+import type { VmMaintenance } from './maintenance.js'
+import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
 import { formatStepId, formatTaskId } from './types.js'
 import type { EndedRun, JobOutcome, JobState, Queue, RunningTask } from './types.js'
 import type { LossReason, WorkerEvents, WorkerLink } from './workerLink.js'
@@ -27,14 +28,6 @@
 /** Pause of a worker that said it had no room or was unhealthy. */
 const WORKER_PAUSE_MS = 500
 
-export interface VmMaintenance {
-  readonly vms: VmService
-  /** Time after an order for a VM in which no other holder may give one, in milliseconds. */
-  readonly orderGapMs: number
-  /** Time that the maintenance of a VM takes, in milliseconds. */
-  readonly maintenanceMs: number
-}
-
 export interface LeaderOptions {
   readonly epoch: number
   /** Version of the store's rows since which no earlier leader has ordered anything. */
@@ -83,20 +76,20 @@
 
   private constructor (private readonly options: LeaderOptions) {
     const { clock, logs, store, epoch, mayOrder, onDeposed } = options
-    // One loop for each worker waits on it.
+    // Each loop waits on it.
     setMaxListeners(0, this.stopping.signal)
     this.log = logs.for('leader')
     this.commits = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
-      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersions[index] ?? 0, mayOrder, onDeposed, onRefused: options.onRefused, clock, log: logs.for('commits')
+      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersion(index), mayOrder, onDeposed, onRefused: options.onRefused, clock, log: logs.for('commits')
     }))
     this.advice = AdviceBook.create({ agents: options.agents, onAnswer: () => this.schedulePass(), clock, log: logs.for('advice') })
     this.janitor = Janitor.create({
-      store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersions[index] ?? 0, mayOrder, clock, log: this.log
+      store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersion(index), mayOrder, clock, log: this.log
     })
     this.loader = JobLoader.create(store, this.log)
     this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
     this.workers = WorkerPool.create({
-      ...options, epochVersion: () => this.epochVersions[0] ?? 0, events: this, onChange: () => this.schedulePass(), log: this.log
+      ...options, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.schedulePass(), log: this.log
     })
     this.maintenance = options.maintenance === undefined
       ? undefined
@@ -337,6 +330,10 @@
     return true
   }
 
+  private epochVersion (leaderPartition: number): number {
+    return this.epochVersions[leaderPartition] ?? 0
+  }
+
   /** Returns false when the store didn't answer. */
   private async loadJobs (jobs: LoadedRows | undefined): Promise<boolean> {
     const progress = await this.loader.readProgress()
--- a/packages/cell/src/maintenance.ts
+++ b/packages/cell/src/maintenance.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import type { Directory, VmService } from './ports.js'
+import { AT_WORK_PERCENT } from './constants.js'
+import type { Directory, VmService, WaveState } from './ports.js'
 import type { MaintenanceWave, WorkerVm } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -9,19 +10,21 @@
 const VMS_POLL_MS = 500
 /** Part of a VM's share of the time of a wave for which its worker may finish what it runs. */
 const DRAIN_SHARE = 0.6
-/** Progress of a task that is at work. */
-const AT_WORK_PERCENT = 100
 
-export interface MaintenanceOptions {
-  readonly directory: Directory
+/** The service that maintains the VMs of the workers, and its times. */
+export interface VmMaintenance {
   readonly vms: VmService
-  readonly holder: string
-  /** Above the tokens of all earlier leaders. */
-  readonly fencingToken: number
-  /** Time after the start of a leader in which orders of its predecessor may still arrive, in milliseconds. */
+  /** Time after an order for a VM in which no other holder may give one, in milliseconds. */
   readonly orderGapMs: number
   /** Time that the maintenance of a VM takes, in milliseconds. */
   readonly maintenanceMs: number
+}
+
+export interface MaintenanceOptions extends VmMaintenance {
+  readonly directory: Directory
+  readonly holder: string
+  /** Above the tokens of all earlier leaders. */
+  readonly fencingToken: number
   readonly worker: (id: string) => WorkerLink | undefined
   readonly mayOrder: () => boolean
   readonly onChange: () => void
@@ -178,7 +181,7 @@
     return true
   }
 
-  private async publish ({ wave }: ActiveWave, state: 'active' | 'completed'): Promise<boolean> {
+  private async publish ({ wave }: ActiveWave, state: WaveState): Promise<boolean> {
     const { directory, log } = this.options
     const res = await directory.publishWave(wave.number, state)
     if (res.ok) return true
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import { REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
+import { AT_WORK_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
 import { formatTaskId } from './types.js'
@@ -11,7 +11,6 @@
 
 /** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
 const STALL_MS = 2_500
-const AT_WORK_PERCENT = 100
 
 export interface WorkerPoolOptions {
   readonly epoch: number
--- a/playground/src/cell.ts
+++ b/playground/src/cell.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync, readFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Audit, GangRoom, MemoryStore, MemoryWorker, createEntry } from '@citronnotch/cell/testing'
 import { QueueClient } from '@citronnotch/cli'
 import { SystemClock } from '@citronnotch/daemon/clock'
@@ -119,7 +120,3 @@
     return this.audit.specOf(jobId)?.steps.some(({ longRunning }) => longRunning) === true
   }
 }
-
-export function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
--- a/playground/src/demo.ts
+++ b/playground/src/demo.ts
@@ -1,6 +1,7 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { timeline } from '@citronnotch/cli'
 import { cac } from 'cac'
-import { HOST, PATH, Playground, sleep } from './cell.js'
+import { HOST, PATH, Playground } from './cell.js'
 
 const DEFAULT_PORT = 21_000
 const STORE_AWAY_MS = 3_000
--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { JobSpec } from '@citronnotch/cell'
 import type { Audit } from '@citronnotch/cell/testing'
 import { decodeJob } from '@citronnotch/platform/testing'
@@ -111,7 +112,3 @@
 function isFinal (state: string | undefined): boolean {
   return state === 'completed' || state === 'cancelled' || state === 'failed'
 }
-
-export function sleep (ms: number): Promise<void> {
-  return new Promise(resolve => setTimeout(resolve, ms))
-}
