perf(cell): a takeover reads live jobs only, without their payloads

A takeover read the whole row of every job, also of ended ones, 64 partitions at a time, each bounded by 1.4 s. Together they outlasted their bounds and the renewal of the lease, what had been read was thrown away, and the next leader began anew (epochs 3 to 18). Change: payloads lie in rows of their own and are read when a job is about to start; steps leave out fields with their default; ended jobs move to a table of their own, which a repeated submission is checked against; reads are paced by their answers; what was read survives a failed attempt.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -17,7 +17,7 @@
   let isDeposed = false
   const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayOrder: () => true, onDeposed: () => { isDeposed = true }, onRefused: () => {}, clock, log: silentLog })
   commits.run(stopping.signal).catch(() => {})
-  const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { payload: '', steps: [createStep({ count: 2 })] } }, 1)
+  const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { steps: [createStep({ count: 2 })] } }, 1)
   const finish = (index: number) => {
     const task = job.task({ jobId: job.id, occurrence: 0, step: 0, index })
     if (task !== undefined) task.step.markDone(task)
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -181,15 +181,15 @@
 
   private leaderContact (): LeaderContact {
     return {
-      admitted: (jobId, record, version) => {
-        if (this.leader !== undefined) this.leader.admitted(jobId, record, version)
-        else this.callLeader('admitted', { jobId, record, version })
+      admitted: (jobId, record, payload, version) => {
+        if (this.leader !== undefined) this.leader.admitted(jobId, record, payload, version)
+        else this.callLeader('admitted', { jobId, record, payload, version })
       },
       cancelled: jobId => {
         if (this.leader !== undefined) this.leader.cancelled(jobId)
         else this.callLeader('cancelled', { jobId })
       },
-      submit: async (jobId, record) => outcomeOf(await this.askLeader('submit', { jobId, record })),
+      submit: async (jobId, record, payload) => outcomeOf(await this.askLeader('submit', { jobId, record, payload })),
       cancel: async jobId => outcomeOf(await this.askLeader('cancel', { jobId })),
       stateOf: async jobId => {
         if (this.leader !== undefined) return this.leader.stateOf(jobId)
@@ -227,11 +227,11 @@
 
   private peerHandlers (): PeerHandlers {
     return {
-      admitted: ({ jobId, record, version }) => {
-        this.leader?.admitted(jobId, record, version)
+      admitted: ({ jobId, record, payload, version }) => {
+        this.leader?.admitted(jobId, record, payload, version)
         return {}
       },
-      submit: async ({ jobId, record }) => peerOutcome(await this.jobs.admit(jobId, record, ON_BEHALF_TIMEOUT_MS)),
+      submit: async ({ jobId, record, payload }) => peerOutcome(await this.jobs.admit(jobId, record, payload, ON_BEHALF_TIMEOUT_MS)),
       cancel: async ({ jobId }) => peerOutcome(await this.jobs.storeCancel(jobId, ON_BEHALF_TIMEOUT_MS)),
       cancelled: ({ jobId }) => {
         this.leader?.cancelled(jobId)
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -11,8 +11,12 @@
 export const DAEMONS_PARTITION = 'daemons'
 
 export const TABLES = {
-  /** Admitted jobs by `ID` and cancellations by `ID.cancel`, in the partition of the job. */
+  /** Live jobs by `ID` and cancellations by `ID.cancel`, in the partition of the job. */
   jobs: 'jobs',
+  /** What the tasks of a live job are told to do, by job id, in the partition of the job. */
+  payloads: 'payloads',
+  /** Outcomes of ended jobs by job id, in the partition of the job. */
+  ended: 'ended',
   /** Progress of live jobs, and the outcome of jobs that ended a short time ago, by job id. */
   progress: 'progress',
   /** `lease`, `epoch`, and `roster`, the workers that may run something. */
@@ -32,6 +36,8 @@
 
 /** Bound on one call to the store, in milliseconds. A slow store takes about 900 ms for a transaction. */
 export const STORE_TIMEOUT_MS = 1_400
+/** Bound on one read of a new leader: on a narrow link the pages of many partitions arrive one after another. */
+export const LOAD_TIMEOUT_MS = 4_000
 /** Pause between two reads of the changes that notifications may have missed. */
 export const CHANGES_POLL_MS = 1_000
 /** Pause that lets further changes join a transaction of the leader. */
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -14,6 +14,8 @@
   readonly isUsable: (worker: WorkerLink) => boolean
   /** Whether a recent failure makes other workers preferable. */
   readonly isDoubtful: (worker: WorkerLink) => boolean
+  /** Asks for the payload of a job that is not known here yet. */
+  readonly needPayload: (job: Job) => void
   readonly clock: Clock
   /** Tells of the runs of one step that were started together. */
   readonly onStart: (step: Step, runs: readonly Run[]) => void
@@ -68,7 +70,11 @@
     const room: Room = { free, byId: new Map([...free.keys()].map(worker => [worker.id, worker])), reservedFor: new Map() }
     let reserving = 0
     for (const candidate of candidates) {
-      const { spec } = candidate.step
+      const { spec, job } = candidate.step
+      if (job.payload === undefined) {
+        this.options.needPayload(job)
+        continue
+      }
       const isPlaced = spec.gang ? this.placeGang(candidate, room) : this.placeTasks(candidate, room)
       if (isPlaced || !spec.gang || candidate.lateness > 0 || reserving >= MAX_RESERVING_GANGS) continue
       this.reserve(candidate, room)
@@ -225,7 +231,7 @@
     step.job.hasStarted = true
     // Tasks on idle capacity disturb those with a latency target; they resume elsewhere.
     if (step.isServing()) for (const other of [...worker.runs.values()]) if (other.task?.step.spec.usesIdleCapacity === true) worker.stop(other)
-    const started = worker.start(task, Math.max(run, lastRun + 1), step.job.record.spec.payload, ticket)
+    const started = worker.start(task, Math.max(run, lastRun + 1), step.job.payload ?? '', ticket)
     free.set(worker, worker.free())
     return started
   }
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -1,13 +1,12 @@
+import type { Clock } from '@citronnotch/daemon/clock'
 import type { Log } from '@citronnotch/daemon/logger'
-import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, LOAD_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionName, leaderPartitionName } from './jobs.js'
 import type { RangeQuery, RowStore, StoredRow } from './ports.js'
+import { ReadWindow } from './readWindow.js'
 
-/** Rows of one read; the store's own limit. */
-const PAGE_ROWS = 500
-
-/** Partitions read at the same time; a slow store takes a quarter of a second for each read. */
-const PARALLEL_READS = 64
+/** Rows of one read, small enough to arrive within the time of a read over a link of 2 Mbit/s that 32 reads share. */
+const PAGE_ROWS = 100
 
 export interface LoadedRows {
   readonly rows: readonly StoredRow[]
@@ -17,10 +16,15 @@
 
 /** Reads the state of the cell for a new leader, and again when the store has lost its history. */
 export class JobLoader {
-  private constructor (private readonly store: RowStore, private readonly log: Log) {}
+  private readonly window = ReadWindow.create()
+  /** Partitions that were read by a call that has not read all, by name. */
+  private readonly jobPages = new Map<string, LoadedRows>()
+  private readonly progressPages = new Map<string, LoadedRows>()
+
+  private constructor (private readonly store: RowStore, private readonly clock: Clock, private readonly log: Log) {}
 
-  static create (store: RowStore, log: Log): JobLoader {
-    return new JobLoader(store, log)
+  static create (store: RowStore, clock: Clock, log: Log): JobLoader {
+    return new JobLoader(store, clock, log)
   }
 
   /**
@@ -57,41 +61,61 @@
 
   /** Reads the rows that admit and cancel jobs. Returns undefined when the store didn't answer every read. */
   readJobs (): Promise<LoadedRows | undefined> {
-    return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName)
+    return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName, this.jobPages)
   }
 
   /** Reads the progress of jobs; complete only once the epoch rows are written. */
   readProgress (): Promise<LoadedRows | undefined> {
-    return this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName)
+    return this.readPartitions(TABLES.progress, LEADER_PARTITIONS, leaderPartitionName, this.progressPages)
   }
 
-  private async readPartitions (table: string, count: number, nameOf: (index: number) => string): Promise<LoadedRows | undefined> {
-    const rows: StoredRow[] = []
-    let version = Infinity
-    let next = 0
-    let isComplete = true
-    const readNext = async () => {
-      while (next < count && isComplete) {
-        const page = await this.readAll({ table, partition: nameOf(next++) })
-        if (page === undefined) isComplete = false
-        else {
-          rows.push(...page.rows)
-          version = Math.min(version, page.version)
+  /** What was read stays in `pages` until all is there, so that a repeated call goes on where an earlier one failed. */
+  private async readPartitions (table: string, count: number, nameOf: (index: number) => string, pages: Map<string, LoadedRows>): Promise<LoadedRows | undefined> {
+    const missing = Array.from({ length: count }, (_, index) => nameOf(index)).filter(name => !pages.has(name))
+    await this.readAll(missing, async partition => {
+      const page = await this.readPartition({ table, partition })
+      if (page !== undefined) pages.set(partition, page)
+    })
+    if (pages.size < count) return undefined
+    const loaded = [...pages.values()]
+    pages.clear()
+    return { rows: loaded.flatMap(({ rows }) => rows), version: Math.min(...loaded.map(({ version }) => version)) }
+  }
+
+  /** Reads partitions as the window allows. */
+  private readAll (partitions: readonly string[], read: (partition: string) => Promise<void>): Promise<void> {
+    const { window } = this
+    const waiting = [...partitions]
+    return new Promise((resolve, reject) => {
+      let open = 0
+      const readNext = () => {
+        if (waiting.length === 0 && open === 0) return resolve()
+        while (window.hasRoom()) {
+          const partition = waiting.shift()
+          if (partition === undefined) return
+          open++
+          read(partition).then(() => {
+            open--
+            readNext()
+          }, reject)
         }
       }
-    }
-    await Promise.all(Array.from({ length: PARALLEL_READS }, readNext))
-    return isComplete ? { rows, version } : undefined
+      readNext()
+    })
   }
 
-  private async readAll (query: RangeQuery): Promise<LoadedRows | undefined> {
+  private async readPartition (query: RangeQuery): Promise<LoadedRows | undefined> {
+    const { window, clock } = this
     const rows: StoredRow[] = []
     let version: number | undefined
     let from: string | undefined
     for (;;) {
-      const page = await this.store.range({ ...query, limit: PAGE_ROWS, ...(from === undefined ? {} : { from }) }, STORE_TIMEOUT_MS)
+      const sentAt = clock.now()
+      window.sent()
+      const page = await this.store.range({ ...query, limit: PAGE_ROWS, ...(from === undefined ? {} : { from }) }, LOAD_TIMEOUT_MS)
+      window.answered(page.ok, clock.now() - sentAt)
       if (page.err) {
-        this.log.warn('Rows could not be read.', { table: query.table, partition: query.partition, verdict: page.val.verdict, reason: page.val.reason })
+        this.log.warn('Rows could not be read.', { table: query.table, partition: query.partition, parallelReads: window.size(), verdict: page.val.verdict, reason: page.val.reason })
         return undefined
       }
       version ??= page.val.version
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -5,7 +5,9 @@
 import type { Result } from '@citronnotch/protocol'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
-import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
+import type { EndedRecord, StoredProgress } from './jobs.js'
+import { encodeJob } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
@@ -20,16 +22,24 @@
 
 /** What the current leader can be asked and told; every call may fail. */
 export interface LeaderContact {
-  admitted (jobId: string, record: JobRecord, version: number): void
+  admitted (jobId: string, record: JobRecord, payload: string, version: number): void
   cancelled (jobId: string): void
   /** Has the leader admit or cancel a job; for a daemon that can't reach the store itself. */
-  submit (jobId: string, record: JobRecord): Promise<Result<'admitted' | 'known', Failure>>
+  submit (jobId: string, record: JobRecord, payload: string): Promise<Result<'admitted' | 'known', Failure>>
   cancel (jobId: string): Promise<Result<'cancelled' | 'unknown', Failure>>
   /** Undefined when the leader doesn't know the job or doesn't answer. */
   stateOf (jobId: string): Promise<JobState | undefined>
   pendingOf (queue: string): Promise<number | undefined>
 }
 
+/** What the store holds of a job. */
+interface StoredState {
+  /** Row that admitted the job; undefined once it has ended, or when there is no such job. */
+  readonly job: StoredRow | undefined
+  readonly isCancelled: boolean
+  readonly outcome: JobOutcome | undefined
+}
+
 export interface JobServiceOptions {
   readonly store: RowStore
   readonly storeHealth: StoreHealth
@@ -52,27 +62,28 @@
   /** Resolves with Ok once the job is stored; a repetition of the same id is the same job. */
   async submit (jobId: string, queue: Queue, spec: JobSpec, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
     const { clock, storeHealth, leader } = this.options
-    const record: JobRecord = { queue: queue.name, service: queue.service, spec, admittedAtMs: clock.date().getTime() }
+    const { payload, ...outline } = spec
+    const record: JobRecord = { queue: queue.name, service: queue.service, spec: outline, admittedAtMs: clock.date().getTime() }
     const started = clock.now()
-    const own = storeHealth.isAway() ? this.storeAway() : await this.admit(jobId, record, budgetMs)
+    const own = storeHealth.isAway() ? this.storeAway() : await this.admit(jobId, record, payload, budgetMs)
     if (own.ok || own.val.verdict !== 'not-run') return own
     if (clock.now() - started > budgetMs / 2) return own
     this.options.metrics.count('submitted_by_leader')
-    return leader.submit(jobId, record)
+    return leader.submit(jobId, record, payload)
   }
 
   /** Admits a job through this daemon's own connection to the store. */
-  async admit (jobId: string, record: JobRecord, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
+  async admit (jobId: string, record: JobRecord, payload: string, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
     const { store, leader } = this.options
     const res = await this.withinBudget(jobId, 'submit', budgetMs, () => store.transact({
       partition: partitionOf(jobId),
-      expect: [{ table: TABLES.jobs, key: jobId, version: 0 }],
-      puts: [{ table: TABLES.jobs, key: jobId, value: record }],
+      expect: [{ table: TABLES.jobs, key: jobId, version: 0 }, { table: TABLES.ended, key: jobId, version: 0 }],
+      puts: [{ table: TABLES.jobs, key: jobId, value: encodeJob(record) }, { table: TABLES.payloads, key: jobId, value: { payload } }],
       removes: []
     }, STORE_TIMEOUT_MS))
     if (res.err) return res
     if (!res.val.committed) return Ok('known')
-    leader.admitted(jobId, record, res.val.version)
+    leader.admitted(jobId, record, payload, res.val.version)
     return Ok('admitted')
   }
 
@@ -88,13 +99,11 @@
     const started = clock.now()
     for (;;) {
       const remaining = budgetMs - (clock.now() - started)
-      const rows = await this.withinBudget(jobId, 'cancel', remaining, () => this.readJob(jobId))
-      if (rows.err) return rows
-      const job = rows.val.find(({ key }) => key === jobId)
-      const outcome = await this.outcomeIn(job, remaining)
-      if (outcome.err) return outcome
-      if (outcome.val === 'cancelled' || rows.val.some(({ key }) => key === cancelKeyOf(jobId))) return Ok('cancelled')
-      if (job === undefined || outcome.val !== undefined) return Ok('unknown')
+      const stored = await this.withinBudget(jobId, 'cancel', remaining, () => this.readJob(jobId))
+      if (stored.err) return stored
+      const { job, isCancelled, outcome } = stored.val
+      if (outcome === 'cancelled' || isCancelled) return Ok('cancelled')
+      if (job === undefined || outcome !== undefined) return Ok('unknown')
       const res = await this.withinBudget(jobId, 'cancel', remaining, () => store.transact({
         partition: partitionOf(jobId),
         expect: [{ table: TABLES.jobs, key: jobId, version: job.version }],
@@ -114,13 +123,11 @@
   async stateOf (jobId: string, budgetMs: number): Promise<Result<JobState | undefined, Failure>> {
     const known = await this.options.leader.stateOf(jobId)
     if (known !== undefined) return Ok(known)
-    const rows = await this.withinBudget(jobId, 'show', budgetMs, () => this.readJob(jobId))
-    if (rows.err) return rows
-    const job = rows.val.find(({ key }) => key === jobId)
-    const outcome = await this.outcomeIn(job, budgetMs)
-    if (outcome.err || outcome.val !== undefined || job === undefined) return outcome
+    const stored = await this.withinBudget(jobId, 'show', budgetMs, () => this.readJob(jobId))
+    if (stored.err) return stored
+    const { job, outcome } = stored.val
     // A stored cancellation is not an outcome: the leader may complete the job before it sees it.
-    return Ok('active')
+    return Ok(outcome ?? (job === undefined ? undefined : 'active'))
   }
 
   async pendingOf (queue: Queue): Promise<Result<number, Failure>> {
@@ -129,21 +136,23 @@
     return Err(Failure.notRun('leader-unknown', 'The leader of the cell can not be asked now.', 'Ask again in a second.'))
   }
 
-  /** Outcome of a job by its row; undefined while it has none. */
-  private async outcomeIn (job: StoredRow | undefined, budgetMs: number): Promise<Result<JobOutcome | undefined, Failure>> {
-    if (job === undefined) return Ok(undefined)
-    const reduced = (job.value as Partial<EndedRecord> | undefined)?.outcome
-    if (reduced !== undefined) return Ok(reduced)
-    const { key } = job
-    const page = await this.withinBudget(key, 'show', budgetMs, () =>
-      this.options.store.range({ table: TABLES.progress, partition: leaderPartitionName(leaderPartitionOf(key)), from: key, to: `${key}\0`, limit: 1 }, STORE_TIMEOUT_MS))
-    if (page.err) return page
-    const progress = page.val.rows[0]?.value as StoredProgress | undefined
-    return Ok(progress !== undefined && 'outcome' in progress ? progress.outcome : undefined)
+  /** Reads what the store holds of a job. */
+  private async readJob (jobId: string): Promise<Result<StoredState, Failure>> {
+    const live = await this.readRows(TABLES.jobs, partitionOf(jobId), jobId, `${jobId}/`)
+    if (live.err) return live
+    const job = live.val.find(({ key }) => key === jobId)
+    const isCancelled = live.val.some(({ key }) => key === cancelKeyOf(jobId))
+    // A row that is missing was moved to the ended ones, if there ever was one.
+    const last = job === undefined
+      ? await this.readRows(TABLES.ended, partitionOf(jobId), jobId, `${jobId}\0`)
+      : await this.readRows(TABLES.progress, leaderPartitionName(leaderPartitionOf(jobId)), jobId, `${jobId}\0`)
+    if (last.err) return last
+    const value = last.val[0]?.value as EndedRecord | StoredProgress | undefined
+    return Ok({ job, isCancelled, outcome: value !== undefined && 'outcome' in value ? value.outcome : undefined })
   }
 
-  private async readJob (jobId: string): Promise<Result<readonly StoredRow[], Failure>> {
-    const page = await this.options.store.range({ table: TABLES.jobs, partition: partitionOf(jobId), from: jobId, to: `${jobId}/` }, STORE_TIMEOUT_MS)
+  private async readRows (table: string, partition: string, from: string, to: string): Promise<Result<readonly StoredRow[], Failure>> {
+    const page = await this.options.store.range({ table, partition, from, to }, STORE_TIMEOUT_MS)
     return page.ok ? Ok(page.val.rows) : page
   }
 
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -3,7 +3,9 @@
 import { ENDED_RETENTION_SLACK_MS } from './constants.js'
 import type { Janitor } from './janitor.js'
 import { Job, cancelledBy } from './jobs.js'
-import type { EndedRecord, JobRecord, StoredProgress } from './jobs.js'
+import type { StoredProgress } from './jobs.js'
+import { decodeJob } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
 import type { StoredRow } from './ports.js'
 import type { JobOutcome, JobState } from './types.js'
 
@@ -65,14 +67,22 @@
   // Commands
 
   /** Adds a job unless it is known. */
-  admit (jobId: string, record: JobRecord, version: number): void {
+  admit (jobId: string, record: JobRecord, payload: string, version: number): void {
     if (!this.isKnown(jobId)) this.jobs.set(jobId, Job.create(jobId, record, version))
+    const job = this.jobs.get(jobId)
+    if (job !== undefined) job.payload = payload
   }
 
   /** Adds the jobs of rows that admit and cancel jobs, with their progress. Returns the ids of cancelled ones. */
   restore (jobs: readonly StoredRow[], progress: readonly StoredRow[]): readonly string[] {
     const progressById = new Map(progress.map(row => [row.key, row]))
-    for (const row of jobs) if (isAdmission(row) && !this.isKnown(row.key)) this.restoreJob(row, progressById.get(row.key))
+    for (const row of jobs) {
+      if (!isAdmission(row)) continue
+      if (!this.isKnown(row.key)) this.restoreJob(row, progressById.get(row.key))
+      progressById.delete(row.key)
+    }
+    // An earlier leader has moved these jobs to the ended ones and was about to drop their progress.
+    for (const { key, value } of progressById.values()) if ('outcome' in (value as StoredProgress) && !this.isKnown(key)) this.options.janitor.jobMoved(key)
     return cancelledIn(jobs)
   }
 
@@ -111,11 +121,7 @@
   private restoreJob (row: StoredRow, progress: StoredRow | undefined) {
     const { janitor } = this.options
     const stored = progress?.value as StoredProgress | undefined
-    const ended = row.value as Partial<EndedRecord> | undefined
-    if (ended?.outcome !== undefined) {
-      this.remember(row.key, ended.outcome)
-      janitor.jobReduced(row.key, row.version, ended as EndedRecord)
-    } else if (stored !== undefined && 'outcome' in stored) {
+    if (stored !== undefined && 'outcome' in stored) {
       this.remember(row.key, stored.outcome)
       janitor.jobEnded(row.key, row.version, stored)
     } else {
@@ -125,8 +131,8 @@
   }
 
   private addJob (row: StoredRow): Job | undefined {
-    const record = row.value as JobRecord | undefined
-    if (record?.spec === undefined) {
+    const record = decodeJob(row.value)
+    if (record === undefined) {
       this.options.log.error('Row of a job can not be read.', { job: row.key, version: row.version })
       return undefined
     }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,16 +1,8 @@
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
-import type { JobOutcome, JobSpec, ResourceVector, StepSpec, TaskId } from './types.js'
+import type { JobRecord } from './jobRecord.js'
+import type { JobOutcome, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
-/** Value of the row that admits a job. */
-export interface JobRecord {
-  readonly queue: string
-  readonly service: string
-  readonly spec: JobSpec
-  /** Unix time of the admission, in milliseconds. */
-  readonly admittedAtMs: number
-}
-
 /** Stored progress of one step. */
 export interface StepProgress {
   /** One character a task, `1` when it is done. */
@@ -26,7 +18,7 @@
 
 export type RunState = 'starting' | 'running' | 'stopping'
 
-/** A job whose outcome is final: what is left of the row that admitted it, and its last progress. */
+/** A job whose outcome is final: its last progress, and the row that replaces the one that admitted it. */
 export interface EndedRecord {
   readonly outcome: JobOutcome
   readonly endedAtMs: number
@@ -191,6 +183,8 @@
   isStored = false
   /** Version of the row of progress; 0 while there is none. */
   progressVersion = 0
+  /** What the tasks are told to do; undefined until it is read, for a job that this leader hasn't seen admitted. */
+  payload: string | undefined
 
   private constructor (
     readonly id: string,
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -10,11 +10,13 @@
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
-import type { Job, JobRecord, Run, Step } from './jobs.js'
+import type { Job, Run, Step } from './jobs.js'
+import type { JobRecord } from './jobRecord.js'
 import { JobTable } from './jobTable.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
 import type { VmMaintenance } from './maintenance.js'
+import { Payloads } from './payloads.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
 import { formatStepId, formatTaskId } from './types.js'
 import type { EndedRun, JobOutcome, JobState, Queue, RunningTask } from './types.js'
@@ -65,6 +67,7 @@
   private readonly janitor: Janitor
   private readonly maintenance: Maintenance | undefined
   private readonly loader: JobLoader
+  private readonly payloads: Payloads
   private changesVersion = 0
   /** Versions of the epoch rows by leader partition. */
   private epochVersions: readonly number[] = []
@@ -86,7 +89,8 @@
     this.janitor = Janitor.create({
       store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersion(index), mayOrder, clock, log: this.log
     })
-    this.loader = JobLoader.create(store, this.log)
+    this.loader = JobLoader.create(store, clock, this.log)
+    this.payloads = Payloads.create({ store, onLoaded: () => this.schedulePass(), clock, log: this.log })
     this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
     this.workers = WorkerPool.create({
       ...options, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.schedulePass(), log: this.log
@@ -111,6 +115,7 @@
       advice: this.advice,
       isUsable: worker => this.workers.isUsable(worker) && this.maintenance?.isDraining(worker.id) !== true,
       isDoubtful: worker => this.workers.health.isDoubtful(worker.id),
+      needPayload: job => this.payloads.request(job),
       clock,
       onStart: (step, runs) => this.started(step, runs)
     })
@@ -155,12 +160,12 @@
 
   // Commands
 
-  admitted (jobId: string, record: JobRecord, version: number): void {
+  admitted (jobId: string, record: JobRecord, payload: string, version: number): void {
     if (!this.isLoaded) {
-      this.early.push(() => this.admitted(jobId, record, version))
+      this.early.push(() => this.admitted(jobId, record, payload, version))
       return
     }
-    this.jobs.admit(jobId, record, version)
+    this.jobs.admit(jobId, record, payload, version)
     this.schedulePass()
   }
 
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -4,7 +4,7 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { Err, Ok } from '@citronnotch/protocol'
 import type { Result, Verdict } from '@citronnotch/protocol'
-import type { JobRecord } from './jobs.js'
+import type { JobRecord } from './jobRecord.js'
 import type { JobState } from './types.js'
 
 /** Result of a call that a daemon makes for another. */
@@ -15,9 +15,9 @@
 /** Requests and answers between daemons, by method. */
 export interface PeerMethods {
   /** A daemon has stored a job; the leader need not wait for its next read. */
-  admitted: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly version: number }, readonly res: Record<string, never> }
+  admitted: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly payload: string, readonly version: number }, readonly res: Record<string, never> }
   /** Admits or cancels a job on behalf of a daemon that can't reach the store. */
-  submit: { readonly req: { readonly jobId: string, readonly record: JobRecord }, readonly res: PeerOutcome<'admitted' | 'known'> }
+  submit: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly payload: string }, readonly res: PeerOutcome<'admitted' | 'known'> }
   cancel: { readonly req: { readonly jobId: string }, readonly res: PeerOutcome<'cancelled' | 'unknown'> }
   cancelled: { readonly req: { readonly jobId: string }, readonly res: Record<string, never> }
   /** State as the leader knows it; missing when it doesn't know the job or doesn't lead. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -13,6 +13,7 @@
 import type { JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
 import { MemoryStore } from './memoryStore.js'
+import { NarrowLink } from './narrowLink.js'
 import { GangRoom, MemoryWorker, MemoryWorkers } from './memoryWorker.js'
 
 export const SERVICE = 'dispatch'
@@ -58,6 +59,8 @@
   readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agent?: AdviceAgent
   readonly vms?: VmService
+  /** Length to which the payloads of jobs are filled up. */
+  readonly payloadBytes?: number
 }
 
 /** A daemon of a cell in memory, without its listeners. */
@@ -113,10 +116,10 @@
     this.registry = entries
   }
 
-  startDaemon (name: string, address = `${name}:1`): TestDaemon {
+  startDaemon (name: string, address = `${name}:1`, linkBytesPerSecond?: number): TestDaemon {
     const { clock, workers, options } = this
     const stopping = new AbortController()
-    const store = HedgedStore.create(this.store, clock)
+    const store = HedgedStore.create(linkBytesPerSecond === undefined ? this.store : NarrowLink.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond }), clock)
     const metrics = MemoryMetrics.create()
     const queues = new Map((options.queues ?? [createQueue()]).map(queue => [queue.name, queue]))
     const directory: Directory = {
@@ -186,7 +189,7 @@
 
   /** Submits a job through a daemon and returns its id. */
   async submit (daemon: TestDaemon, steps: readonly StepSpec[], jobId = this.newJobId()): Promise<string> {
-    const spec: JobSpec = { payload: `payload of ${jobId}`, steps }
+    const spec: JobSpec = { payload: `payload of ${jobId}`.padEnd(this.options.payloadBytes ?? 0, '.'), steps }
     this.audit.expectJob(jobId, spec)
     const res = await this.during(daemon.jobs.submit(jobId, this.queue(), spec, 3_000))
     if (res.err) throw new Error(res.val.reason)
@@ -216,9 +219,9 @@
 
   private contact (): LeaderContact {
     return {
-      admitted: (jobId, record, version) => this.leader()?.admitted(jobId, record, version),
+      admitted: (jobId, record, payload, version) => this.leader()?.admitted(jobId, record, payload, version),
       cancelled: jobId => this.leader()?.cancelled(jobId),
-      submit: async (jobId, record) => this.daemons[0]?.jobs.admit(jobId, record, 1_000) ?? Promise.reject(new Error('no daemon')),
+      submit: async (jobId, record, payload) => this.daemons[0]?.jobs.admit(jobId, record, payload, 1_000) ?? Promise.reject(new Error('no daemon')),
       cancel: async jobId => this.daemons[0]?.jobs.storeCancel(jobId, 1_000) ?? Promise.reject(new Error('no daemon')),
       stateOf: async jobId => this.leader()?.stateOf(jobId),
       pendingOf: async queue => this.leader()?.pendingOf(queue)
