--- a/packages/cell/src/__tests__/advice.test.ts
+++ b/packages/cell/src/__tests__/advice.test.ts
@@ -21,7 +21,7 @@
       return Ok(new Map(workers.filter(isAllowed).map(id => [id, `ticket of ${id}`])))
     }
   }
-  const cell = TestCell.create({ queues: [createQueue({ advice: POLICY })], agent, ...fields })
+  const cell = TestCell.create({ queues: [createQueue({ advice: POLICY })], agents: [agent], ...fields })
   return { cell, calls, load }
 }
 
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@citronnotch/daemon/clock'
 import type { AdviceBook } from './advice.js'
 import type { Job, Run, Step, Task } from './jobs.js'
+import { latenessOf } from './lateness.js'
+import type { Lateness } from './lateness.js'
 import { fits, subtract, timesThatFit } from './resources.js'
 import type { Queue, ResourceVector } from './types.js'
 import type { WorkerLink } from './workerLink.js'
@@ -26,17 +28,13 @@
   readonly step: Step
   readonly queue: Queue
   readonly waiting: readonly Task[]
-  /** 0 while the job's objective can be met, 1 while it counts as late, 2 after that. */
-  readonly lateness: number
+  readonly lateness: Lateness
 }
 
 /** Gangs that keep room free at the same time; more would leave too little for other work. */
 const MAX_RESERVING_GANGS = 2
 /** Outweighs any amount of free processor time in the choice of a worker. */
 const PENALTY = 1e9
-/** A late job counts until this multiple of its objective. */
-const LATE_MULTIPLE = 3
-
 /** Distance between the first workers named in two calls. */
 const TURN_STEP = 7
 
@@ -252,24 +250,6 @@
   }
 }
 
-function latenessOf (job: Job, queue: Queue, unixMs: number): number {
-  const { schedule, steps } = job.record.spec
-  if (schedule !== undefined) return 0
-  const chainMs = longestChain(steps.map(({ estimateMs, after }) => ({ estimateMs, after })))
-  const objectiveMs = queue.targetLatencyMs + queue.slackFactor * chainMs
-  const ageMs = unixMs - job.record.admittedAtMs
-  if (ageMs <= objectiveMs) return 0
-  return ageMs <= LATE_MULTIPLE * objectiveMs ? 1 : 2
-}
-
-function longestChain (steps: ReadonlyArray<{ readonly estimateMs: number, readonly after: readonly number[] }>): number {
-  const ends: number[] = []
-  steps.forEach(({ estimateMs, after }, index) => {
-    ends[index] = estimateMs + Math.max(0, ...after.filter(each => each < index).map(each => ends[each] ?? 0))
-  })
-  return Math.max(0, ...ends)
-}
-
 /** Tasks of the step that its limit for one worker still allows there. */
 function placesLeft (step: Step, worker: WorkerLink): number {
   const { maxPerWorker } = step.spec
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,5 +1,6 @@
 export { CellDaemon } from './cellDaemon.js'
 export type { CellDaemonOptions } from './cellDaemon.js'
+export type { AdviceAgent } from './advice.js'
 export { StoreHealth } from './storeHealth.js'
 export * from './types.js'
 export type * from './ports.js'
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -1,4 +1,5 @@
 import { ManualClock } from '@citronnotch/daemon/clock'
+import type { Clock } from '@citronnotch/daemon/clock'
 import { LogFactory } from '@citronnotch/daemon/logger'
 import { Ok } from '@citronnotch/protocol'
 import type { AdviceAgent } from '../advice.js'
@@ -52,12 +53,17 @@
   }
 }
 
+/** A clock that a test moves. */
+export interface TestClock extends Clock {
+  advance (ms: number): Promise<void>
+}
+
 export interface TestCellOptions {
-  readonly clock?: ManualClock
+  readonly clock?: TestClock
   readonly workers?: readonly WorkerEntry[]
   readonly queues?: readonly Queue[]
   readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
-  readonly agent?: AdviceAgent
+  readonly agents?: readonly AdviceAgent[]
   readonly vms?: VmService
   /** Length to which the payloads of jobs are filled up. */
   readonly payloadBytes?: number
@@ -75,7 +81,7 @@
 
 /** A cell in memory on a manual clock: a store, workers, an audit, and daemons that are started and killed. */
 export class TestCell {
-  readonly clock: ManualClock
+  readonly clock: TestClock
   readonly store: MemoryStore
   readonly audit = Audit.create()
   readonly workers = MemoryWorkers.create()
@@ -153,7 +159,7 @@
           store,
           directory,
           clients: workers,
-          agents: () => options.agent === undefined ? [] : [options.agent],
+          agents: () => options.agents ?? [],
           queue: name => queues.get(name),
           mayOrder: () => lease.isValid(),
           onDeposed: stopLeading,
