fix(cell): a takeover without an answer grants no validity of its own

Cause: a daemon that found its own name in the lease row, after a takeover whose answer was lost, counted the lease from that read. Candidates count from the first read that showed the row, so for up to 0.6 s two leaders could be valid if renewals failed meanwhile. Change: such a daemon writes the row again, under a new epoch. Besides, the lease is valid for 2.0 s (2.5), renewed every 0.5 s (0.7), and looked at every 0.15 s once it is overdue, so that a dead leader is followed after 2.2 to 2.4 s instead of 2.75 to 3.4 s. Test: `a takeover whose answer was lost ...` fails without the change.

--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -62,6 +62,25 @@
   }
 })
 
+test('a takeover whose answer was lost gives no validity beyond what other candidates grant', async t => {
+  const { clock, store, start, stop } = createHolders()
+  let sent = 0
+  store.writeFault = ({ puts }) => {
+    const { holder } = puts[0]?.value as { readonly holder: string }
+    if (holder !== 'a') return undefined
+    return sent++ === 0 ? { kind: 'answer-lost' } : { kind: 'refused' }
+  }
+  const first = start('a')
+  await clock.advance(100)
+  const second = start('b')
+  for (let passed = 0; passed < 8_000; passed += 20) {
+    await clock.advance(20)
+    t.false(first.lease.isValid() && second.lease.isValid(), `both are valid after ${passed} ms`)
+  }
+  t.deepEqual(second.epochs, [2])
+  stop()
+})
+
 test('a released lease is taken at the next look, with a higher epoch', async t => {
   const { clock, start, stop } = createHolders()
   const first = start('a')
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -26,13 +26,16 @@
 } as const
 
 /** Validity of the leader's lease from the moment its renewal was sent, in milliseconds. */
-export const LEASE_TTL_MS = 2_500
+export const LEASE_TTL_MS = 2_000
 /** Time for which a candidate must see the lease unchanged before it takes over: the TTL and 10% for clock drift. */
-export const TAKEOVER_AFTER_MS = 2_750
-export const LEASE_RENEW_MS = 700
+export const TAKEOVER_AFTER_MS = 2_200
+export const LEASE_RENEW_MS = 500
 export const LEASE_OBSERVE_MS = 600
+/** Time without a renewal after which the lease is looked at more often, so that a takeover is not late by a whole interval. */
+export const LEASE_OVERDUE_MS = 1_100
+export const LEASE_OBSERVE_OVERDUE_MS = 150
 /** Bound on one call that renews or reads the lease; two calls fit into the TTL, also while the store is slow. */
-export const LEASE_CALL_TIMEOUT_MS = 1_200
+export const LEASE_CALL_TIMEOUT_MS = 950
 
 /** Bound on one call to the store, in milliseconds. A slow store takes about 900 ms for a transaction. */
 export const STORE_TIMEOUT_MS = 1_400
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@citronnotch/daemon/logger'
 import { Stopwatch } from '@citronnotch/daemon/membership/stopwatch'
 import {
-  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
+  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_OBSERVE_OVERDUE_MS, LEASE_OVERDUE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
 } from './constants.js'
 import type { RowStore, StoredRow } from './ports.js'
 
@@ -78,11 +78,16 @@
       const started = clock.now()
       if (this.validity === undefined) await this.observe()
       else await this.renew()
-      const interval = this.validity === undefined ? LEASE_OBSERVE_MS : LEASE_RENEW_MS
+      const interval = this.validity !== undefined ? LEASE_RENEW_MS : this.isOverdue() ? LEASE_OBSERVE_OVERDUE_MS : LEASE_OBSERVE_MS
       await this.pause(Math.max(SHORTEST_PAUSE_MS, interval - (clock.now() - started)), signal)
     }
   }
 
+  /** Whether the holder has not renewed the lease for longer than it takes in calm times. */
+  private isOverdue (): boolean {
+    return this.unchangedSince !== undefined && this.options.clock.now() - this.unchangedSince > LEASE_OVERDUE_MS
+  }
+
   /** Renews without waiting for the interval: the store has refused a call, and another daemon may still reach it. */
   renewSoon (): void {
     if (this.validity !== undefined && this.validity.elapsedMs() > SHORTEST_PAUSE_MS) this.endPause?.()
@@ -194,7 +199,7 @@
   }
 
   private async observe () {
-    const { store, clock, holder, log } = this.options
+    const { store, clock, log } = this.options
     const res = await store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, LEASE_CALL_TIMEOUT_MS)
     if (res.err) {
       // Time in which the row could not be read says nothing about its holder.
@@ -210,11 +215,13 @@
       this.unchangedSince = clock.now()
     }
     if (this.isLeaving) return
-    if (row?.value.holder === holder && !row.value.released) this.gain(row, Stopwatch.start(clock))
-    else if (clock.now() - this.unchangedSince > this.takeoverAfterMs(row?.value)) await this.acquire()
+    if (clock.now() - this.unchangedSince > this.takeoverAfterMs(row?.value)) await this.acquire()
   }
 
-  /** Time for which the row must be unchanged. A holder at this daemon's own address is an earlier life of it, which has ended. */
+  /**
+   * Time for which the row must be unchanged. A holder at this daemon's own address is an earlier life of it, which
+   * has ended, or this one, whose takeover had no answer: only another write tells from when on it is valid.
+   */
   private takeoverAfterMs (value: LeaseValue | undefined): number {
     const isFree = value === undefined || value.released || value.peerAddress === this.options.peerAddress
     return (isFree ? -1 : TAKEOVER_AFTER_MS) + (this.options.isWeak?.() === true ? WEAK_DELAY_MS : 0)
