perf(cell): submissions that were reset are tried again, refusals say when to come back

Cause: while the store resets connections, a submission that may have been stored was answered 504 at once, though the store was back within the caller's time; refused callers were all told one second, and used up their tries before an outage of four seconds was over. Change: a call that fails at once is repeated, with growing pauses, as long as the caller waits; one without an answer still ends at once while the store is away.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -5,6 +5,7 @@
 import type { Result } from '@citronnotch/protocol'
 import { Failure } from '@citronnotch/daemon/errors'
 import type { AdviceAgent } from './advice.js'
+import { comeBackAfterMs } from './comeBack.js'
 import { ConfigWatch } from './configWatch.js'
 import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
 import { JobService } from './jobService.js'
@@ -124,6 +125,11 @@
     return this.config.current() !== undefined && !this.options.storeHealth.isAway()
   }
 
+  /** When a caller that is refused now should come back, in milliseconds. */
+  comeBackAfterMs (): number {
+    return comeBackAfterMs(this.options.storeHealth.awayMs(), Math.random)
+  }
+
   isLeader (): boolean {
     return this.leader !== undefined
   }
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -15,6 +15,10 @@
 
 /** Pause before a call to the store is repeated. */
 const RETRY_PAUSE_MS = 60
+/** The pause doubles up to this: a store that resets connections fails calls at once. */
+const LONGEST_RETRY_PAUSE_MS = 400
+/** A call that fails sooner was reset; one without an answer takes its whole time. */
+const QUICK_FAILURE_MS = 300
 /** Part of the caller's time that is left for the answer. */
 const ANSWER_MARGIN_MS = 150
 
@@ -165,23 +169,25 @@
     const started = clock.now()
     let mayHaveRun = false
     for (let attempt = 1; ; attempt++) {
-      if (storeHealth.isAway()) {
+      if (storeHealth.isAway() && !mayHaveRun) {
         metrics.count(`store_away_${operation}`)
-        if (!mayHaveRun) return this.storeAway()
-      } else {
-        const res = await call()
-        if (res.ok) return res
-        if (res.val.verdict !== 'not-run') mayHaveRun = true
-        log.info('Call to the store failed.', { job: jobId, operation, attempt, verdict: res.val.verdict, reason: res.val.reason })
-        if (!mayHaveRun && attempt >= 2) return res
+        return this.storeAway()
       }
+      const sentAt = clock.now()
+      const res = await call()
+      if (res.ok) return res
+      if (res.val.verdict !== 'not-run') mayHaveRun = true
+      log.info('Call to the store failed.', { job: jobId, operation, attempt, verdict: res.val.verdict, reason: res.val.reason })
+      if (!mayHaveRun && attempt >= 2) return res
       const remaining = budgetMs - ANSWER_MARGIN_MS - (clock.now() - started)
-      if (remaining < RETRY_PAUSE_MS + STORE_TIMEOUT_MS / 2 || (storeHealth.isAway() && mayHaveRun)) {
+      // A store that resets connections is asked again until it is back; one that is silent would take the caller's time.
+      const isSilent = clock.now() - sentAt > QUICK_FAILURE_MS
+      if (remaining < RETRY_PAUSE_MS + STORE_TIMEOUT_MS / 2 || (storeHealth.isAway() && isSilent)) {
         return Err(mayHaveRun
           ? Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.', 'Send the same request again.')
           : STORE_AWAY)
       }
-      await clock.sleep(RETRY_PAUSE_MS)
+      await clock.sleep(Math.min(RETRY_PAUSE_MS * 2 ** (attempt - 1), LONGEST_RETRY_PAUSE_MS))
     }
   }
 
--- a/packages/cell/src/storeHealth.ts
+++ b/packages/cell/src/storeHealth.ts
@@ -22,6 +22,11 @@
     return this.awaySince !== undefined
   }
 
+  /** Time since the store's last answer while it is away, in milliseconds; 0 otherwise. */
+  awayMs (): number {
+    return this.awaySince === undefined ? 0 : this.clock.now() - Math.max(this.answeredAt, this.awaySince - SILENCE_TO_AWAY_MS)
+  }
+
   succeeded (): void {
     this.failures = 0
     this.answeredAt = this.clock.now()
