--- a/bench/src/decisions.ts
+++ b/bench/src/decisions.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 import type { AdviceAgent, Queue } from '@citronnotch/cell'
 import { TestCell, createEntry, createQueue } from '@citronnotch/cell/testing'
-import { Ok } from '@citronnotch/protocol'
+import { Ok } from '@citronnotch/base/result'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { EventClock } from './eventClock.js'
--- a/bench/src/eventClock.ts
+++ b/bench/src/eventClock.ts
@@ -1,4 +1,4 @@
-import type { CancelTimer, Clock } from '@citronnotch/daemon/clock'
+import type { CancelTimer, Clock } from '@citronnotch/base/clock'
 
 interface Timer {
   readonly at: number
--- a/packages/daemon/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -1,4 +1,4 @@
-import type { Refusal, Verdict } from '@citronnotch/protocol'
+import type { Verdict } from './verdict.js'
 
 export interface FailureFields {
   /** Stable, machine-readable code such as `store-unavailable`. */
@@ -40,9 +40,4 @@
   static mayHaveRun (code: string, reason: string, hint?: string): Failure {
     return new Failure({ code, verdict: 'may-have-run', reason, ...(hint === undefined ? {} : { hint }) })
   }
-
-  toRefusal (): Refusal {
-    const { code, verdict, reason, hint } = this
-    return { error: code, verdict, reason, ...(hint === undefined ? {} : { hint }) }
-  }
 }
--- a/packages/daemon/src/platform/httpClient.ts
+++ b/packages/base/src/httpClient.ts
@@ -1,8 +1,8 @@
 import { Pool } from 'undici'
-import { Err, Ok } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
-import type { Clock } from '../clock.js'
-import { Failure } from '../errors.js'
+import { Err, Ok } from './result.js'
+import type { Result } from './result.js'
+import type { Clock } from './clock.js'
+import { Failure } from './errors.js'
 
 export interface HttpClientOptions {
   /** `http://ip:port`, optionally with a path that every request path is appended to. */
--- a/packages/daemon/src/membership/stopwatch.ts
+++ b/packages/base/src/stopwatch.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../clock.js'
+import type { Clock } from './clock.js'
 
 /**
  * Time since an event, as the larger of the monotonic and the wall clock's. The monotonic clock may
--- a/packages/cell/src/__tests__/advice.test.ts
+++ b/packages/cell/src/__tests__/advice.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { Ok } from '@citronnotch/protocol'
+import { Ok } from '@citronnotch/base/result'
 import type { AdviceAgent } from '../advice.js'
 import { TestCell, createEntry, createQueue, createStep } from '../testing/index.js'
 import type { TestCellOptions } from '../testing/index.js'
--- a/packages/cell/src/__tests__/hedge.test.ts
+++ b/packages/cell/src/__tests__/hedge.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import { ManualClock } from '@citronnotch/daemon/clock'
-import { Failure } from '@citronnotch/daemon/errors'
-import { Err, Ok } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
+import { ManualClock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import { Err, Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
 import { Hedge } from '../hedge.js'
 
 /** A server that answers each send after the given time, or fails with a verdict. */
--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { ManualClock } from '@citronnotch/daemon/clock'
-import { silentLog } from '@citronnotch/daemon/logger'
+import { ManualClock } from '@citronnotch/base/clock'
+import { silentLog } from '@citronnotch/base/logger'
 import { LeaderLease } from '../leaderLease.js'
 import { MemoryStore } from '../testing/index.js'
 
--- a/packages/cell/src/__tests__/maintenance.test.ts
+++ b/packages/cell/src/__tests__/maintenance.test.ts
@@ -1,4 +1,4 @@
-import { ManualClock } from '@citronnotch/daemon/clock'
+import { ManualClock } from '@citronnotch/base/clock'
 import test from 'ava'
 import { MemoryVms, TestCell, createEntry, createStep } from '../testing/index.js'
 
--- a/packages/cell/src/__tests__/roster.test.ts
+++ b/packages/cell/src/__tests__/roster.test.ts
@@ -1,5 +1,5 @@
-import { ManualClock } from '@citronnotch/daemon/clock'
-import { silentLog } from '@citronnotch/daemon/logger'
+import { ManualClock } from '@citronnotch/base/clock'
+import { silentLog } from '@citronnotch/base/logger'
 import test from 'ava'
 import { Roster } from '../roster.js'
 import { MemoryStore, createEntry } from '../testing/index.js'
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { COMMIT_GAP_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import type { Job, StoredProgress } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { CONFIG_WATCH_MS } from './constants.js'
 import type { Directory } from './ports.js'
 import type { CellConfig, Queue } from './types.js'
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@citronnotch/daemon/clock'
+import type { Clock } from '@citronnotch/base/clock'
 import type { AdviceBook } from './advice.js'
 import type { Job, Run, Step, Task } from './jobs.js'
 import { latenessOf } from './lateness.js'
--- a/packages/cell/src/hedgedStore.ts
+++ b/packages/cell/src/hedgedStore.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@citronnotch/daemon/clock'
+import type { Clock } from '@citronnotch/base/clock'
 import { Hedge } from './hedge.js'
 import type { RangeQuery, RowStore, Transaction } from './ports.js'
 
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { ADMISSION_PARTITIONS, ENDED_RETENTION_SLACK_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionName, cancelKeyOf, leaderPartitionName, leaderPartitionOf, partitionOf } from './jobs.js'
 import type { EndedRecord } from './jobs.js'
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, LOAD_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionName, leaderPartitionName } from './jobs.js'
 import type { RangeQuery, RowStore, StoredRow } from './ports.js'
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { ENDED_RETENTION_SLACK_MS } from './constants.js'
 import type { Janitor } from './janitor.js'
 import { Job, cancelledBy } from './jobs.js'
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events'
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log, LogFactory } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log, LogFactory } from '@citronnotch/base/logger'
 import { AdviceBook } from './advice.js'
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -1,6 +1,6 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
-import { Stopwatch } from '@citronnotch/daemon/membership/stopwatch'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
+import { Stopwatch } from '@citronnotch/base/stopwatch'
 import {
   LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_OBSERVE_OVERDUE_MS, LEASE_OVERDUE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
 } from './constants.js'
--- a/packages/cell/src/maintenance.ts
+++ b/packages/cell/src/maintenance.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { AT_WORK_PERCENT } from './constants.js'
 import type { Directory, VmService, WaveState } from './ports.js'
 import type { MaintenanceWave, WorkerVm } from './types.js'
--- a/packages/cell/src/payloads.ts
+++ b/packages/cell/src/payloads.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { partitionOf } from './jobs.js'
 import type { Job } from './jobs.js'
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -1,5 +1,5 @@
-import type { Failure } from '@citronnotch/daemon/errors'
-import type { Result } from '@citronnotch/protocol'
+import type { Failure } from '@citronnotch/base/errors'
+import type { Result } from '@citronnotch/base/result'
 import type { CellConfig, MaintenanceWave, TaskId, WorkerEntry, WorkerReport, WorkerVm } from './types.js'
 
 /** Key of a row. Rows of one partition can be changed in one transaction, across tables. */
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -1,4 +1,4 @@
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Log } from '@citronnotch/base/logger'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { leaderPartitionName } from './jobs.js'
 import type { RowStore } from './ports.js'
--- a/packages/cell/src/storeHealth.ts
+++ b/packages/cell/src/storeHealth.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 
 /** Failed calls in a row after which the store may count as away. */
 const FAILURES_TO_AWAY = 2
--- a/packages/cell/src/testing/memoryVms.ts
+++ b/packages/cell/src/testing/memoryVms.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import { Failure } from '@citronnotch/daemon/errors'
-import { Err, Ok } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
+import type { Clock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import { Err, Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
 import type { MaintenanceOrder, MaintenanceOutcome, VmService } from '../ports.js'
 import type { WorkerVm } from '../types.js'
 
--- a/packages/cell/src/testing/narrowLink.ts
+++ b/packages/cell/src/testing/narrowLink.ts
@@ -1,7 +1,7 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import { Failure } from '@citronnotch/daemon/errors'
-import { Err } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
+import type { Clock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import { Err } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
 import type { RangeQuery, RowStore, Transaction } from '../ports.js'
 
 export interface NarrowLinkOptions {
--- a/packages/cell/src/workerHealth.ts
+++ b/packages/cell/src/workerHealth.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 
 /** Failed runs of different jobs in a row, with none done, that suspend a worker. */
 const FAILURES_TO_SUSPEND = 2
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -1,8 +1,8 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import { Failure } from '@citronnotch/daemon/errors'
-import type { Log } from '@citronnotch/daemon/logger'
-import { Err, Ok } from '@citronnotch/protocol'
-import type { Result } from '@citronnotch/protocol'
+import type { Clock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import type { Log } from '@citronnotch/base/logger'
+import { Err, Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
 import {
   HOLD_GAP_MS, HOLD_OVERDUE_MS, HOLD_WAIT_MS, LAPSE_MARGIN_MS, MAX_ENDS_LISTED, STOP_RETRY_MS, WORKER_CLOCK_RATE,
   WORKER_RETRY_MS, WORKER_TIMEOUT_MS
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,5 +1,5 @@
-import type { Clock } from '@citronnotch/daemon/clock'
-import type { Log } from '@citronnotch/daemon/logger'
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
 import { AT_WORK_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -8,6 +8,7 @@
 import { submit } from './commands/submit.js'
 import { EXIT } from './output.js'
 import type { Outcome } from './output.js'
+import { checkFolder, diffFolders, explainPath } from './queries/config.js'
 import { pending, show, wait } from './queries/show.js'
 import { timeline } from './queries/timeline.js'
 
@@ -30,6 +31,9 @@
     const logs = new Map(files.map(file => [basename(file), readFileSync(file, 'utf8')]))
     for (const line of timeline(logs, flags.job)) console.log(line)
   })
+cli.command('config-check <folder>', 'Check a configuration folder').action((folder: string) => finish(Promise.resolve(checkFolder(folder))))
+cli.command('config-explain <folder> <path>', 'Tell which files set a value, such as teams.press.share').action((folder: string, path: string) => finish(Promise.resolve(explainPath(folder, path))))
+cli.command('config-diff <before> <after>', 'List the values that differ between two folders').action((before: string, after: string) => finish(Promise.resolve(diffFolders(before, after))))
 cli.help()
 
 type Flags = Partial<QueueOptions> & { readonly id?: string }
--- a/packages/config/src/check.ts
+++ b/packages/config/src/check.ts
@@ -1,5 +1,6 @@
-import { Err, Ok } from '@citronnotch/protocol'
-import type { ConfigIssue, Result } from '@citronnotch/protocol'
+import { Err, Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
+import type { ConfigIssue } from './types.js'
 import { createIssue, issuesOf } from './issues.js'
 import { mergeConfigFolder } from './merge.js'
 import type { MergedConfig } from './merge.js'
--- a/packages/config/src/diff.ts
+++ b/packages/config/src/diff.ts
@@ -1,4 +1,4 @@
-import type { ConfigChange } from '@citronnotch/protocol'
+import type { ConfigChange } from './types.js'
 import type { ResolvedCellConfig } from './schema.js'
 
 /** Lists the values that differ, ordered by path. Lists are compared as a whole. */
--- a/packages/config/src/explain.ts
+++ b/packages/config/src/explain.ts
@@ -1,5 +1,6 @@
-import { Err, Ok } from '@citronnotch/protocol'
-import type { ConfigIssue, Result } from '@citronnotch/protocol'
+import { Err, Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
+import type { ConfigIssue } from './types.js'
 import { findNode, mergeConfigFolder, toValue } from './merge.js'
 import type { Assignment } from './merge.js'
 import { nearestName } from './nearestName.js'
--- a/packages/config/src/issues.ts
+++ b/packages/config/src/issues.ts
@@ -1,4 +1,4 @@
-import type { ConfigIssue } from '@citronnotch/protocol'
+import type { ConfigIssue } from './types.js'
 import { z } from 'zod'
 import type { MergedConfig } from './merge.js'
 import { nearestName } from './nearestName.js'
--- a/packages/config/src/merge.ts
+++ b/packages/config/src/merge.ts
@@ -1,4 +1,4 @@
-import type { ConfigIssue } from '@citronnotch/protocol'
+import type { ConfigIssue } from './types.js'
 import { isAlias, isMap, isScalar, isSeq, LineCounter, parseDocument } from 'yaml'
 import type { ParsedNode } from 'yaml'
 
--- a/packages/daemon/src/api/index.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-export { createCallersRoutes } from './callersApi.js'
-export type { CallersApiDeps } from './callersApi.js'
-export { HttpServer } from './httpServer.js'
-export { createOperatorsRoutes, requireToken } from './operatorsApi.js'
-export type { OperatorsApiDeps } from './operatorsApi.js'
--- a/packages/daemon/src/index.ts
+++ /dev/null
@@ -1,7 +0,0 @@
-export * from './clock.js'
-export * from './errors.js'
-export * from './logger.js'
-export * from './metrics.js'
-export * from './timeline/index.js'
-export type * from './platform/index.js'
-export type * from './workers/index.js'
--- a/packages/daemon/src/jobs/index.ts
+++ /dev/null
@@ -1,5 +0,0 @@
-export { JobAdmission } from './jobAdmission.js'
-export { JobCancellation } from './jobCancellation.js'
-export { JobQueries } from './jobQueries.js'
-export { JOB_TABLES, endedKey, partKey } from './types.js'
-export type { EndedRow, JobRow, PartRow, ShardRoom, TeamRules } from './types.js'
--- a/packages/daemon/src/membership/index.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-export { Membership } from './membership.js'
-export type { MembershipDependencies, ShardPlace } from './membership.js'
-export { resolveMembershipOptions } from './options.js'
-export type { MembershipOptions, ResolvedMembershipOptions } from './options.js'
-export { rendezvousOrder, shardIdOf, shardIdsOf } from './shardId.js'
-export type * from './types.js'
--- a/packages/daemon/src/peers/index.ts
+++ /dev/null
@@ -1,8 +0,0 @@
-export { Gossip } from './gossip.js'
-export type { GossipOptions } from './gossip.js'
-export { PeerClients } from './peerClients.js'
-export type { PeerClientsOptions, RouteOptions } from './peerClients.js'
-export { isRefused } from './probe.js'
-export { PeerServer } from './peerServer.js'
-export type { PeerServerOptions } from './peerServer.js'
-export type * from './types.js'
--- a/packages/daemon/src/scheduler/index.ts
+++ /dev/null
@@ -1,6 +0,0 @@
-export { resolveSchedulerOptions } from './resolveOptions.js'
-export { ShardManager } from './shardManager.js'
-export type { RunningShard, ShardManagerDeps } from './shardManager.js'
-export { ShardScheduler } from './shardScheduler.js'
-export type { ShardAuthority, ShardSchedulerDeps } from './shardScheduler.js'
-export type { ResolvedSchedulerOptions, SchedulerOptions, Task } from './types.js'
--- a/packages/daemon/src/workers/index.ts
+++ /dev/null
@@ -1,2 +0,0 @@
-export type * from './types.js'
-export * from './httpWorkerClient.js'
--- a/packages/protocol/src/index.ts
+++ /dev/null
@@ -1,7 +0,0 @@
-export * from './events.js'
-export * from './jobs.js'
-export * from './operators.js'
-export * from './peer.js'
-export { Err, Ok } from './result.js'
-export type { Result } from './result.js'
-export * from './verdict.js'
--- a/playground/src/cell.ts
+++ b/playground/src/cell.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Audit, GangRoom, MemoryStore, MemoryWorker, createEntry } from '@citronnotch/cell/testing'
 import { QueueClient } from '@citronnotch/cli'
-import { SystemClock } from '@citronnotch/daemon/clock'
+import { SystemClock } from '@citronnotch/base/clock'
 import { DaemonProcess, Emulator, decodeJob, oneQueueConfig } from '@citronnotch/platform/testing'
 
 export const HOST = 'pamphlets.example'
--- a/soak/src/proxy.ts
+++ b/soak/src/proxy.ts
@@ -1,6 +1,6 @@
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
-import { parseAddress } from '@citronnotch/daemon/utils'
+import { parseAddress } from '@citronnotch/base/utils'
 
 /** What a proxy does to the bytes of its connections. */
 export type LinkFault = 'none' | 'delay' | 'silence' | 'lose-answers' | 'reset'
