fix(cell): a worker that was lost and whose leases have ended holds up no takeover

Change: a worker that can't be reached and whose leases have all ended leaves the roster, and is enrolled again once it is back. A new link takes the lease that an earlier leader may have extended until its creation. Test: `a worker that was lost long before a takeover ...` fails without it.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -85,6 +85,28 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+test('a worker that was lost long before a takeover does not hold it up, and gets work again once it is back', async t => {
+  const cell = TestCell.create()
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  const other = cell.startDaemon('d2')
+  const [, lost] = cell.workers.all()
+  if (lost === undefined) throw new Error('no worker')
+  await cell.clock.advance(1_000)
+  lost.isCutOff = true
+  // The lease of 5 s on a clock that is 2% slow, the call that finds the worker lost, and the next look at the roster.
+  await cell.clock.advance(9_000)
+  first.kill()
+  const jobId = await cell.submit(other, [createStep()])
+  cell.startDaemon('d1')
+  t.true(await cell.until(() => cell.audit.hasStarted(jobId), 2_000))
+  lost.isCutOff = false
+  await cell.clock.advance(3_000)
+  for (let i = 0; i < 8; i++) await cell.submit(other, [createStep()])
+  t.true(await cell.until(() => lost.runningTasks().length > 0, 3_000), 'the worker gets no work')
+  t.deepEqual(cell.audit.violations, [])
+})
+
 test('what an unreachable worker may run is not started by a new leader before the lease has ended', async t => {
   const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
   const first = cell.startDaemon('d1')
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -90,7 +90,7 @@
   private clockMs = -1
   private clockReadAt = 0
   /** Monotonic time at which every lease sent so far has ended. */
-  private lapsesAt = 0
+  private lapsesAt: number
   private readonly client: WorkerClient
   /** A start can be repeated: the worker takes each run number once. */
   private readonly starts: Hedge
@@ -98,6 +98,8 @@
   private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
     this.id = entry.id
     this.token = options.firstToken
+    // An earlier leader may have extended the lease until now.
+    this.lapsesAt = options.clock.now() + options.taskLeaseMs / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
     this.client = options.clients.create(entry)
     this.starts = Hedge.create({ clock: options.clock, initialMs: TYPICAL_START_MS, minimumMs: OVERDUE_START_MS })
   }
@@ -116,6 +118,11 @@
       this.options.clock.now() >= this.notBefore
   }
 
+  /** Whether the worker can't be reached and every lease on what it may have run has ended. */
+  hasLapsed (): boolean {
+    return !this.isAdopted && this.runs.size === 0 && this.options.clock.now() > this.lapsesAt
+  }
+
   /** Highest fencing token sent so far. */
   lastToken (): number {
     return this.token
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -153,8 +153,11 @@
   }
 }
 
-/** A worker that drains gets no more work; once it runs nothing, a successor need not know of it. */
+/**
+ * A successor need not know of a worker that drains and runs nothing, as it gets no more work, nor of one that can't
+ * be reached and whose leases have ended; that one is enrolled again once it is back.
+ */
 function mayRunSomething (link: WorkerLink): boolean {
   const isEmptied = link.entry.state === 'draining' && link.isAdopted && link.runs.size === 0
-  return !link.isDead && !isEmptied
+  return !link.isDead && !isEmptied && !link.hasLapsed()
 }
