fix(cell): the roster tells when the leases of lost workers end, and keeps unlisted ones

Change: for a worker that can't be reached the roster holds the end of its leases on the store's steady clock, and a successor waits until then at most. Leases are not extended there until the roster names the worker without an end again. Members of earlier leaders stay until their leases have ended. Test: three in leader.test.ts; `a second takeover within the lease ...` fails on the code before, `a lost worker that comes back ...` without the rule on extensions.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -85,6 +85,72 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+test('what a lost worker may run is started by a new leader at the stored end of its leases', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  cell.startDaemon('d2')
+  await cell.submit(first, [createStep({ count: 1, need: BIG })])
+  const running = () => cell.workers.all().filter(worker => worker.runningTasks().length > 0)
+  t.true(await cell.until(() => running().length === 1))
+  const [holder] = running()
+  if (holder === undefined) throw new Error('no worker')
+  holder.isCutOff = true
+  // A hold without an answer takes up to 1.7 s, the mark in the roster 0.5 s and a look each 0.7 s.
+  await cell.clock.advance(3_200)
+  first.kill()
+  cell.startDaemon('d1')
+  const rest = cell.workers.all().filter(worker => worker !== holder)
+  // The lease of 5 s was last extended before the cut; a takeover alone would wait until 8.5 s after it.
+  t.true(await cell.until(() => rest.some(worker => worker.runningTasks().length > 0), 3_500))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+test('a lost worker that comes back keeps its leases as they are until the roster names it again', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  await cell.submit(first, [createStep({ count: 1, need: BIG })])
+  const running = () => cell.workers.all().filter(worker => worker.runningTasks().length > 0)
+  t.true(await cell.until(() => running().length === 1))
+  const [holder] = running()
+  if (holder === undefined) throw new Error('no worker')
+  holder.isCutOff = true
+  await cell.clock.advance(3_200)
+  // The leader can still renew its lease, but not store the roster.
+  cell.store.writeFault = ({ puts }) => puts.some(({ key }) => key === 'roster') ? { kind: 'refused' } : undefined
+  holder.isCutOff = false
+  await cell.clock.advance(500)
+  first.kill()
+  cell.store.writeFault = () => undefined
+  holder.isCutOff = true
+  const second = cell.startDaemon('d1')
+  t.true(await cell.until(() => second.leader() !== undefined))
+  await cell.clock.advance(8_000)
+  t.deepEqual(cell.audit.violations, [], 'the successor trusts the stored end of the leases')
+})
+
+test('a second takeover within the lease still waits for a worker that the registry no longer lists', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 30_000, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.until(() => cell.leader() !== undefined)
+  await cell.submit(first, [createStep({ count: 1, need: BIG })])
+  const running = () => cell.workers.all().filter(worker => worker.runningTasks().length > 0)
+  t.true(await cell.until(() => running().length === 1))
+  const [holder] = running()
+  if (holder === undefined) throw new Error('no worker')
+  holder.isCutOff = true
+  cell.setRegistry([createEntry('w1'), createEntry('w2')].filter(({ id }) => id !== holder.entry.id))
+  first.kill()
+  const second = cell.startDaemon('d1')
+  t.true(await cell.until(() => second.leader()?.pendingOf('renewals') !== undefined))
+  await cell.clock.advance(1_200)
+  second.kill()
+  cell.startDaemon('d1')
+  await cell.clock.advance(8_000)
+  t.deepEqual(cell.audit.violations, [])
+})
+
 test('a worker that was lost long before a takeover does not hold it up, and gets work again once it is back', async t => {
   const cell = TestCell.create()
   const first = cell.startDaemon('d1')
--- a/packages/cell/src/hedgedStore.ts
+++ b/packages/cell/src/hedgedStore.ts
@@ -32,6 +32,10 @@
     return this.reads.call(() => this.store.range(query, timeoutMs))
   }
 
+  clockMs (): ReturnType<RowStore['clockMs']> {
+    return this.store.clockMs()
+  }
+
   changes (table: string, version: number, waitMs: number): ReturnType<RowStore['changes']> {
     return this.store.changes(table, version, waitMs)
   }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -4,7 +4,7 @@
 import { AdviceBook } from './advice.js'
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
-import { CHANGES_POLL_MS, IDLE_PASS_MS, LAPSE_MARGIN_MS, LEADER_PARTITIONS, TABLES, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE, WORKER_RETRY_MS } from './constants.js'
+import { CHANGES_POLL_MS, IDLE_PASS_MS, LEADER_PARTITIONS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
@@ -131,8 +131,6 @@
 
   async run (): Promise<void> {
     const { signal } = this.stopping
-    const { clock, taskLeaseMs } = this.options
-    const gateAt = clock.now() + taskLeaseMs / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
     await this.load(signal)
     if (signal.aborted) return
     await Promise.all([
@@ -140,7 +138,7 @@
       this.workers.run(signal),
       this.watchChanges(signal),
       this.janitor.run(signal),
-      this.openGate(gateAt, signal),
+      this.openGate(signal),
       this.maintenance?.run(signal),
       this.tick(signal)
     ])
@@ -370,12 +368,12 @@
   }
 
   /** Lets the jobs of earlier leaders go on once it is known what every worker runs, or no old lease is left. */
-  private async openGate (gateAt: number, signal: AbortSignal) {
+  private async openGate (signal: AbortSignal) {
     const { clock } = this.options
     const started = clock.now()
-    while (!signal.aborted && clock.now() < gateAt && !this.workers.isEveryEarlierKnown()) await clock.sleep(10, signal)
+    while (!signal.aborted && !this.workers.isEveryEarlierKnown()) await clock.sleep(10, signal)
     this.isGateOpen = true
-    this.log.info('Jobs of earlier epochs go on.', { tookMs: Math.round(clock.now() - started), complete: clock.now() < gateAt, jobs: this.jobs.size() })
+    this.log.info('Jobs of earlier epochs go on.', { tookMs: Math.round(clock.now() - started), complete: !this.workers.haveEarlierLeasesEnded(), jobs: this.jobs.size() })
     this.schedulePass()
   }
 
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -1,4 +1,5 @@
 import type { Failure } from '@citronnotch/base/errors'
+import type { ClockBounds } from '@citronnotch/base/remoteClock'
 import type { Result } from '@citronnotch/base/result'
 import type { CellConfig, MaintenanceWave, TaskId, WorkerEntry, WorkerReport, WorkerVm } from './types.js'
 
@@ -60,6 +61,8 @@
   range (query: RangeQuery, timeoutMs: number): Promise<Result<RangePage, Failure>>
   /** Waits up to `waitMs` for a change of the table after `version`. */
   changes (table: string, version: number, waitMs: number): Promise<Result<ChangesOutcome, Failure>>
+  /** Bounds of the store's steady clock now; undefined before its first answer. */
+  clockMs (): ClockBounds | undefined
 }
 
 /** The configuration and the workers, as the platform publishes them. */
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -2,13 +2,15 @@
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { leaderPartitionName } from './jobs.js'
 import type { RowStore } from './ports.js'
-import type { WorkerEntry } from './types.js'
 
 const PARTITION = leaderPartitionName(0)
 
-interface Member {
+/** A worker that may run something. */
+export interface RosterMember {
   readonly id: string
   readonly born: number
+  /** Time of the store's clock after which nothing can run there, for a worker that could not be reached. */
+  readonly lapsesAtMs?: number
 }
 
 export interface RosterOptions {
@@ -23,9 +25,9 @@
  * wait until its lease has ended, before it starts a task that an earlier leader may have started.
  */
 export class Roster {
-  /** Start of the stored life of each worker, by id. */
-  private stored: ReadonlyMap<string, number> = new Map()
-  private earlierMembers: readonly Member[] = []
+  /** By worker id. */
+  private stored: ReadonlyMap<string, RosterMember> = new Map()
+  private earlierMembers: readonly RosterMember[] = []
   private version = 0
   /** Whether the row is known to name just the stored workers. */
   private isWritten = true
@@ -36,12 +38,14 @@
     return new Roster(options)
   }
 
-  has ({ id, born }: Member): boolean {
-    return this.stored.get(id) === born
+  /** Whether the row names this life of a worker without an end: it may run something. */
+  has ({ id, born }: Pick<RosterMember, 'id' | 'born'>): boolean {
+    const member = this.stored.get(id)
+    return member?.born === born && member.lapsesAtMs === undefined
   }
 
   /** Members that earlier leaders stored. */
-  earlier (): readonly Member[] {
+  earlier (): readonly RosterMember[] {
     return this.earlierMembers
   }
 
@@ -59,17 +63,16 @@
     }
     const row = res.val.rows.find(({ key }) => key === 'roster')
     this.version = row?.version ?? 0
-    this.earlierMembers = (row?.value as { workers?: readonly Member[] } | undefined)?.workers ?? []
-    this.stored = bornById(this.earlierMembers)
+    this.earlierMembers = (row?.value as { workers?: readonly RosterMember[] } | undefined)?.workers ?? []
+    this.stored = byId(this.earlierMembers)
     return true
   }
 
-  /** Stores the workers if they differ. Returns whether the row has changed. */
-  async store (workers: readonly WorkerEntry[]): Promise<boolean> {
-    const members = workers.map(({ id, born }) => ({ id, born }))
-    if (this.isWritten && members.length === this.stored.size && members.every(member => this.has(member))) return false
+  /** Stores the members if they differ. Returns whether the row has changed. */
+  async store (members: readonly RosterMember[]): Promise<boolean> {
+    if (this.isWritten && members.length === this.stored.size && members.every(member => this.isStored(member))) return false
     // From here on nothing may be started on a worker that the row may no longer name.
-    this.stored = bornById(members.filter(member => this.has(member)))
+    this.stored = byId(members.filter(member => member.lapsesAtMs === undefined && this.has(member)))
     this.isWritten = false
     const { store, epochVersion, log } = this.options
     const res = await store.transact({
@@ -88,13 +91,18 @@
       return false
     }
     this.version = res.val.version
-    this.stored = bornById(members)
+    this.stored = byId(members)
     this.isWritten = true
-    log.info('Roster stored.', { workers: members.length, version: this.version })
+    log.info('Roster stored.', { workers: members.length, unreachable: members.filter(({ lapsesAtMs }) => lapsesAtMs !== undefined).length, version: this.version })
     return true
   }
+
+  private isStored ({ id, born, lapsesAtMs }: RosterMember): boolean {
+    const member = this.stored.get(id)
+    return member?.born === born && member.lapsesAtMs === lapsesAtMs
+  }
 }
 
-function bornById (members: readonly Member[]): ReadonlyMap<string, number> {
-  return new Map(members.map(({ id, born }) => [id, born]))
+function byId (members: readonly RosterMember[]): ReadonlyMap<string, RosterMember> {
+  return new Map(members.map(member => [member.id, member]))
 }
--- a/packages/cell/src/testing/memoryStore.ts
+++ b/packages/cell/src/testing/memoryStore.ts
@@ -20,6 +20,8 @@
 }
 
 const WATCH_POLL_MS = 10
+/** The store's clock is not that of any daemon. */
+const CLOCK_OFFSET_MS = 1_000_000
 
 /** Rows with versions, transactions and a history, in memory; its faults are set by tests. */
 export class MemoryStore implements RowStore {
@@ -74,6 +76,11 @@
     }
   }
 
+  clockMs (): ReturnType<RowStore['clockMs']> {
+    const now = CLOCK_OFFSET_MS + this.clock.now()
+    return { earliest: now, latest: now }
+  }
+
   /** Writes as the operator or a worker does, past all faults. */
   put (table: string, partition: string, key: string, value: unknown): void {
     this.apply({ partition, expect: [], puts: [{ table, key, value }], removes: [] })
--- a/packages/cell/src/testing/narrowLink.ts
+++ b/packages/cell/src/testing/narrowLink.ts
@@ -32,6 +32,10 @@
     return this.transfer(this.options.store.range(query, timeoutMs), timeoutMs)
   }
 
+  clockMs (): ReturnType<RowStore['clockMs']> {
+    return this.options.store.clockMs()
+  }
+
   changes (table: string, version: number, waitMs: number): ReturnType<RowStore['changes']> {
     return this.transfer(this.options.store.changes(table, version, waitMs), waitMs + 1_000)
   }
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -52,6 +52,8 @@
   readonly events: WorkerEvents
   /** True while this daemon may give orders. */
   readonly mayOrder: () => boolean
+  /** True while a successor would know that this life of the worker may run something. */
+  readonly mayExtend: () => boolean
   readonly clock: Clock
   readonly log: Log
 }
@@ -91,6 +93,8 @@
   private clockReadAt = 0
   /** Monotonic time at which every lease sent so far has ended. */
   private lapsesAt: number
+  /** Monotonic time at which the worker was last found to be unreachable. */
+  private lostAt: number | undefined
   private readonly client: WorkerClient
   /** A start can be repeated: the worker takes each run number once. */
   private readonly starts: Hedge
@@ -118,6 +122,16 @@
       this.options.clock.now() >= this.notBefore
   }
 
+  /** Time for which the worker has not been reachable, in milliseconds; 0 while it is. */
+  unreachableMs (): number {
+    return this.isAdopted || this.lostAt === undefined ? 0 : this.options.clock.now() - this.lostAt
+  }
+
+  /** Monotonic time after which nothing that was started so far can run here. */
+  leasesEndAt (): number {
+    return this.lapsesAt
+  }
+
   /** Whether the worker can't be reached and every lease on what it may have run has ended. */
   hasLapsed (): boolean {
     return !this.isAdopted && this.runs.size === 0 && this.options.clock.now() > this.lapsesAt
@@ -261,6 +275,7 @@
     if (this.isDead) return
     this.token++
     this.isAdopted = false
+    this.lostAt = this.options.clock.now()
     this.options.events.changed(this)
     if (this.options.mayOrder()) this.hold(0)
   }
@@ -270,7 +285,7 @@
     const { clock, log, events } = this.options
     const token = this.token
     // A worker that doesn't answer gets no longer lease, so that it lapses at a known time.
-    const leaseUntilMs = this.isAdopted ? this.nextLease() : undefined
+    const leaseUntilMs = this.isAdopted && this.options.mayExtend() ? this.nextLease() : undefined
     const res = await this.holdTwice({ fencingToken: token, acknowledged: this.acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
     if (this.isDead) return undefined
     if (res.ok && res.val.accepted) return { stored: this.apply(res.val.report, token) }
@@ -279,6 +294,7 @@
     if (this.isAdopted) {
       log.warn('Worker lost.', { worker: this.id, address: this.entry.address, token, reason, runs: this.runs.size, lapsesInMs: Math.round(this.lapsesAt - clock.now()) })
       this.isAdopted = false
+      this.lostAt = clock.now()
       events.changed(this)
     }
     if (this.runs.size > 0 && clock.now() > this.lapsesAt) this.loseAll('lease-lapsed')
@@ -323,6 +339,7 @@
     if (isNewest) this.applyRunning(report, token)
     if (!this.isAdopted && token === this.token) {
       this.isAdopted = true
+      this.lostAt = undefined
       log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
     }
     events.changed(this)
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { AT_WORK_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
+import { AT_WORK_PERCENT, LAPSE_MARGIN_MS, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_CLOCK_RATE, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
+import type { RosterMember } from './roster.js'
 import { formatTaskId } from './types.js'
 import type { WorkerEntry } from './types.js'
 import { WorkerHealth } from './workerHealth.js'
@@ -11,6 +12,8 @@
 
 /** Time without progress after which a run counts as stalled; a task slowed tenfold still gains a percent in this time. */
 const STALL_MS = 2_500
+/** Time after which the roster names the end of an unreachable worker's leases; shorter gaps are frequent. */
+const UNREACHABLE_MS = 500
 
 export interface WorkerPoolOptions {
   readonly epoch: number
@@ -35,9 +38,14 @@
   /** Highest fencing token sent to a worker that was dropped, by id: it may start again under the same id. */
   private readonly lastTokens = new Map<string, number>()
   private readonly roster: Roster
+  /** Monotonic time after which every lease of earlier leaders has ended. */
+  private readonly earlierLeasesEndAt: number
+  /** Time of the store's clock at which the leases of unreachable workers end, as the roster names it. */
+  private readonly lapses = new Map<WorkerLink, number>()
 
   private constructor (private readonly options: WorkerPoolOptions) {
-    const { store, epochVersion, clock, log } = options
+    const { store, epochVersion, clock, log, taskLeaseMs } = options
+    this.earlierLeasesEndAt = clock.now() + taskLeaseMs / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
     this.health = WorkerHealth.create(clock, log)
     this.roster = Roster.create({ store, epochVersion, log })
   }
@@ -67,12 +75,19 @@
 
   /** Whether it is known of every worker of earlier leaders what it runs. */
   isEveryEarlierKnown (): boolean {
-    return this.roster.earlier().every(({ id, born }) => {
+    return this.roster.earlier().every(member => {
+      const { id, born } = member
       const link = this.links.get(id)
-      return link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))
+      if (link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))) return true
+      return this.haveLeasesEnded(member)
     })
   }
 
+  /** Whether every lease of earlier leaders has ended by time. */
+  haveEarlierLeasesEnded (): boolean {
+    return this.options.clock.now() > this.earlierLeasesEndAt
+  }
+
   // Commands
 
   /** Reads the roster of earlier leaders; returns false when the store didn't answer. */
@@ -133,13 +148,14 @@
   private connect (entry: WorkerEntry, signal: AbortSignal) {
     const { clients, epoch, taskLeaseMs, events, mayOrder, clock, log } = this.options
     const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
-    const link = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events, mayOrder, clock, log })
+    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events, mayOrder, mayExtend: () => this.roster.has(link.entry), clock, log })
     this.links.set(entry.id, link)
     link.run(signal)
   }
 
   private drop (link: WorkerLink, reason: string) {
     link.declareDead()
+    this.lapses.delete(link)
     this.links.delete(link.id)
     this.lastTokens.set(link.id, link.lastToken())
     this.health.forget(link.id)
@@ -148,8 +164,30 @@
 
   /** Stores the workers that may run something before anything is started on them. */
   private async enrol () {
-    const workers = [...this.links.values()].filter(mayRunSomething).map(({ entry }) => entry)
-    if (await this.roster.store(workers)) this.options.onChange()
+    const listed = [...this.links.values()].filter(mayRunSomething).map(link => this.memberOf(link))
+    // A worker that the registry doesn't list may still run what an earlier leader has started.
+    const unlisted = this.roster.earlier().filter(member => !this.links.has(member.id) && !this.haveLeasesEnded(member))
+    if (await this.roster.store([...listed, ...unlisted])) this.options.onChange()
+  }
+
+  /** Whether nothing that an earlier leader started can run any more. */
+  private haveLeasesEnded ({ lapsesAtMs }: RosterMember): boolean {
+    const storeMs = this.options.store.clockMs()
+    return this.haveEarlierLeasesEnded() || (lapsesAtMs !== undefined && storeMs !== undefined && storeMs.earliest > lapsesAtMs)
+  }
+
+  private memberOf (link: WorkerLink): RosterMember {
+    const { id, born } = link.entry
+    const known = this.lapses.get(link)
+    if (link.unreachableMs() < UNREACHABLE_MS) {
+      this.lapses.delete(link)
+      return { id, born }
+    }
+    const storeMs = this.options.store.clockMs()
+    const lapsesAtMs = known ?? (storeMs === undefined ? undefined : Math.ceil(storeMs.latest + link.leasesEndAt() - this.options.clock.now()))
+    if (lapsesAtMs === undefined) return { id, born }
+    this.lapses.set(link, lapsesAtMs)
+    return { id, born, lapsesAtMs }
   }
 }
 
