fix(cell): tasks that last don't yield for their age, and chained takeovers wait once

Change: a job with tasks that last is never late. A leader also stores the end of the leases of workers that it has not reached since its takeover, listed or not. Test: `workers are lost under a standing load ...` and the last step of `a second takeover within the lease ...`.

--- a/packages/cell/src/__tests__/lateness.test.ts
+++ b/packages/cell/src/__tests__/lateness.test.ts
@@ -30,6 +30,10 @@
   t.is(latenessOf(job, queue, 7_501), 1)
 })
 
+test('workers are lost under a standing load: the tasks of a job that lasts never yield for its age', t => {
+  t.is(latenessOf(createJob({ longRunning: true }), queue, 3_600_000), 0)
+})
+
 test('the objective allows for one call for advice a step', t => {
   const advised = createQueue({ slackFactor: 2, targetLatencyMs: 500, advice: { decisionMs: 100, perWorkerMs: 10, validityMs: 2_500 } })
   // Twice 2 x 400 ms more than without advice.
--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -147,7 +147,9 @@
   await cell.clock.advance(1_200)
   second.kill()
   cell.startDaemon('d1')
-  await cell.clock.advance(8_000)
+  const rest = cell.workers.all().filter(worker => worker !== holder)
+  // The first takeover has stored that the lease ends 5.35 s after it; a second one alone would begin that time anew.
+  t.true(await cell.until(() => rest.some(worker => worker.runningTasks().length > 0), 4_900))
   t.deepEqual(cell.audit.violations, [])
 })
 
--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -14,7 +14,8 @@
 /** Judges a job by the time that it has taken and the work that is left: what can't be in time any more yields. */
 export function latenessOf (job: Job, queue: Queue, unixMs: number): Lateness {
   const { schedule, steps } = job.record.spec
-  if (schedule !== undefined) return 0
+  // A job that lasts earns as long as it is at work, whatever its age.
+  if (schedule !== undefined || steps.some(({ longRunning }) => longRunning)) return 0
   const adviceMs = queue.advice === undefined ? 0 : queue.advice.decisionMs + ADVISED_WORKERS * queue.advice.perWorkerMs
   const chainMs = longestChain(steps.map(({ estimateMs, after }) => ({ takesMs: estimateMs + adviceMs, after })))
   const objectiveMs = queue.targetLatencyMs + queue.slackFactor * chainMs
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -18,6 +18,9 @@
 /** A longer time between two reports says nothing about the progress of runs. */
 const MAX_REPORT_GAP_MS = 1_600
 
+/** Time that the first answer of a worker takes while a new leader adopts many. */
+const ADOPTION_MS = 1_000
+
 /** Typical time of a start across regions, and the shortest after which it is repeated, in milliseconds. */
 const TYPICAL_START_MS = 50
 const OVERDUE_START_MS = 150
@@ -93,7 +96,7 @@
   private clockReadAt = 0
   /** Monotonic time at which every lease sent so far has ended. */
   private lapsesAt: number
-  /** Monotonic time at which the worker was last found to be unreachable. */
+  /** Monotonic time since which the worker has not been reachable. */
   private lostAt: number | undefined
   private readonly client: WorkerClient
   /** A start can be repeated: the worker takes each run number once. */
@@ -102,6 +105,7 @@
   private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
     this.id = entry.id
     this.token = options.firstToken
+    this.lostAt = options.clock.now() + ADOPTION_MS
     // An earlier leader may have extended the lease until now.
     this.lapsesAt = options.clock.now() + options.taskLeaseMs / WORKER_CLOCK_RATE + LAPSE_MARGIN_MS
     this.client = options.clients.create(entry)
@@ -124,7 +128,7 @@
 
   /** Time for which the worker has not been reachable, in milliseconds; 0 while it is. */
   unreachableMs (): number {
-    return this.isAdopted || this.lostAt === undefined ? 0 : this.options.clock.now() - this.lostAt
+    return this.isAdopted || this.lostAt === undefined ? 0 : Math.max(0, this.options.clock.now() - this.lostAt)
   }
 
   /** Monotonic time after which nothing that was started so far can run here. */
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -40,6 +40,8 @@
   private readonly roster: Roster
   /** Monotonic time after which every lease of earlier leaders has ended. */
   private readonly earlierLeasesEndAt: number
+  /** The same on the store's clock, once that is known. */
+  private earlierLapsesAtMs: number | undefined
   /** Time of the store's clock at which the leases of unreachable workers end, as the roster names it. */
   private readonly lapses = new Map<WorkerLink, number>()
 
@@ -166,7 +168,11 @@
   private async enrol () {
     const listed = [...this.links.values()].filter(mayRunSomething).map(link => this.memberOf(link))
     // A worker that the registry doesn't list may still run what an earlier leader has started.
-    const unlisted = this.roster.earlier().filter(member => !this.links.has(member.id) && !this.haveLeasesEnded(member))
+    this.earlierLapsesAtMs ??= this.storeTimeOf(this.earlierLeasesEndAt)
+    const lapsesAtMs = this.earlierLapsesAtMs
+    const unlisted = this.roster.earlier()
+      .filter(member => !this.links.has(member.id) && !this.haveLeasesEnded(member))
+      .map(member => member.lapsesAtMs !== undefined || lapsesAtMs === undefined ? member : { ...member, lapsesAtMs })
     if (await this.roster.store([...listed, ...unlisted])) this.options.onChange()
   }
 
@@ -178,17 +184,21 @@
 
   private memberOf (link: WorkerLink): RosterMember {
     const { id, born } = link.entry
-    const known = this.lapses.get(link)
     if (link.unreachableMs() < UNREACHABLE_MS) {
       this.lapses.delete(link)
       return { id, born }
     }
-    const storeMs = this.options.store.clockMs()
-    const lapsesAtMs = known ?? (storeMs === undefined ? undefined : Math.ceil(storeMs.latest + link.leasesEndAt() - this.options.clock.now()))
+    const lapsesAtMs = this.lapses.get(link) ?? this.storeTimeOf(link.leasesEndAt())
     if (lapsesAtMs === undefined) return { id, born }
     this.lapses.set(link, lapsesAtMs)
     return { id, born, lapsesAtMs }
   }
+
+  /** A monotonic time of this daemon on the store's clock, rounded up; undefined before the store's first answer. */
+  private storeTimeOf (monotonicMs: number): number | undefined {
+    const storeMs = this.options.store.clockMs()
+    return storeMs === undefined ? undefined : Math.ceil(storeMs.latest + monotonicMs - this.options.clock.now())
+  }
 }
 
 /**
