--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -18,7 +18,8 @@
   readonly admittedAtMs: number
 }
 
-const STEP_DEFAULTS: Omit<StepSpec, 'count' | 'need'> = {
+/** Fields of a step that may be left out. */
+export const STEP_DEFAULTS: Omit<StepSpec, 'count' | 'need'> = {
   estimateMs: 0,
   after: [],
   gang: false,
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -4,6 +4,7 @@
 import { Ok } from '@citronnotch/base/result'
 import type { AdviceAgent } from '../advice.js'
 import { HedgedStore } from '../hedgedStore.js'
+import { STEP_DEFAULTS } from '../jobRecord.js'
 import { JobService } from '../jobService.js'
 import type { LeaderContact } from '../jobService.js'
 import { Leader } from '../leader.js'
@@ -28,21 +29,10 @@
 
 export function createStep (fields: Partial<StepSpec> = {}): StepSpec {
   return {
+    ...STEP_DEFAULTS,
     count: 1,
     need: { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 },
     estimateMs: 500,
-    after: [],
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    affinityRack: '',
-    maxPerWorker: 0,
-    speculative: false,
-    longRunning: false,
-    checkpoints: false,
-    usesIdleCapacity: false,
-    latencyTargetMs: 0,
-    maxUnavailable: 0,
     ...fields
   }
 }
