fix(base): a suspended VM reads the store's clock no earlier than it is

Cause: the latest time of the store's clock was counted by the monotonic clock, which stands still while a VM is suspended. If a lease was extended after a suspension and the store gave no answer in between, the roster could name the end of a lost worker's leases too early. Found by reading. Change: the latest time counts by the larger of both clocks.

--- a/packages/base/src/remoteClock.ts
+++ b/packages/base/src/remoteClock.ts
@@ -1,4 +1,5 @@
 import type { Clock } from './clock.js'
+import type { Stopwatch } from './stopwatch.js'
 
 /** Bounds of a reading of another steady clock, in its milliseconds. */
 export interface ClockBounds {
@@ -8,7 +9,7 @@
 
 /** Follows the steady clock of a server by the readings in its answers. */
 export class RemoteClock {
-  private reading: { readonly valueMs: number, readonly sentAt: number, readonly receivedAt: number } | undefined
+  private reading: { readonly valueMs: number, readonly sent: Stopwatch, readonly receivedAt: number } | undefined
 
   private constructor (private readonly clock: Clock) {}
 
@@ -16,16 +17,15 @@
     return new RemoteClock(clock)
   }
 
-  /** Takes a reading from the answer to a request that was sent at a monotonic time of this process. */
-  observe (valueMs: number, sentAt: number): void {
-    if (this.reading === undefined || sentAt >= this.reading.sentAt) this.reading = { valueMs, sentAt, receivedAt: this.clock.now() }
+  /** Takes a reading from an answer that has just arrived; `sent` was started when the request was sent. */
+  observe (valueMs: number, sent: Stopwatch): void {
+    if (this.reading === undefined || sent.elapsedMs() <= this.reading.sent.elapsedMs()) this.reading = { valueMs, sent, receivedAt: this.clock.now() }
   }
 
-  /** Bounds of the server's clock now; undefined before the first reading. A suspension of this process makes them early. */
+  /** Bounds of the server's clock now, also after a suspension of this VM; undefined before the first reading. */
   now (): ClockBounds | undefined {
     if (this.reading === undefined) return undefined
-    const { valueMs, sentAt, receivedAt } = this.reading
-    const now = this.clock.now()
-    return { earliest: valueMs + now - receivedAt, latest: valueMs + now - sentAt }
+    const { valueMs, sent, receivedAt } = this.reading
+    return { earliest: valueMs + this.clock.now() - receivedAt, latest: valueMs + sent.elapsedMs() }
   }
 }
