fix(cell): a scheduled run that finishes during a takeover is not started again

Cause: a new leader adopted workers before it had added the due occurrences, found no task for a listed run, acknowledged the finished run without storing it, and started the task again. Change: the task of a listed run is looked up by a method that adds missing occurrences of the schedule; whoever started the run knew that they were due. That also covers a daemon whose wall clock is behind.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -364,3 +364,21 @@
   await cell.clock.advance(9_000)
   t.deepEqual(cell.audit.violations, [], `no task of ${jobId} runs twice`)
 })
+
+// A worker lists a finished run before the new leader has added the due occurrence. A leader that finds no task for the
+// run acknowledges it without storing it, and starts the task again.
+test('a scheduled run that finishes during a takeover is not started again', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: () => ({ durationMs: 300, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const jobId = cell.newJobId()
+  const spec = { payload: 'payload', steps: [createStep()], schedule: { firstRunMs: cell.clock.date().getTime() + 1_000, intervalMs: 1_000, repetitions: 1 } }
+  cell.audit.expectJob(jobId, spec)
+  await cell.advanceUntilSettled(first.jobs.submit(jobId, cell.queue(), spec, 3_000))
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId)))
+  first.kill()
+  const second = cell.startDaemon('d2')
+  t.true(await cell.advanceUntil(() => second.leader()?.stateOf(jobId) === 'completed'))
+  await cell.clock.advance(3_000)
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -221,6 +221,16 @@
     }
   }
 
+  /**
+   * Task of a run that a worker lists. Adds its occurrence if it is missing: whoever started the run knew that it was
+   * due, but this daemon may not have checked for due occurrences yet, or its wall clock may be behind.
+   */
+  listedTask (id: TaskId): Task | undefined {
+    const repetitions = this.record.spec.schedule?.repetitions ?? 0
+    for (let occurrence = this.occurrences.size; occurrence <= Math.min(id.occurrence, repetitions - 1); occurrence++) this.addOccurrence(occurrence)
+    return this.task(id)
+  }
+
   task ({ occurrence, step, index }: TaskId): Task | undefined {
     const steps = this.occurrences.get(occurrence)
     return steps === undefined || steps === 'done' ? undefined : steps[step]?.tasks[index]
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -182,7 +182,7 @@
   async runFinished (link: WorkerLink, { task: id, run, status, checkpoint }: FinishedRun): Promise<void> {
     this.options.metrics.count(`runs_${status}`)
     const job = this.jobs.get(id.jobId)
-    const task = job?.task(id)
+    const task = job?.listedTask(id)
     this.scheduleRound()
     if (job === undefined || task === undefined) return
     task.step.saveCheckpoint(task, checkpoint)
@@ -216,7 +216,7 @@
 
   adoptRun (link: WorkerLink, listed: RunningTask): Run | undefined {
     const job = this.jobs.get(listed.task.jobId)
-    const task = job?.task(listed.task)
+    const task = job?.listedTask(listed.task)
     if (job === undefined || task === undefined || job.outcome !== undefined || task.isDone) return undefined
     const isSpeculative = task.step.spec.speculative
     if (task.runs.length > 0 && !isSpeculative) return undefined
