perf(cell): lease renewals overlap, and leadership goes only to a daemon that reads the lease quickly

A candidate that was asked while it read the lease gained it again from itself, each time without loading its state. Change: a second row counts the renewals, so that they may overlap; a takeover expects both rows. A daemon is asked to take over only after it has read the lease within 300 ms; after a request without a confirmation the holder issues no commands until a later renewal is acknowledged. A holder that is told to stop keeps the lease until another daemon can read it.

--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -5,9 +5,9 @@
 import { MemoryStore } from '../testing/index.js'
 
 /** Creates lease holders that share one store; each may have its own clock. */
-function createHolders () {
+function createHolders (latencyMs = 5) {
   const clock = ManualClock.create()
-  const store = MemoryStore.create({ clock })
+  const store = MemoryStore.create({ clock, latencyMs })
   const stopping = new AbortController()
   return {
     clock,
@@ -87,7 +87,7 @@
   await clock.advance(500)
   const second = start('b')
   await clock.advance(500)
-  const released = first.lease.release()
+  const released = first.lease.release(0)
   await clock.advance(800)
   await released
   t.deepEqual(second.epochs, [2])
@@ -113,10 +113,13 @@
   const { clock, store, start, stop } = createHolders()
   const wasValidWhenAsked: boolean[] = []
   const first = start('a', clock, {
-    findSuccessor: async () => {
-      wasValidWhenAsked.push(first.lease.isValid())
-      return true
-    }
+    findSuccessor: async () => ({
+      peerAddress: 'b:1',
+      takeOver: async () => {
+        wasValidWhenAsked.push(first.lease.isValid())
+        return true
+      }
+    })
   })
   await clock.advance(1_000)
   store.writeFault = () => ({ kind: 'refused' })
@@ -132,7 +135,7 @@
   const first = start('a', clock, {
     findSuccessor: async () => {
       askedAt ??= clock.now()
-      return true
+      return undefined
     }
   })
   await clock.advance(1_000)
@@ -144,3 +147,72 @@
   t.true(askedAt !== undefined && askedAt - refusedAt < 100, 'the next renewal would be up to 0.7 s away')
   stop()
 })
+
+// Pattern: the store answers every call, but slowly. Renewals that wait for each other let the lease expire, and a
+// successor that can't use the store any sooner makes it worse.
+test('the holder stays valid while every answer of the store takes 1.2 s', async t => {
+  const { clock, start, stop } = createHolders(1_200)
+  const first = start('a')
+  const second = start('b', clock, { findSuccessor: async () => undefined })
+  await clock.advance(6_000)
+  const holder = first.lease.isValid() ? first : second
+  for (let elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 50) {
+    await clock.advance(50)
+    t.true(holder.lease.isValid(), `after ${elapsedMs} ms`)
+  }
+  t.is(first.epochs.length + second.epochs.length, 1)
+  stop()
+})
+
+test('a candidate that is asked to take over while it reads the lease gains it once', async t => {
+  const { clock, start, stop } = createHolders(400)
+  const first = start('a')
+  await clock.advance(1_000)
+  const second = start('b')
+  await clock.advance(3_100)
+  const released = first.lease.release(0)
+  const taken = second.lease.takeOverFrom('a')
+  await clock.advance(5_000)
+  await Promise.all([released, taken])
+  t.deepEqual(second.epochs, [2])
+  stop()
+})
+
+// Pattern: a rolling restart reaches the holder while the store is silent for all. A successor could not load its state.
+test('a holder that is told to stop keeps the lease until another daemon can use the store', async t => {
+  const { clock, store, start, stop } = createHolders()
+  let isSuccessorAble = false
+  const first = start('a', clock, {
+    findSuccessor: async () => isSuccessorAble ? { peerAddress: 'b:1', takeOver: holder => second.lease.takeOverFrom(holder) } : undefined
+  })
+  await clock.advance(1_000)
+  const second = start('b')
+  await clock.advance(1_000)
+  store.isUnavailable = true
+  const released = first.lease.release(4_000)
+  await clock.advance(1_200)
+  t.true(first.lease.isValid())
+  store.isUnavailable = false
+  isSuccessorAble = true
+  await clock.advance(3_000)
+  await released
+  t.false(first.lease.isValid())
+  t.deepEqual(second.epochs, [2])
+  stop()
+})
+
+test('a holder whose request to take over is not confirmed issues no commands until a later renewal is acknowledged', async t => {
+  const { clock, store, start, stop } = createHolders()
+  const first = start('a', clock, { findSuccessor: async () => ({ peerAddress: 'b:1', takeOver: async () => false }) })
+  await clock.advance(1_000)
+  t.true(first.lease.isValid())
+  store.writeFault = () => ({ kind: 'refused' })
+  const transferred = first.lease.transferLeadership()
+  await clock.advance(100)
+  await transferred
+  t.false(first.lease.isValid(), 'the takeover may still be applied')
+  store.writeFault = () => undefined
+  await clock.advance(1_000)
+  t.true(first.lease.isValid())
+  stop()
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -7,11 +7,12 @@
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
 import { ConfigWatch } from './configWatch.js'
-import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, SUCCESSOR_READ_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
 import { JobService } from './jobService.js'
 import type { LeaderClient } from './jobService.js'
 import { Leader } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
+import type { Successor } from './leaderLease.js'
 import type { VmMaintenance } from './maintenance.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer } from './peers.js'
@@ -27,8 +28,10 @@
 /** A peer is a better candidate if its leadership weight exceeds this daemon's by this factor. */
 const BETTER_CANDIDATE_RATIO = 1.5
 const MAX_SUCCESSOR_CANDIDATES = 4
-/** Timeout of the takeover request to one candidate. */
-const TAKEOVER_TIMEOUT_MS = 400
+/** Timeout of the takeover request: two calls to the store and a round trip between regions. */
+const TAKEOVER_TIMEOUT_MS = 600
+/** Allowance for the network round trip of a call to another daemon. */
+const PEER_ROUND_TRIP_MS = 100
 
 interface PeerInfo {
   readonly name: string
@@ -100,7 +103,7 @@
       onGained: (epoch, version) => this.startLeading(epoch, version),
       onLost: () => this.stopLeading(),
       hasBetterCandidate: () => this.hasBetterCandidate(),
-      findSuccessor: holder => this.findSuccessor(holder)
+      findSuccessor: () => this.findSuccessor()
     })
     this.agents = [this.localAgent()]
     this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), clock, log: logs.for('jobs'), metrics: this.metrics })
@@ -134,9 +137,9 @@
     return this.leader !== undefined
   }
 
-  /** Releases the leadership, so that a successor takes over without delay. */
-  async handOver (): Promise<void> {
-    await this.lease.release()
+  /** Releases the leadership once another daemon can take over, or after `patienceMs`. */
+  async handOver (patienceMs: number): Promise<void> {
+    await this.lease.release(patienceMs)
   }
 
   stop (): void {
@@ -251,6 +254,7 @@
         const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
         return pending === undefined ? {} : { pending }
       },
+      canTakeOver: async () => ({ isAble: await this.lease.canTakeOver(SUCCESSOR_READ_TIMEOUT_MS) }),
       takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(holder) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
         const res = await this.localAgent().approve(step, workerIds, timeoutMs)
@@ -329,19 +333,25 @@
   }
 
   /**
-   * Asks the peers with the highest leadership weight, one after another, to take over. Among equals the most recently
-   * started comes first: in a rolling restart it has already been restarted.
+   * Finds a peer that can read the lease now, among those with the highest leadership weight. Among equals the most
+   * recently started comes first: in a rolling restart it has already been restarted.
    */
-  private async findSuccessor (holder: string): Promise<boolean> {
+  private async findSuccessor (): Promise<Successor | undefined> {
     const candidates = [...this.peers].sort((a, b) => b.leadershipWeight - a.leadershipWeight || b.startedMs - a.startedMs).slice(0, MAX_SUCCESSOR_CANDIDATES)
-    for (const { peerAddress } of candidates) {
-      const res = await this.peerClients.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
-      if (res.ok && res.val.isTaken) {
-        this.log.info('Leadership handed over.', { successor: peerAddress })
-        return true
+    const areAble = await Promise.all(candidates.map(async ({ peerAddress }) => {
+      const res = await this.peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_READ_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
+      return res.ok && res.val.isAble
+    }))
+    const successor = candidates.find((_, index) => areAble[index])
+    if (successor === undefined) return undefined
+    const { peerAddress } = successor
+    return {
+      peerAddress,
+      takeOver: async holder => {
+        const res = await this.peerClients.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
+        return res.ok && res.val.isTaken
       }
     }
-    return false
   }
 }
 
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -34,8 +34,14 @@
 /** Time without a renewal after which the lease is read more often, so that a takeover isn't delayed by a whole interval. */
 export const LEASE_OVERDUE_MS = 1_100
 export const LEASE_OBSERVE_OVERDUE_MS = 150
-/** Timeout of one call that renews or reads the lease. Two calls fit into the TTL, even while the store is slow. */
-export const LEASE_CALL_TIMEOUT_MS = 950
+/** Interval between renewals while the lease has expired, so that the leader resumes soon after the store answers again. */
+export const LEASE_RENEW_LAPSED_MS = 200
+/** Time since the sending of the last acknowledged renewal after which the leader looks for a daemon that the store answers sooner. */
+export const LEASE_SUSPECT_MS = 1_000
+/** Timeout of a call that reads or releases the lease. A slow store takes about 900 ms. */
+export const LEASE_READ_TIMEOUT_MS = 1_500
+/** Time within which a daemon must read the lease to be asked to take over. */
+export const SUCCESSOR_READ_TIMEOUT_MS = 300
 
 /** Timeout of one call to the store. A slow store takes about 900 ms for a transaction. */
 export const STORE_TIMEOUT_MS = 1_400
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -2,9 +2,10 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import {
-  LEASE_CALL_TIMEOUT_MS, LEASE_OBSERVE_MS, LEASE_OBSERVE_OVERDUE_MS, LEASE_OVERDUE_MS, LEASE_RENEW_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
+  LEASE_OBSERVE_MS, LEASE_OBSERVE_OVERDUE_MS, LEASE_OVERDUE_MS, LEASE_READ_TIMEOUT_MS, LEASE_RENEW_LAPSED_MS, LEASE_RENEW_MS,
+  LEASE_SUSPECT_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
 } from './constants.js'
-import type { RowStore, StoredRow } from './ports.js'
+import type { RowKey, RowStore, StoredRow } from './ports.js'
 
 /** Minimum delay between two calls of the loop to the store. */
 const MIN_PAUSE_MS = 50
@@ -12,8 +13,13 @@
 const LESS_CAPABLE_DELAY_MS = 1_200
 /** Attempts to release the lease; it expires on its own if all of them fail. */
 const RELEASE_ATTEMPTS = 3
+/** Pause before a stopping holder looks for a successor again. */
+const SUCCESSOR_RETRY_MS = 200
 
-/** Stored value of the lease row. */
+const LEASE_ROW: RowKey = { table: TABLES.leader, key: 'lease' }
+const RENEWAL_ROW: RowKey = { table: TABLES.leader, key: 'renewal' }
+
+/** Stored value of the lease row. It is written only when the lease changes hands. */
 interface LeaseValue {
   /** Unique per daemon incarnation. */
   readonly holder: string
@@ -22,6 +28,33 @@
   readonly released: boolean
 }
 
+/** Stored value of the renewal row, which the holder writes. */
+interface RenewalValue {
+  readonly epoch: number
+  /** Number of the renewal within the epoch, starting at 1. */
+  readonly count: number
+}
+
+interface LeaseState {
+  readonly value: LeaseValue | undefined
+  readonly version: number
+  readonly renewal: RenewalValue
+  readonly renewalVersion: number
+}
+
+/** The lease of this daemon while it is the holder. */
+interface HeldLease {
+  readonly value: LeaseValue
+  readonly version: number
+}
+
+/** A daemon that can take the lease over from this one. */
+export interface Successor {
+  readonly peerAddress: string
+  /** Resolves with whether the daemon has taken the lease over; after `false` it may still do so. */
+  takeOver (holder: string): Promise<boolean>
+}
+
 export interface LeaderLeaseOptions {
   /** Unique per daemon incarnation. */
   readonly holder: string
@@ -34,28 +67,36 @@
   readonly onLost: (reason: string) => void
   /** Whether a more capable daemon exists; if so, this one waits longer before it takes over. */
   readonly hasBetterCandidate?: () => boolean
-  /** Asks other daemons to take over from this one. Resolves with whether one of them did. */
-  readonly findSuccessor?: (holder: string) => Promise<boolean>
+  /** Finds another daemon that the store answers quickly; resolves with undefined if there is none. */
+  readonly findSuccessor?: () => Promise<Successor | undefined>
 }
 
 /**
- * Lease on the leadership of the cell, kept as a row of the store. It is valid for `LEASE_TTL_MS` from the
- * moment the last acknowledged renewal was sent. If the store is unavailable for longer, the lease expires and
- * the leader pauses; the next successful renewal resumes the same epoch unless another daemon has taken over.
+ * Lease on the leadership of the cell, kept in two rows of the store: one names the holder, the other counts its
+ * renewals. A renewal expects the first row unchanged and writes the second, so that renewals may overlap when the store
+ * is slow. A takeover expects both rows as they were read.
+ *
+ * The lease is valid for `LEASE_TTL_MS` from the moment the last acknowledged renewal was sent. If the store is
+ * unavailable for longer, the leader pauses; the next acknowledged renewal resumes the same epoch unless another daemon
+ * has taken over.
  */
 export class LeaderLease {
-  private row: { readonly value: LeaseValue, readonly version: number } | undefined
-  /** Started when the last acknowledged takeover or renewal was sent; undefined while this daemon is not the leader. */
+  private observed: LeaseState | undefined
+  private held: HeldLease | undefined
+  /** Started when the last acknowledged takeover or renewal was sent; undefined while nothing proves that the lease is valid. */
   private sinceRenewal: Stopwatch | undefined
-  /** Started when the first unacknowledged renewal of `row` was sent; that renewal may have been applied. */
-  private sincePendingRenewal: Stopwatch | undefined
-  /** Time of the first read that returned the current version of `row`; monotonic, so that wall clock steps have no effect. */
+  /** Monotonic time of the first read that returned the latest renewal; wall clock steps have no effect on it. */
   private unchangedSince: number | undefined
-  private endPause: (() => void) | undefined
+  /** Monotonic time at which the last renewal was sent. */
+  private renewedAt = -Infinity
+  private renewalCount = 0
+  /** Renewals sent before this monotonic time don't prove that the lease is still held. */
+  private proofNotBefore = -Infinity
   private isStopping = false
   private isAcquiring = false
-  /** True while this daemon issues no commands because it asks others to take over. */
+  /** True while this daemon issues no commands because it has asked another one to take over. */
   private isTransferring = false
+  private isSeekingSuccessor = false
 
   private constructor (private readonly options: LeaderLeaseOptions) {}
 
@@ -63,228 +104,261 @@
     return new LeaderLease(options)
   }
 
+  // Queries
+
   /** True while this daemon may issue commands as the leader. */
   isValid (): boolean {
-    return !this.isTransferring && this.sinceRenewal !== undefined && this.sinceRenewal.elapsedMs() < LEASE_TTL_MS
+    return this.held !== undefined && !this.isTransferring && this.sinceRenewal !== undefined && this.sinceRenewal.elapsedMs() < LEASE_TTL_MS
   }
 
   /** Peer address of the last observed leader; undefined if none was observed or it released the lease. */
   leaderAddress (): string | undefined {
-    return this.row === undefined || this.row.value.released ? undefined : this.row.value.peerAddress
+    const value = this.held?.value ?? this.observed?.value
+    return value === undefined || value.released ? undefined : value.peerAddress
+  }
+
+  /** Whether this daemon can read the lease within `timeoutMs` and would take it over if asked. */
+  async canTakeOver (timeoutMs: number): Promise<boolean> {
+    if (this.isStopping || this.held !== undefined) return false
+    return (await this.readState(timeoutMs)) !== undefined
   }
 
+  // Commands
+
   async run (signal: AbortSignal): Promise<void> {
     const { clock } = this.options
     while (!signal.aborted) {
       const startedAt = clock.now()
-      if (this.sinceRenewal === undefined) await this.observe()
-      else await this.renew()
-      const interval = this.sinceRenewal !== undefined ? LEASE_RENEW_MS : this.isOverdue() ? LEASE_OBSERVE_OVERDUE_MS : LEASE_OBSERVE_MS
-      await this.pause(Math.max(MIN_PAUSE_MS, interval - (clock.now() - startedAt)), signal)
+      if (this.held === undefined) await this.observe()
+      else this.renewIfDue()
+      await clock.sleep(Math.max(MIN_PAUSE_MS, this.intervalMs() - (clock.now() - startedAt)), signal)
     }
   }
 
-  /** Whether the holder has not renewed the lease for longer than a renewal normally takes. */
-  private isOverdue (): boolean {
-    return this.unchangedSince !== undefined && this.options.clock.now() - this.unchangedSince > LEASE_OVERDUE_MS
-  }
-
   /**
-   * Renews without waiting for the interval. Called when the store has refused a call: if the renewal fails too,
-   * another daemon that may still reach the store is asked to take over.
+   * Renews without waiting for the interval. Called when the store has refused a call: if the renewal is refused too,
+   * another daemon that the store still answers is asked to take over.
    */
   renewNow (): void {
-    if (this.sinceRenewal !== undefined && this.sinceRenewal.elapsedMs() > MIN_PAUSE_MS) this.endPause?.()
+    if (this.held !== undefined && this.options.clock.now() - this.renewedAt > MIN_PAUSE_MS) this.renew()
   }
 
-  private pause (ms: number, signal: AbortSignal): Promise<void> {
-    return new Promise(resolve => {
-      const finish = () => {
-        cancel()
-        signal.removeEventListener('abort', finish)
-        this.endPause = undefined
-        resolve()
-      }
-      const cancel = this.options.clock.after(ms, finish)
-      signal.addEventListener('abort', finish, { once: true })
-      this.endPause = finish
-    })
-  }
-
-  /** Releases the lease, so that a successor doesn't have to wait until it expires. */
-  async release (): Promise<void> {
+  /**
+   * Releases the lease to a successor, so that it doesn't have to wait until the lease expires. While no other daemon
+   * can use the store, nobody would be able to lead: this daemon keeps the lease for up to `patienceMs`.
+   */
+  async release (patienceMs: number): Promise<void> {
+    const { store, log, clock, findSuccessor } = this.options
     this.isStopping = true
-    if (this.sinceRenewal === undefined || this.row === undefined) return
-    const { store, log } = this.options
-    const value: LeaseValue = { ...this.row.value, released: true }
-    let version = this.row.version
+    const keepUntil = clock.now() + (findSuccessor === undefined ? 0 : patienceMs)
+    let successor = await findSuccessor?.()
+    while (successor === undefined && this.held !== undefined && clock.now() < keepUntil) {
+      await clock.sleep(SUCCESSOR_RETRY_MS)
+      successor = await findSuccessor?.()
+    }
+    const { held } = this
+    if (held === undefined) return
     this.lose('the daemon stops')
     for (let attempt = 1; attempt <= RELEASE_ATTEMPTS; attempt++) {
       const res = await store.transact({
         partition: LEASE_PARTITION,
-        expect: [{ table: TABLES.leader, key: 'lease', version }],
-        puts: [{ table: TABLES.leader, key: 'lease', value }],
+        expect: [{ ...LEASE_ROW, version: held.version }],
+        puts: [{ ...LEASE_ROW, value: { ...held.value, released: true } }],
         removes: []
-      }, LEASE_CALL_TIMEOUT_MS)
-      if (res.ok && res.val.committed) {
-        await this.options.findSuccessor?.(value.holder)
+      }, LEASE_READ_TIMEOUT_MS)
+      if (res.ok) {
+        // After a conflict, either an earlier attempt was applied or another daemon has taken over.
+        if (await successor?.takeOver(held.value.holder) === true) log.info('Leadership handed over.', { successor: successor?.peerAddress })
         return
       }
-      const current = res.ok && !res.val.committed ? parseLease(res.val.current.find(({ key }) => key === 'lease')) : undefined
-      if (current !== undefined && (current.value.holder !== value.holder || current.value.released)) return
-      // A renewal that was in flight has been applied.
-      if (current !== undefined) version = current.version
-      else log.warn('Lease release attempt failed.', { attempt, reason: res.err ? res.val.reason : 'conflict' })
+      log.warn('Lease release attempt failed.', { attempt, verdict: res.val.verdict, reason: res.val.reason })
     }
   }
 
-  private async renew () {
-    const { store, clock, log, holder } = this.options
-    const row = this.row
-    if (row === undefined) return
-    const sinceSent = Stopwatch.start(clock)
-    this.sincePendingRenewal ??= sinceSent
-    const res = await store.transact({
-      partition: LEASE_PARTITION,
-      expect: [{ table: TABLES.leader, key: 'lease', version: row.version }],
-      puts: [{ table: TABLES.leader, key: 'lease', value: row.value }],
-      removes: []
-    }, LEASE_CALL_TIMEOUT_MS)
-    if (this.sinceRenewal === undefined) return
-    if (res.err) {
-      log.warn('Lease renewal failed.', { verdict: res.val.verdict, reason: res.val.reason, validForMs: Math.round(LEASE_TTL_MS - this.sinceRenewal.elapsedMs()) })
-      await this.requestTakeover()
-      return
-    }
-    if (res.val.committed) {
-      this.confirmRenewal({ value: row.value, version: res.val.version }, sinceSent)
-      return
-    }
-    const current = parseLease(res.val.current.find(({ key }) => key === 'lease'))
-    if (current?.value.holder === holder && !current.value.released) {
-      // An earlier renewal was applied, but its answer was lost.
-      this.confirmRenewal(current, this.sincePendingRenewal)
-      return
-    }
-    this.row = current
-    this.lose(`epoch ${current?.value.epoch ?? 0} belongs to ${current?.value.holder ?? 'nobody'}`)
+  /** Takes over from a holder that issues no more commands. Resolves with whether this daemon now leads. */
+  async takeOverFrom (holder: string): Promise<boolean> {
+    if (this.isStopping || this.held !== undefined) return false
+    const state = await this.readState(LEASE_READ_TIMEOUT_MS)
+    if (state?.value?.holder === holder) await this.acquire(state)
+    return this.held !== undefined
   }
 
-  /** Stops issuing commands and asks other daemons to take over; after a failed renewal they may still reach the store. */
-  private async requestTakeover () {
-    const { findSuccessor, holder, log } = this.options
-    if (findSuccessor === undefined || this.isTransferring) return
+  /** Asks another daemon to take over. Called when there is a better candidate. */
+  async transferLeadership (): Promise<void> {
+    const { findSuccessor, log, clock } = this.options
+    const { held } = this
+    if (findSuccessor === undefined || held === undefined || this.isSeekingSuccessor || this.isStopping) return
+    this.isSeekingSuccessor = true
+    const successor = await findSuccessor()
+    this.isSeekingSuccessor = false
+    if (successor === undefined || this.held !== held || this.isTransferring || this.isStopping) return
     this.isTransferring = true
-    const isTakenOver = await findSuccessor(holder)
+    const isTaken = await successor.takeOver(held.value.holder)
     this.isTransferring = false
-    if (isTakenOver && this.sinceRenewal !== undefined) this.lose('another daemon has taken over')
-    else log.info('No other daemon took over the leadership.', { holder })
+    if (this.held !== held) return
+    if (isTaken) {
+      log.info('Leadership handed over.', { successor: successor.peerAddress })
+      this.lose('another daemon has taken over')
+      return
+    }
+    log.info('No other daemon took over the leadership.', { asked: successor.peerAddress })
+    // The takeover may still be applied. It fails once a later renewal has been applied.
+    this.sinceRenewal = undefined
+    this.proofNotBefore = clock.now()
+    this.renew()
   }
 
-  /** Takes over from a holder that issues no more commands. Resolves with whether this daemon now leads. */
-  async takeOverFrom (holder: string): Promise<boolean> {
-    if (this.isStopping || this.sinceRenewal !== undefined) return false
-    await this.observe()
-    if (this.sinceRenewal === undefined && this.row?.value.holder === holder) await this.acquire()
-    return this.sinceRenewal !== undefined
+  // Holder
+
+  private renewIfDue () {
+    if (this.options.clock.now() - this.renewedAt >= this.intervalMs() - MIN_PAUSE_MS) this.renew()
+    if ((this.sinceRenewal?.elapsedMs() ?? Infinity) > LEASE_SUSPECT_MS) this.transferLeadership()
   }
 
-  /** Asks other daemons to take over. Called when one of them is a better candidate. */
-  async transferLeadership (): Promise<void> {
-    if (this.isValid()) await this.requestTakeover()
+  private async renew () {
+    const { store, clock, log } = this.options
+    const { held } = this
+    if (held === undefined) return
+    const sinceSent = Stopwatch.start(clock)
+    this.renewedAt = clock.now()
+    const value: RenewalValue = { epoch: held.value.epoch, count: ++this.renewalCount }
+    // An answer that comes after the validity it would grant is of no use.
+    const res = await store.transact({
+      partition: LEASE_PARTITION,
+      expect: [{ ...LEASE_ROW, version: held.version }],
+      puts: [{ ...RENEWAL_ROW, value }],
+      removes: []
+    }, LEASE_TTL_MS)
+    if (this.held !== held) return
+    if (res.err) {
+      log.warn('Lease renewal failed.', { verdict: res.val.verdict, reason: res.val.reason, renewedMsAgo: Math.round(this.sinceRenewal?.elapsedMs() ?? -1) })
+      this.transferLeadership()
+      return
+    }
+    if (res.val.committed) return this.confirmRenewal(sinceSent)
+    const current = parseState(res.val.current)
+    this.observed = current
+    this.lose(`epoch ${current.value?.epoch ?? 0} belongs to ${current.value?.holder ?? 'nobody'}`)
   }
 
-  private confirmRenewal (row: { readonly value: LeaseValue, readonly version: number }, sinceSent: Stopwatch) {
+  private confirmRenewal (sinceSent: Stopwatch) {
+    if (sinceSent.startedAt < Math.max(this.proofNotBefore, this.sinceRenewal?.startedAt ?? -Infinity)) return
     const wasValid = this.isValid()
-    this.row = row
     this.sinceRenewal = sinceSent
-    this.sincePendingRenewal = undefined
-    if (!wasValid && this.isValid()) this.options.log.info('Lease is valid again.', { epoch: row.value.epoch, version: row.version })
+    if (!wasValid && this.isValid()) this.options.log.info('Lease is valid again.', { epoch: this.held?.value.epoch })
   }
 
+  // Candidate
+
   private async observe () {
-    const { store, clock, log } = this.options
-    const res = await store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, LEASE_CALL_TIMEOUT_MS)
-    if (res.err) {
-      // While the row can't be read, the holder may have renewed it.
+    const { clock, log } = this.options
+    const state = await this.readState(LEASE_READ_TIMEOUT_MS)
+    // A takeover that another daemon asked for may have succeeded during the read.
+    if (this.held !== undefined) return
+    if (state === undefined) {
+      // While the rows can't be read, the holder may have renewed the lease.
       this.unchangedSince = undefined
       return
     }
-    const row = parseLease(res.val.rows.find(({ key }) => key === 'lease'))
-    if (row?.version !== this.row?.version || this.unchangedSince === undefined) {
-      if (row !== undefined && row.value.epoch !== this.row?.value.epoch) {
-        log.info('New leader observed.', { epoch: row.value.epoch, holder: row.value.holder, address: row.value.peerAddress, version: row.version })
+    if (this.unchangedSince === undefined || isRenewed(this.observed, state)) {
+      const { value, version } = state
+      if (value !== undefined && value.epoch !== this.observed?.value?.epoch) {
+        log.info('New leader observed.', { epoch: value.epoch, holder: value.holder, address: value.peerAddress, version })
       }
-      this.row = row
       this.unchangedSince = clock.now()
     }
+    this.observed = state
     if (this.isStopping) return
-    if (clock.now() - this.unchangedSince > this.takeoverAfterMs(row?.value)) await this.acquire()
+    if (clock.now() - this.unchangedSince > this.takeoverAfterMs(state.value)) await this.acquire(state)
   }
 
   /**
-   * Time for which the row must be unchanged before a takeover; -1 means no wait. A holder at this daemon's own address
-   * is either an earlier incarnation, which has stopped, or this one after a takeover whose answer was lost. In the
-   * second case the time at which the lease began is unknown, so the row has to be written again.
+   * Time for which the lease must not have been renewed before a takeover; -1 means no wait. A holder at this daemon's
+   * own address is either an earlier incarnation, which has stopped, or this one after a takeover whose answer was lost.
+   * In the second case the time at which the lease began is unknown, so the row has to be written again.
    */
   private takeoverAfterMs (value: LeaseValue | undefined): number {
     const isFree = value === undefined || value.released || value.peerAddress === this.options.peerAddress
     return (isFree ? -1 : TAKEOVER_AFTER_MS) + (this.options.hasBetterCandidate?.() === true ? LESS_CAPABLE_DELAY_MS : 0)
   }
 
-  private async acquire () {
+  private async acquire (state: LeaseState) {
     if (this.isAcquiring) return
     this.isAcquiring = true
     try {
-      await this.writeLease()
+      await this.writeLease(state)
     } finally {
       this.isAcquiring = false
     }
   }
 
-  private async writeLease () {
+  private async writeLease (state: LeaseState) {
     const { store, clock, holder, peerAddress, log } = this.options
-    const epoch = (this.row?.value.epoch ?? 0) + 1
+    const epoch = (state.value?.epoch ?? 0) + 1
     const value: LeaseValue = { holder, peerAddress, epoch, released: false }
     const sinceSent = Stopwatch.start(clock)
     const res = await store.transact({
       partition: LEASE_PARTITION,
-      expect: [{ table: TABLES.leader, key: 'lease', version: this.row?.version ?? 0 }],
-      puts: [{ table: TABLES.leader, key: 'lease', value }],
+      // A renewal that is applied after `state` was read makes the takeover fail.
+      expect: [{ ...LEASE_ROW, version: state.version }, { ...RENEWAL_ROW, version: state.renewalVersion }],
+      puts: [{ ...LEASE_ROW, value }],
       removes: []
-    }, LEASE_CALL_TIMEOUT_MS)
+    }, LEASE_TTL_MS)
     if (res.err) log.warn('Lease takeover was not acknowledged.', { epoch, verdict: res.val.verdict, reason: res.val.reason })
-    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent)
+    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent, state.value)
     else this.unchangedSince = undefined
   }
 
-  private gain (row: { readonly value: LeaseValue, readonly version: number }, sinceSent: Stopwatch) {
-    const previous = this.row?.value
-    this.row = row
+  private gain (held: HeldLease, sinceSent: Stopwatch, previous: LeaseValue | undefined) {
+    this.held = held
     this.sinceRenewal = sinceSent
-    this.sincePendingRenewal = undefined
-    this.options.log.info('Leadership gained.', { epoch: row.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
-    this.options.onGained(row.value.epoch, row.version)
+    this.proofNotBefore = -Infinity
+    this.renewalCount = 0
+    this.options.log.info('Leadership gained.', { epoch: held.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
+    this.renew()
+    this.options.onGained(held.value.epoch, held.version)
   }
 
   private lose (reason: string) {
+    this.held = undefined
     this.sinceRenewal = undefined
     this.unchangedSince = undefined
     this.options.log.info('Leadership lost.', { reason })
     this.options.onLost(reason)
   }
+
+  /** Reads both rows; undefined if the store doesn't answer in time. */
+  private async readState (timeoutMs: number): Promise<LeaseState | undefined> {
+    const res = await this.options.store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, timeoutMs)
+    return res.ok ? parseState(res.val.rows) : undefined
+  }
+
+  private intervalMs (): number {
+    if (this.held !== undefined) return this.isValid() ? LEASE_RENEW_MS : LEASE_RENEW_LAPSED_MS
+    const isOverdue = this.unchangedSince !== undefined && this.options.clock.now() - this.unchangedSince > LEASE_OVERDUE_MS
+    return isOverdue ? LEASE_OBSERVE_OVERDUE_MS : LEASE_OBSERVE_MS
+  }
 }
 
-function parseLease (row: StoredRow | undefined): { readonly value: LeaseValue, readonly version: number } | undefined {
-  if (row === undefined || row.deleted) return undefined
-  const value = row.value as Partial<LeaseValue> | undefined
+/** Whether the lease has changed hands or was renewed since `previous`. A renewal that arrives after a later one doesn't count. */
+function isRenewed (previous: LeaseState | undefined, state: LeaseState): boolean {
+  if (previous === undefined || previous.version !== state.version) return true
+  return state.renewal.epoch > previous.renewal.epoch || (state.renewal.epoch === previous.renewal.epoch && state.renewal.count > previous.renewal.count)
+}
+
+function parseState (rows: readonly StoredRow[]): LeaseState {
+  const find = ({ key }: RowKey) => rows.find(row => row.key === key && !row.deleted)
+  const [lease, renewal] = [find(LEASE_ROW), find(RENEWAL_ROW)]
+  const renewalValue = renewal?.value as Partial<RenewalValue> | undefined
   return {
-    value: {
-      holder: String(value?.holder ?? ''),
-      peerAddress: String(value?.peerAddress ?? ''),
-      epoch: Number(value?.epoch ?? 0),
-      released: value?.released === true
-    },
-    version: row.version
+    value: lease === undefined ? undefined : parseLease(lease.value),
+    version: lease?.version ?? 0,
+    renewal: { epoch: Number(renewalValue?.epoch ?? 0), count: Number(renewalValue?.count ?? 0) },
+    renewalVersion: renewal?.version ?? 0
   }
 }
+
+function parseLease (value: unknown): LeaseValue {
+  const { holder, peerAddress, epoch, released } = (value ?? {}) as Partial<LeaseValue>
+  return { holder: String(holder ?? ''), peerAddress: String(peerAddress ?? ''), epoch: Number(epoch ?? 0), released: released === true }
+}
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -24,6 +24,8 @@
   /** State of a job on the leader; missing when the daemon has no record of the job or doesn't lead. */
   jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
   pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
+  /** Asks a daemon whether the store answers it quickly and it could lead. */
+  canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly isAble: boolean } }
   /** Asks a daemon to take over from a leader that issues no more commands. */
   takeOver: { readonly req: { readonly holder: string }, readonly res: { readonly isTaken: boolean } }
   /** Asks the placement policy service on behalf of the leader; `approved` holds pairs of worker id and ticket. */
@@ -36,7 +38,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'takeOver', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'canTakeOver', 'takeOver', 'advise']
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** Ping interval and ping timeout: a dead connection is closed within twice this time. */
 const KEEPALIVE_MS = 1_000
