perf(cell): renewals are not hedged, and a successor must be able to write and to read every partition

Cause: while the store is slow, a partition runs its transactions one after another; repeated renewals queued in the lease partition until it refused calls for its rate, and a leader whose renewals were late handed over to daemons that could read the lease, but served them no better. Change: renewals go to the store without hedging, as they overlap. A daemon is asked to take over only if the store answers a read and a write of it within 0.3 s and every partition with state can be read.

--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -15,7 +15,7 @@
     stop: () => stopping.abort(),
     start (holder: string, holderClock = clock, fields: Partial<Parameters<typeof LeaderLease.create>[0]> = {}) {
       const epochs: number[] = []
-      const lease = LeaderLease.create({ holder, peerAddress: `${holder}:1`, store, clock: holderClock, log: silentLog, onGained: epoch => epochs.push(epoch), onLost: () => {}, ...fields })
+      const lease = LeaderLease.create({ holder, peerAddress: `${holder}:1`, store, unhedgedStore: store, clock: holderClock, log: silentLog, onGained: epoch => epochs.push(epoch), onLost: () => {}, ...fields })
       lease.run(stopping.signal).catch(() => {})
       return { lease, epochs }
     }
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -7,7 +7,8 @@
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
 import { ConfigWatch } from './configWatch.js'
-import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, SUCCESSOR_READ_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { JobLoader } from './jobLoader.js'
 import { JobService } from './jobService.js'
 import type { LeaderClient } from './jobService.js'
 import { Leader } from './leader.js'
@@ -78,6 +79,8 @@
   private readonly store: RowStore
   /** Unique per daemon incarnation. */
   private readonly holder: string
+  /** Unix time in milliseconds. */
+  private readonly startedMs: number
   private readonly lease: LeaderLease
   private readonly peerClients = PeerClients.create()
   private readonly stopping = new AbortController()
@@ -94,10 +97,12 @@
     this.log = logs.for('daemon')
     this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
     this.holder = `${name}/${randomUUID()}`
+    this.startedMs = clock.date().getTime()
     this.lease = LeaderLease.create({
       holder: this.holder,
       peerAddress,
       store,
+      unhedgedStore: options.store,
       clock,
       log: logs.for('lease'),
       onGained: (epoch, version) => this.startLeading(epoch, version),
@@ -232,6 +237,13 @@
     return undefined
   }
 
+  /** Whether this daemon could lead now: the store answers its reads and writes quickly, and all partitions with state can be read. */
+  private async canTakeOver (): Promise<boolean> {
+    const loader = JobLoader.create(this.store, this.options.clock, this.log)
+    const [canRead, registered] = await Promise.all([this.lease.canTakeOver(SUCCESSOR_CALL_TIMEOUT_MS), this.storeRegistration(SUCCESSOR_CALL_TIMEOUT_MS)])
+    return canRead && registered.ok && await loader.canLoad(SUCCESSOR_LOAD_TIMEOUT_MS)
+  }
+
   // Peers
 
   private peerHandlers (): PeerHandlers {
@@ -254,7 +266,7 @@
         const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
         return pending === undefined ? {} : { pending }
       },
-      canTakeOver: async () => ({ isAble: await this.lease.canTakeOver(SUCCESSOR_READ_TIMEOUT_MS) }),
+      canTakeOver: async () => ({ isAble: await this.canTakeOver() }),
       takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(holder) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
         const res = await this.localAgent().approve(step, workerIds, timeoutMs)
@@ -287,21 +299,25 @@
 
   /** Stores the address of this daemon, so that the others find it. */
   private async register (signal: AbortSignal) {
-    const { store } = this
-    const { name, peerAddress, clock } = this.options
+    const { clock } = this.options
     while (!signal.aborted) {
-      const res = await store.transact({
-        partition: DAEMONS_PARTITION,
-        expect: [],
-        puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: this.options.leadershipWeight, startedMs: clock.date().getTime() } }],
-        removes: []
-      }, STORE_TIMEOUT_MS)
+      const res = await this.storeRegistration(STORE_TIMEOUT_MS)
       if (res.ok) return
       this.log.warn('Registration of the daemon failed; retrying.', { verdict: res.val.verdict, reason: res.val.reason })
       await clock.sleep(REGISTER_RETRY_MS, signal)
     }
   }
 
+  private storeRegistration (timeoutMs: number) {
+    const { name, peerAddress, leadershipWeight } = this.options
+    return this.store.transact({
+      partition: DAEMONS_PARTITION,
+      expect: [],
+      puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: leadershipWeight, startedMs: this.startedMs } }],
+      removes: []
+    }, timeoutMs)
+  }
+
   /** Polls the list of daemons: the leader asks its peers for advice and transfers leadership to a better candidate. */
   private async watchPeers (signal: AbortSignal) {
     const { store } = this
@@ -339,7 +355,7 @@
   private async findSuccessor (): Promise<Successor | undefined> {
     const candidates = [...this.peers].sort((a, b) => b.leadershipWeight - a.leadershipWeight || b.startedMs - a.startedMs).slice(0, MAX_SUCCESSOR_CANDIDATES)
     const areAble = await Promise.all(candidates.map(async ({ peerAddress }) => {
-      const res = await this.peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_READ_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
+      const res = await this.peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_CALL_TIMEOUT_MS + SUCCESSOR_LOAD_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
       return res.ok && res.val.isAble
     }))
     const successor = candidates.find((_, index) => areAble[index])
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -40,8 +40,10 @@
 export const LEASE_SUSPECT_MS = 1_000
 /** Timeout of a call that reads or releases the lease. A slow store takes about 900 ms. */
 export const LEASE_READ_TIMEOUT_MS = 1_500
-/** Time within which a daemon must read the lease to be asked to take over. */
-export const SUCCESSOR_READ_TIMEOUT_MS = 300
+/** Time within which the store must answer a read and a write of a daemon for it to be asked to take over. */
+export const SUCCESSOR_CALL_TIMEOUT_MS = 300
+/** Time within which each partition of the state must then be read. */
+export const SUCCESSOR_LOAD_TIMEOUT_MS = 800
 
 /** Timeout of one call to the store. A slow store takes about 900 ms for a transaction. */
 export const STORE_TIMEOUT_MS = 1_400
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -60,6 +60,16 @@
     return undefined
   }
 
+  /** Whether the store answers for every partition that a new leader has to read, each within `timeoutMs`. */
+  async canLoad (timeoutMs: number): Promise<boolean> {
+    const partitions = [
+      ...Array.from({ length: LEADER_PARTITIONS }, (_, index) => ({ table: TABLES.leader, partition: leaderPartitionName(index) })),
+      ...Array.from({ length: ADMISSION_PARTITIONS }, (_, index) => ({ table: TABLES.jobs, partition: admissionPartitionName(index) }))
+    ]
+    const answers = await Promise.all(partitions.map(partition => this.store.range({ ...partition, limit: 1 }, timeoutMs)))
+    return answers.every(({ ok }) => ok)
+  }
+
   /** Reads the admissions and cancellations of jobs. Resolves with undefined when a read failed. */
   readJobs (): Promise<LoadedRows | undefined> {
     return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName, this.jobPartitions)
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -60,6 +60,8 @@
   readonly holder: string
   readonly peerAddress: string
   readonly store: RowStore
+  /** Store for renewals. They overlap instead of being hedged: repeated renewals would hold up later ones while the store is slow. */
+  readonly unhedgedStore: RowStore
   readonly clock: Clock
   readonly log: Log
   /** `version` is the version of the lease row that began the epoch; earlier leaders issue no commands after it. */
@@ -216,14 +218,14 @@
   }
 
   private async renew () {
-    const { store, clock, log } = this.options
+    const { unhedgedStore, clock, log } = this.options
     const { held } = this
     if (held === undefined) return
     const sinceSent = Stopwatch.start(clock)
     this.renewedAt = clock.now()
     const value: RenewalValue = { epoch: held.value.epoch, count: ++this.renewalCount }
     // An answer that comes after the validity it would grant is of no use.
-    const res = await store.transact({
+    const res = await unhedgedStore.transact({
       partition: LEASE_PARTITION,
       expect: [{ ...LEASE_ROW, version: held.version }],
       puts: [{ ...RENEWAL_ROW, value }],
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -116,7 +116,8 @@
   startDaemon (name: string, address = `${name}:1`, linkBytesPerSecond?: number): TestDaemon {
     const { clock, workers, options } = this
     const abortController = new AbortController()
-    const store = HedgedStore.create(linkBytesPerSecond === undefined ? this.store : BandwidthLimitedStore.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond }), clock)
+    const unhedgedStore = linkBytesPerSecond === undefined ? this.store : BandwidthLimitedStore.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond })
+    const store = HedgedStore.create(unhedgedStore, clock)
     const metrics = MemoryMetrics.create()
     const queues = new Map((options.queues ?? [createQueue()]).map(queue => [queue.name, queue]))
     const directory: Directory = {
@@ -138,6 +139,7 @@
       holder: `${name}/${this.daemons.length}`,
       peerAddress: address,
       store,
+      unhedgedStore,
       clock,
       log: silentLogs.for('lease'),
       onGained: (epoch, epochStartVersion) => {
