perf(cell): only the jobs of lost workers wait at a takeover, and workers are adopted while jobs are loaded

Workers were connected only after all jobs were loaded. Change: for a worker that drains or is unreachable the roster lists the jobs with runs there, or with finished runs that are not stored yet; only these wait. Heartbeats are sent while the jobs are loaded, and their answers applied afterwards.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -72,10 +72,11 @@
   /** Versions of the epoch rows, indexed by leader partition. */
   private epochVersions: readonly number[] = []
   private isLoaded = false
+  private finishLoading: (isLoaded: boolean) => void = () => {}
   /** Notifications received while the state was being loaded. */
   private readonly deferredNotifications: Array<() => void> = []
-  /** Whether jobs admitted before this epoch may be scheduled. */
-  private areEarlierJobsEnabled = false
+  /** Jobs admitted before this epoch that may have unknown runs and must not be scheduled yet. */
+  private heldBackJobs: ReadonlySet<string> | 'all' = 'all'
   private isRoundScheduled = false
 
   private constructor (private readonly options: LeaderOptions) {
@@ -93,8 +94,9 @@
     this.loader = JobLoader.create(store, clock, this.log)
     this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), clock, log: this.log })
     this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
+    const jobsLoaded = new Promise<boolean>(resolve => { this.finishLoading = resolve })
     this.workers = WorkerPool.create({
-      ...options, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.scheduleRound(), log: this.log
+      ...options, jobsLoaded, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.scheduleRound(), log: this.log
     })
     this.maintenance = options.maintenance === undefined
       ? undefined
@@ -132,11 +134,16 @@
 
   async run (): Promise<void> {
     const { signal } = this.stopping
+    // Workers are connected and fenced while the jobs are loaded.
+    await Promise.all([this.workers.run(signal), this.loadAndSchedule(signal)])
+  }
+
+  private async loadAndSchedule (signal: AbortSignal) {
     await this.load(signal)
+    this.finishLoading(!signal.aborted)
     if (signal.aborted) return
     await Promise.all([
       ...this.commitQueues.map(commitQueue => commitQueue.run(signal)),
-      this.workers.run(signal),
       this.watchChanges(signal),
       this.janitor.run(signal),
       this.enableEarlierJobs(signal),
@@ -304,9 +311,12 @@
     this.options.metrics.observe('pass_ms', performance.now() - startedAt)
   }
 
-  /** Jobs whose runs this leader knows: all jobs once earlier jobs are enabled, until then those admitted in this epoch. */
+  /** Jobs whose runs this leader knows: those admitted in this epoch, and earlier ones that aren't held back. */
   private * dispatchable (): Iterable<Job> {
-    for (const job of this.jobs.live()) if (this.areEarlierJobsEnabled || job.version > this.options.epochStartVersion) yield job
+    const { heldBackJobs } = this
+    for (const job of this.jobs.live()) {
+      if (job.version > this.options.epochStartVersion || (heldBackJobs !== 'all' && !heldBackJobs.has(job.id))) yield job
+    }
   }
 
   // Loops
@@ -368,14 +378,21 @@
     }
   }
 
-  /** Enables scheduling of jobs from earlier epochs once this leader knows every worker's runs or all earlier leases have expired. */
+  /** Enables scheduling of the jobs from earlier epochs, each once this leader knows its runs or their leases have expired. */
   private async enableEarlierJobs (signal: AbortSignal) {
     const { clock } = this.options
     const startedAt = clock.now()
-    while (!signal.aborted && !this.workers.areEarlierRunsKnown()) await clock.sleep(10, signal)
-    this.areEarlierJobsEnabled = true
-    this.log.info('Scheduling of jobs from earlier epochs enabled.', { tookMs: Math.round(clock.now() - startedAt), complete: !this.workers.haveEarlierLeasesExpired(), jobs: this.jobs.size() })
-    this.scheduleRound()
+    while (!signal.aborted) {
+      const heldBackJobs = this.workers.jobsWithUnknownRuns()
+      const isChanged = sizeOf(heldBackJobs) !== sizeOf(this.heldBackJobs)
+      this.heldBackJobs = heldBackJobs
+      if (isChanged) {
+        this.log.info('Scheduling of jobs from earlier epochs enabled.', { tookMs: Math.round(clock.now() - startedAt), complete: !this.workers.haveEarlierLeasesExpired(), jobs: this.jobs.size(), heldBack: sizeOf(heldBackJobs) })
+        this.scheduleRound()
+      }
+      if (sizeOf(heldBackJobs) === 0) return
+      await clock.sleep(10, signal)
+    }
   }
 
   private async tick (signal: AbortSignal) {
@@ -390,3 +407,7 @@
     }
   }
 }
+
+function sizeOf (jobIds: ReadonlySet<string> | 'all'): number {
+  return jobIds === 'all' ? Infinity : jobIds.size
+}
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -11,6 +11,11 @@
   readonly born: number
   /** Time on the store's clock at which all leases have expired; set for an unreachable worker. */
   readonly lapsesAtMs?: number
+  /**
+   * Ids of all jobs that may have runs on the worker; set for a worker that gets no more work and whose runs the leader
+   * knows. A successor that can't reach the worker holds back only these jobs.
+   */
+  readonly jobs?: readonly string[]
 }
 
 export interface RosterOptions {
@@ -38,12 +43,17 @@
     return new Roster(options)
   }
 
-  /** Whether the row lists this incarnation of a worker without an expiry, so that runs may be started on it. */
+  /** Whether the row lists this incarnation of a worker without an expiry, so that its leases may be extended. */
   hasActive ({ id, born }: Pick<RosterMember, 'id' | 'born'>): boolean {
     const member = this.stored.get(id)
     return member?.born === born && member.lapsesAtMs === undefined
   }
 
+  /** Whether the row lists this incarnation of a worker as one that may run any job. */
+  mayStartOn (worker: Pick<RosterMember, 'id' | 'born'>): boolean {
+    return this.hasActive(worker) && this.stored.get(worker.id)?.jobs === undefined
+  }
+
   /** Members that the row listed when it was loaded. */
   membersOfEarlierLeaders (): readonly RosterMember[] {
     return this.earlierMembers
@@ -72,7 +82,7 @@
   async store (members: readonly RosterMember[]): Promise<boolean> {
     if (this.isRowCurrent && members.length === this.stored.size && members.every(member => this.isStored(member))) return false
     // From here on no run may be started on a worker that this write removes, whether or not the write succeeds.
-    this.stored = byId(members.filter(member => member.lapsesAtMs === undefined && this.hasActive(member)))
+    this.stored = byId(members.flatMap(member => this.storedOrRestricted(member)))
     this.isRowCurrent = false
     const { store, epochVersion, log } = this.options
     const res = await store.transact({
@@ -97,9 +107,16 @@
     return true
   }
 
-  private isStored ({ id, born, lapsesAtMs }: RosterMember): boolean {
+  /** What both the stored row and the row being written allow for a worker; none if either of them does not list it as active. */
+  private storedOrRestricted (member: RosterMember): readonly RosterMember[] {
+    if (member.lapsesAtMs !== undefined || !this.hasActive(member)) return []
+    const jobs = member.jobs ?? this.stored.get(member.id)?.jobs
+    return [jobs === undefined ? { id: member.id, born: member.born } : { id: member.id, born: member.born, jobs }]
+  }
+
+  private isStored ({ id, born, lapsesAtMs, jobs }: RosterMember): boolean {
     const member = this.stored.get(id)
-    return member?.born === born && member.lapsesAtMs === lapsesAtMs
+    return member?.born === born && member.lapsesAtMs === lapsesAtMs && member.jobs?.length === jobs?.length && (jobs ?? []).every(job => member.jobs?.includes(job))
   }
 }
 
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -128,6 +128,7 @@
     this.finishedRuns = []
     this.lastSequence = 0
     this.highestToken = 0
+    this.leaseUntilMs = 0
     this.bootedAt = this.options.clock.now()
     this.entry = { ...this.entry, born }
   }
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -56,12 +56,20 @@
   readonly events: WorkerEvents
   /** True while this daemon is the leader and may send commands. */
   readonly mayIssueCommands: () => boolean
+  /** Resolves with true once the leader has loaded the jobs, before which no report is applied; with false if it stops first. */
+  readonly jobsLoaded: Promise<boolean>
   /** True while the stored roster tells a successor that this incarnation of the worker may have runs. */
   readonly mayExtendLeases: () => boolean
   readonly clock: Clock
   readonly log: Log
 }
 
+/** A finished run whose result is not known to be stored. */
+interface PendingWrite {
+  readonly jobId: string
+  readonly stored: Promise<void>
+}
+
 /** Result of an accepted heartbeat. The promise is wrapped because an async function awaits a promise that it returns. */
 interface HeartbeatResult {
   /** Resolves once the finished runs that the worker listed are stored. */
@@ -80,6 +88,8 @@
   readonly runs = new Map<string, Run>()
   /** True once the worker has accepted a heartbeat with the current token. */
   isAdopted = false
+  /** True once the worker has been adopted, whether or not it is still reachable. */
+  private hasReported = false
   /** True once this incarnation of the worker has certainly ended. */
   isDead = false
   /** True once the link is closed; a successor adopts the remaining runs. */
@@ -92,7 +102,7 @@
   private token: number
   private acknowledgedSequence = 0
   /** Pending writes of finished runs by sequence number; the worker lists these runs until they are acknowledged. */
-  private readonly pendingWrites = new Map<number, Promise<void>>()
+  private readonly pendingWrites = new Map<number, PendingWrite>()
   /** The worker's clock in the latest report; -1 before the first. */
   private workerClockMs = -1
   private lastReportAt = 0
@@ -142,6 +152,17 @@
     return !this.isAdopted && this.runs.size === 0 && this.options.clock.now() > this.leasesExpireAt
   }
 
+  /**
+   * Ids of the jobs that may have runs here, or finished runs that only the worker knows for certain. Undefined until the
+   * worker has reported the runs of earlier leaders.
+   */
+  unsettledJobs (): readonly string[] | undefined {
+    if (!this.hasReported) return undefined
+    const ofRuns = [...this.runs.values()].map(({ id }) => id.jobId)
+    const ofFinishedRuns = [...this.pendingWrites.values()].map(({ jobId }) => jobId)
+    return [...new Set([...ofRuns, ...ofFinishedRuns])]
+  }
+
   /** Highest fencing token used so far. */
   lastToken (): number {
     return this.token
@@ -292,7 +313,7 @@
     // The lease of an unreachable worker isn't extended, so that it expires at a known time.
     const leaseUntilMs = this.isAdopted && this.options.mayExtendLeases() ? this.nextLeaseUntilMs() : undefined
     const res = await this.sendHeartbeat({ fencingToken: token, acknowledged: this.acknowledgedSequence, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
-    if (this.isDead) return undefined
+    if (!await this.options.jobsLoaded || this.isDead) return undefined
     if (res.ok && res.val.accepted) return { finishedRunsStored: this.applyReport(res.val.report, token) }
     const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
     if (res.ok && !res.val.accepted && res.val.reason === 'other-life') this.declareDead()
@@ -344,6 +365,7 @@
     if (isNewest) this.applyRunning(report, token)
     if (!this.isAdopted && token === this.token) {
       this.isAdopted = true
+      this.hasReported = true
       this.unreachableSince = undefined
       log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
     }
@@ -357,11 +379,11 @@
     if (unacknowledged.length === 0) return Promise.resolve()
     const stored = unacknowledged.map(finishedRun => {
       const pendingWrite = this.pendingWrites.get(finishedRun.sequence)
-      if (pendingWrite !== undefined) return pendingWrite
+      if (pendingWrite !== undefined) return pendingWrite.stored
       const run = this.runs.get(runKeyOf(finishedRun.task, finishedRun.run))
       if (run !== undefined) this.removeRun(run)
       const write = events.runFinished(this, finishedRun)
-      this.pendingWrites.set(finishedRun.sequence, write)
+      this.pendingWrites.set(finishedRun.sequence, { jobId: finishedRun.task.jobId, stored: write })
       return write
     })
     const lastSequence = Math.max(...unacknowledged.map(finishedRun => finishedRun.sequence))
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -27,6 +27,8 @@
   /** Called after each successful registry poll, and when the stored roster changes. */
   readonly onChange: () => void
   readonly mayIssueCommands: () => boolean
+  /** Resolves with true once the leader has loaded the jobs and the roster, with false if it stops first. */
+  readonly jobsLoaded: Promise<boolean>
   readonly clock: Clock
   readonly log: Log
 }
@@ -44,6 +46,8 @@
   private earlierLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
   private readonly leaseExpiries = new Map<WorkerLink, number>()
+  /** Jobs that may have runs on each worker that gets no more work, as recorded in the roster. */
+  private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
   private constructor (private readonly options: WorkerPoolOptions) {
     const { store, epochVersion, clock, log, taskLeaseMs } = options
@@ -66,23 +70,27 @@
     return this.links.get(id)
   }
 
-  /** Whether the stored roster lists the worker as active and the worker isn't suspended. */
+  /** Whether the stored roster lets any job start on the worker and the worker isn't suspended. */
   isUsable (worker: WorkerLink): boolean {
-    return this.roster.hasActive(worker.entry) && !this.health.isSuspended(worker.id)
+    return this.roster.mayStartOn(worker.entry) && !this.health.isSuspended(worker.id)
   }
 
   rosterSize (): number {
     return this.roster.size()
   }
 
-  /** Whether each worker of earlier leaders has reported its runs, has restarted, or has only expired leases. */
-  areEarlierRunsKnown (): boolean {
-    return this.roster.membersOfEarlierLeaders().every(member => {
-      const { id, born } = member
-      const link = this.links.get(id)
-      if (link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))) return true
-      return this.haveMemberLeasesExpired(member)
-    })
+  /**
+   * Jobs that may have runs of earlier leaders on workers that have neither reported their runs nor restarted, and whose
+   * leases have not expired; `all` if such a worker may run any job.
+   */
+  jobsWithUnknownRuns (): ReadonlySet<string> | 'all' {
+    const jobIds = new Set<string>()
+    for (const member of this.roster.membersOfEarlierLeaders()) {
+      if (this.areRunsKnown(member)) continue
+      if (member.jobs === undefined) return 'all'
+      for (const jobId of member.jobs) jobIds.add(jobId)
+    }
+    return jobIds
   }
 
   /** Whether enough time has passed for every lease of earlier leaders to expire. */
@@ -97,13 +105,17 @@
     return this.roster.load()
   }
 
-  /** Polls the registry and keeps the links and the roster up to date until the signal aborts. */
+  /**
+   * Polls the registry and keeps the links and the roster up to date until the signal aborts. May be called before the
+   * jobs are loaded, so that the workers are connected and fenced meanwhile.
+   */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, directory, mayIssueCommands, log } = this.options
+    const { clock, directory, mayIssueCommands, jobsLoaded, log } = this.options
     while (!signal.aborted) {
       const res = await directory.listWorkers()
       if (res.err) log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
       else this.applyRegistry(res.val, signal)
+      if (!await jobsLoaded) return
       if (mayIssueCommands()) await this.updateRoster()
       await clock.sleep(res.err ? WORKER_RETRY_MS : REGISTRY_POLL_MS, signal)
     }
@@ -148,9 +160,9 @@
   }
 
   private connect (entry: WorkerEntry, signal: AbortSignal) {
-    const { clients, epoch, taskLeaseMs, events, mayIssueCommands, clock, log } = this.options
+    const { clients, epoch, taskLeaseMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
     const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
-    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events, mayIssueCommands, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log })
+    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log })
     this.links.set(entry.id, link)
     link.run(signal)
   }
@@ -158,6 +170,7 @@
   private drop (link: WorkerLink, reason: string) {
     link.declareDead()
     this.leaseExpiries.delete(link)
+    this.remainingJobs.delete(link)
     this.links.delete(link.id)
     this.lastTokens.set(link.id, link.lastToken())
     this.health.forget(link.id)
@@ -176,6 +189,13 @@
     if (await this.roster.store([...listedMembers, ...unlistedMembers])) this.options.onChange()
   }
 
+  private areRunsKnown (member: RosterMember): boolean {
+    const { id, born } = member
+    const link = this.links.get(id)
+    if (link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))) return true
+    return this.haveMemberLeasesExpired(member)
+  }
+
   /** Whether every lease that earlier leaders gave this worker has expired. */
   private haveMemberLeasesExpired ({ lapsesAtMs }: RosterMember): boolean {
     const storeMs = this.options.store.clockMs()
@@ -184,14 +204,23 @@
 
   private rosterMemberOf (link: WorkerLink): RosterMember {
     const { id, born } = link.entry
-    if (link.unreachableMs() < UNREACHABLE_MS) {
-      this.leaseExpiries.delete(link)
-      return { id, born }
-    }
-    const lapsesAtMs = this.leaseExpiries.get(link) ?? this.toStoreTimeMs(link.latestLeaseExpiry())
-    if (lapsesAtMs === undefined) return { id, born }
-    this.leaseExpiries.set(link, lapsesAtMs)
-    return { id, born, lapsesAtMs }
+    const isUnreachable = link.unreachableMs() >= UNREACHABLE_MS
+    if (!isUnreachable) this.leaseExpiries.delete(link)
+    if (!isUnreachable && link.entry.state === 'ready') this.remainingJobs.delete(link)
+    const lapsesAtMs = isUnreachable ? this.leaseExpiries.get(link) ?? this.toStoreTimeMs(link.latestLeaseExpiry()) : undefined
+    if (lapsesAtMs !== undefined) this.leaseExpiries.set(link, lapsesAtMs)
+    const jobs = lapsesAtMs !== undefined || link.entry.state === 'draining' ? this.remainingJobsOf(link) : undefined
+    return { id, born, ...(lapsesAtMs === undefined ? {} : { lapsesAtMs }), ...(jobs === undefined ? {} : { jobs }) }
+  }
+
+  /** Jobs that may have runs on a worker that gets no more work; undefined if this leader doesn't know all of its runs. */
+  private remainingJobsOf (link: WorkerLink): readonly string[] | undefined {
+    const known = this.remainingJobs.get(link)
+    if (known !== undefined) return known
+    const { id, born } = link.entry
+    const jobs = link.unsettledJobs() ?? this.roster.membersOfEarlierLeaders().find(member => member.id === id && member.born === born)?.jobs
+    if (jobs !== undefined) this.remainingJobs.set(link, jobs)
+    return jobs
   }
 
   /** Converts a monotonic time of this daemon to the store's clock, rounded up; undefined before the store's first answer. */
