perf(cell): progress without an outcome is stored less often

Change: a transaction without an outcome waits for 100 ms, one with an outcome for 12 ms; heartbeats of a worker are 100 ms apart instead of 25.

--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { COMMIT_BATCH_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { COMMIT_BATCH_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import type { Job, StoredProgress } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
 
@@ -33,6 +33,7 @@
 export class CommitQueue {
   private staged = new Map<Job, StagedJob>()
   private wakeUp: (() => void) | undefined
+  private endDelay: (() => void) | undefined
 
   private constructor (private readonly options: CommitQueueOptions) {}
 
@@ -45,6 +46,7 @@
     const entry = this.staged.get(job) ?? { job, waiters: [] }
     this.staged.set(job, entry)
     this.wakeUp?.()
+    if (job.outcome !== undefined) this.endDelay?.()
     return new Promise(resolve => { entry.waiters.push(resolve) })
   }
 
@@ -59,7 +61,7 @@
     while (!signal.aborted) {
       if (this.staged.size === 0) await new Promise<void>(resolve => { this.wakeUp = resolve })
       if (signal.aborted) return
-      await clock.sleep(COMMIT_BATCH_DELAY_MS, signal)
+      await this.delayBatch(signal)
       const batch = this.dequeueBatch()
       const committed = mayIssueCommands() && await this.commit(batch)
       if (committed) {
@@ -71,6 +73,27 @@
     }
   }
 
+  /**
+   * Waits for further changes that can join the transaction. Callers wait for outcomes; the other changes are needed
+   * only by a successor, which can also get them from the workers.
+   */
+  private async delayBatch (signal: AbortSignal) {
+    const { clock } = this.options
+    const hasOutcome = () => [...this.staged.keys()].some(job => job.outcome !== undefined)
+    if (!hasOutcome()) {
+      await new Promise<void>(resolve => {
+        const cancel = clock.after(COMMIT_PROGRESS_DELAY_MS, resolve)
+        this.endDelay = () => {
+          cancel()
+          resolve()
+        }
+      })
+      this.endDelay = undefined
+      if (!hasOutcome()) return
+    }
+    await clock.sleep(COMMIT_BATCH_DELAY_MS, signal)
+  }
+
   private dequeueBatch (): readonly StagedJob[] {
     const batch: StagedJob[] = []
     let entries = 0
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -51,8 +51,10 @@
 export const LOAD_TIMEOUT_MS = 4_000
 /** Interval between reads of changes, which find those whose notification was lost. */
 export const CHANGES_POLL_INTERVAL_MS = 1_000
-/** Delay before the leader commits, so that further changes join the same transaction. */
+/** Delay before the leader commits the outcome of a job, so that further changes join the same transaction. */
 export const COMMIT_BATCH_DELAY_MS = 12
+/** The same delay while no outcome is waiting. */
+export const COMMIT_PROGRESS_DELAY_MS = 100
 export const COMMIT_RETRY_MS = 150
 /** Maximum number of entries that the store allows in one transaction, less one for the epoch row. */
 export const MAX_TRANSACTION_ENTRIES = 99
@@ -72,7 +74,7 @@
 /** Time beyond the wait after which the answer to a heartbeat is overdue: three round trips between regions, rounded up. */
 export const HEARTBEAT_OVERDUE_MS = 150
 /** Minimum interval between heartbeats, so that runs that finish close together share one answer. */
-export const MIN_HEARTBEAT_INTERVAL_MS = 25
+export const MIN_HEARTBEAT_INTERVAL_MS = 100
 /** Timeout of a call to a worker, in addition to the time that the worker may wait. */
 export const WORKER_TIMEOUT_MS = 900
 export const WORKER_RETRY_MS = 300
