--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -23,9 +23,7 @@
 
 /** Rates a job by its age and its remaining work. Jobs that can't be on time any more yield to others. */
 export function latenessOf (job: Job, queue: Queue, unixMs: number): Lateness {
-  const { schedule, steps } = job.record.spec
-  // A scheduled or long-running job is useful whenever it runs, whatever its age.
-  if (schedule !== undefined || steps.some(({ longRunning }) => longRunning)) return 0
+  if (!isTimed(job)) return 0
   const { criticalPathMs, objectiveMs } = objectiveOf(job, queue)
   const ageMs = unixMs - job.record.admittedAtMs
   if (ageMs + MIN_DURATION_SHARE * criticalPathMs <= objectiveMs) return 0
@@ -34,6 +32,16 @@
   return earliestEndMs <= LATE_OBJECTIVE_FACTOR * objectiveMs ? 1 : 2
 }
 
+/** Time from its admission within which a job should complete, in milliseconds; undefined for scheduled and long-running jobs. */
+export function objectiveMsOf (job: Job, queue: Queue): number | undefined {
+  return isTimed(job) ? objectiveOf(job, queue).objectiveMs : undefined
+}
+
+/** Whether a job is useful only soon after its admission. */
+function isTimed ({ record: { spec } }: Job): boolean {
+  return spec.schedule === undefined && !spec.steps.some(({ longRunning }) => longRunning)
+}
+
 function objectiveOf (job: Job, queue: Queue): Objective {
   const cached = objectiveCache.get(job)
   if (cached?.queue === queue) return cached
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -12,6 +12,7 @@
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { Job, Run, Step } from './jobs.js'
 import type { JobRecord } from './jobRecord.js'
+import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
@@ -279,6 +280,8 @@
 
   private endJob (job: Job, outcome: JobOutcome) {
     const { clock, metrics } = this.options
+    const decidedAt = clock.now()
+    const queue = this.options.queue(job.record.queue)
     job.outcome = outcome
     metrics.count(`jobs_${outcome}`)
     metrics.observe('admission_to_end_ms', clock.date().getTime() - job.record.admittedAtMs)
@@ -286,7 +289,7 @@
     for (const step of job.liveSteps()) this.advice.removeStep(step)
     this.stage(job).then(() => {
       this.jobs.markOutcomeStored(job, outcome)
-      this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs })
+      this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs, objectiveMs: queue === undefined ? undefined : objectiveMsOf(job, queue), storedAfterMs: Math.round(clock.now() - decidedAt) })
     })
   }
 
