feat(cell): runs that can't finish are moved off a worker that leaves

Cause: a run that stays on a worker until it leaves is lost, and its task starts elsewhere only after the lease, 5 s later; two or three runs with each worker taken away. Change: the registry's time until a worker leaves is compared with the time that each run still needs, by its progress or the caller's estimate; what can't finish is stopped with its checkpoint while another worker has room.

--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -66,6 +66,8 @@
   /** Reading of the worker's clock when it confirmed the start; undefined until it has. */
   confirmedAtMs: number | undefined
   percent = 0
+  /** Progress in percent when this leader started or adopted the run. */
+  startPercent = 0
   /** Monotonic time in milliseconds of the start, the last progress, or the first report after a gap in the worker's reports. */
   progressAt: number
   checkpoint: string
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -6,6 +6,7 @@
 import { CommitQueue } from './commitQueue.js'
 import { CHANGES_POLL_INTERVAL_MS, SCHEDULING_INTERVAL_MS, LEADER_PARTITIONS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
+import { runsToMove } from './evacuation.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
@@ -278,6 +279,16 @@
     for (const task of step.tasks) for (const other of [...task.runs]) if (other.number === run.number) other.worker.stop(other)
   }
 
+  /** Stops the runs that would end with a worker that leaves, so that their tasks resume elsewhere. */
+  private moveRunsFromLeavingWorkers () {
+    for (const run of runsToMove(this.workers.all(), worker => this.workers.isUsable(worker), this.options.clock.now())) {
+      this.log.info('Run is moved, because its worker leaves.', { task: formatTaskId(run.id), run: run.number, worker: run.worker.id, percent: run.percent, leavesInMs: run.worker.leavesInMs() })
+      this.options.metrics.count('runs_moved')
+      run.worker.stop(run)
+      this.stopGang(run)
+    }
+  }
+
   private endJob (job: Job, outcome: JobOutcome) {
     const { clock, metrics } = this.options
     const decidedAt = clock.now()
@@ -404,6 +415,7 @@
       await clock.sleep(SCHEDULING_INTERVAL_MS, signal)
       this.jobs.tick()
       this.workers.stopStalledRuns()
+      this.moveRunsFromLeavingWorkers()
       metrics.gauge('jobs_live', this.jobs.size())
       metrics.gauge('commits_waiting', this.commitQueues.reduce((sum, commitQueue) => sum + commitQueue.size(), 0))
       this.scheduleRound()
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -103,6 +103,8 @@
   readonly address: string
   readonly zone: string
   readonly state: 'ready' | 'draining'
+  /** Shortest time until a draining worker leaves, in milliseconds, when the entry was written; its runs end then. */
+  readonly leavesInMs?: number
   readonly capacity: ResourceVector
   /** Kind and rack of the worker. */
   readonly labels: readonly string[]
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -108,6 +108,8 @@
   private lastReportAt = 0
   /** Monotonic time at which every lease sent so far has expired. */
   private leasesExpireAt: number
+  /** Monotonic time at which the worker leaves, if that is announced. */
+  private leavesAt: number | undefined
   /** Monotonic time since which the worker has been unreachable. */
   private unreachableSince: number | undefined
   private readonly client: WorkerClient
@@ -174,9 +176,16 @@
   }
 
   updateEntry (entry: WorkerEntry): void {
+    if (entry.leavesInMs === undefined) this.leavesAt = undefined
+    else if (entry.leavesInMs !== this.entry.leavesInMs || this.leavesAt === undefined) this.leavesAt = this.options.clock.now() + entry.leavesInMs
     this.entry = entry
   }
 
+  /** Time until the worker leaves, in milliseconds; undefined if that is not announced. */
+  leavesInMs (): number | undefined {
+    return this.leavesAt === undefined ? undefined : Math.max(0, this.leavesAt - this.options.clock.now())
+  }
+
   /** Sends heartbeats until the signal aborts or this incarnation of the worker has ended. */
   async run (signal: AbortSignal): Promise<void> {
     const { clock, mayIssueCommands } = this.options
@@ -237,6 +246,7 @@
     })
     run.state = 'running'
     run.percent = listed.percent
+    run.startPercent = listed.percent
     run.checkpoint = listed.checkpoint
     run.confirmedAtMs = -1
     if (task !== undefined) {
