perf(cell): calls that are overdue together are not repeated

Change: an overdue call is repeated when a call that was sent later has been answered, when it is the oldest of the unanswered ones (twice at most), or after 0.8 s.

--- a/packages/cell/src/__tests__/hedge.test.ts
+++ b/packages/cell/src/__tests__/hedge.test.ts
@@ -24,7 +24,7 @@
     while (endedAt.length === 0 && clock.now() - startedAt < limitMs) await clock.advance(10)
     return { res: await answer, tookMs: (endedAt[0] ?? clock.now()) - startedAt }
   }
-  return { hedge, call, sent: () => sent }
+  return { clock, hedge, send, call, sent: () => sent }
 }
 
 test('a lost answer delays a call until it is overdue, not until the timeout', async t => {
@@ -54,3 +54,23 @@
   t.true(hedge.overdueMs() > 900, 'the estimate has adapted to its response time')
   t.true(sent() <= 20 + 10, `${sent()} sends for 20 calls`)
 })
+
+// Pattern: the store becomes slow under load. Repeated calls queue before the later ones and delay all of them.
+test('calls that are overdue together are not repeated while the server answers none of them', async t => {
+  const { clock, hedge, send, sent } = createServer([{ afterMs: 700 }])
+  const answers = Promise.all(Array.from({ length: 10 }, () => hedge.call(send)))
+  await clock.advance(690)
+  t.true(sent() <= 10 + 2, `${sent()} sends for 10 calls`)
+  await clock.advance(1_000)
+  t.true((await answers).every(({ ok }) => ok))
+})
+
+test('a call is repeated once calls that were sent later are answered', async t => {
+  const { clock, hedge, send, sent } = createServer([{ afterMs: 5_000 }, { afterMs: 5_000 }, { afterMs: 10 }])
+  const lost = [hedge.call(send), hedge.call(send)]
+  await clock.advance(20)
+  const answered = hedge.call(send)
+  await clock.advance(500)
+  t.true((await Promise.all([...lost, answered])).every(({ ok }) => ok))
+  t.true(sent() <= 3 + 3, `${sent()} sends for 3 calls`)
+})
--- a/packages/cell/src/hedge.ts
+++ b/packages/cell/src/hedge.ts
@@ -11,8 +11,15 @@
   readonly minOverdueMs: number
 }
 
+interface PendingCall {
+  /** Monotonic time at which the call was sent first. */
+  readonly sentAt: number
+}
+
 /** Maximum number of sends of one call. */
 const MAX_SENDS = 8
+/** Maximum number of early retries of the oldest unanswered call. */
+const MAX_EARLY_RETRIES = 2
 /** Growth of the interval between two sends. */
 const BACKOFF_FACTOR = 1.4
 /** Retries that each successful answer adds to the budget. The budget keeps retries from flooding a server that slows down. */
@@ -21,18 +28,26 @@
 const MAX_RETRY_BUDGET = 10
 /** Multiple of the typical response time after which an answer is overdue. */
 const OVERDUE_FACTOR = 3
+/** Time after which an overdue call is sent again even if others are overdue too; longer than the answers of a slow store. */
+const PATIENCE_MS = 800
 /** Factors by which each send that isn't refused adjusts the typical time; the estimate settles near the 60th percentile. */
 const TYPICAL_TIME_INCREASE = 1.25
 const TYPICAL_TIME_DECREASE = 1 / 1.15
 
 /**
- * Sends a call again, over another connection, when its answer is overdue. The call must be idempotent. Earlier
+ * Sends a call again, over another connection, when its answer is overdue, and a call that was sent later is answered or
+ * no other call is overdue: an answer was lost. When several calls are overdue and none is answered, the server is slow,
+ * and repeating them would only add to its queue. The call must be idempotent. Earlier
  * sends stay open, so that a late answer from a slow server can be distinguished from a lost one. Resolves with the
  * first success or, once all sends have failed, with a `may-have-run` failure if there is one.
  */
 export class Hedge {
   private typicalMs: number
   private retryBudget = MAX_RETRY_BUDGET
+  /** Unanswered calls, oldest first. */
+  private readonly pendingCalls = new Set<PendingCall>()
+  /** Latest time at which a call that has been answered was sent. */
+  private lastAnsweredSentAt = -Infinity
 
   private constructor (private readonly options: HedgeOptions) {
     this.typicalMs = options.initialTypicalMs
@@ -50,6 +65,8 @@
   async call<T> (send: () => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
     const { clock } = this.options
     return new Promise(resolve => {
+      const pendingCall: PendingCall = { sentAt: clock.now() }
+      this.pendingCalls.add(pendingCall)
       let isAnswered = false
       let cancelRetry: CancelTimer | undefined
       let pendingSends = 0
@@ -58,6 +75,7 @@
       let resultIfAllFail: Result<T, Failure> | undefined
       const settle = (res: Result<T, Failure>) => {
         isAnswered = true
+        this.pendingCalls.delete(pendingCall)
         cancelRetry?.()
         resolve(res)
       }
@@ -75,8 +93,12 @@
         sendOnce().catch((err: unknown) => settle(Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`))))
         if (sentCount >= MAX_SENDS) return
         retryDelayMs = sentCount === 1 ? this.overdueMs() : retryDelayMs * BACKOFF_FACTOR
+        scheduleRetry()
+      }
+      const scheduleRetry = () => {
         cancelRetry = clock.after(retryDelayMs, () => {
           if (isAnswered || this.retryBudget < 1) return
+          if (!this.isAnswerLost(pendingCall, sentCount)) return scheduleRetry()
           this.retryBudget--
           sendAndScheduleRetry()
         })
@@ -85,12 +107,21 @@
     })
   }
 
+  /** Whether the answer to an overdue call is more likely to be lost than late. */
+  private isAnswerLost (pendingCall: PendingCall, sentCount: number): boolean {
+    const ageMs = this.options.clock.now() - pendingCall.sentAt
+    if (this.lastAnsweredSentAt > pendingCall.sentAt || ageMs >= PATIENCE_MS) return true
+    const [oldest] = this.pendingCalls
+    return oldest === pendingCall && sentCount <= MAX_EARLY_RETRIES
+  }
+
   private async sendTimed<T> (send: () => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
     const { clock } = this.options
     const startedAt = clock.now()
     const res = await send()
     // A refusal is faster than the answer to an executed call and says nothing about the response time.
     if (res.err && res.val.verdict === 'not-run') return res
+    if (res.ok) this.lastAnsweredSentAt = Math.max(this.lastAnsweredSentAt, startedAt)
     if (res.ok) this.retryBudget = Math.min(MAX_RETRY_BUDGET, this.retryBudget + RETRY_BUDGET_PER_ANSWER)
     const tookMs = clock.now() - startedAt
     if (tookMs <= this.typicalMs) this.typicalMs *= TYPICAL_TIME_DECREASE
