feat(cell): a daemon takes over at once when the leader refuses connections

Change: a daemon that can't reach the leader reads the lease and opens a new connection to the leader's address; when that is refused, it takes over. As the leader may be alive behind a device that refuses, nothing is started before every worker is adopted or the leases that it can have extended for 2 s more have ended.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -408,3 +408,33 @@
   await cell.clock.advance(9_000)
   t.deepEqual(cell.audit.violations, [])
 })
+
+// A refused connection is only a sign that the leader is dead. If it is alive, its commands must be fenced at the
+// workers before its successor starts anything.
+test('a takeover from a leader that is still alive runs no task twice', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 400, end: 'done' }) })
+  const first = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const second = cell.startDaemon('d2')
+  await cell.clock.advance(1_000)
+  cell.refusesConnections = () => true
+  const jobIds: string[] = []
+  for (let i = 0; i < 6; i++) jobIds.push(await cell.submit(first, [createStep({ count: 3 }), createStep({ count: 2, after: [0] })]))
+  const checked = second.lease.checkHolder('d1:1')
+  for (let i = 0; i < 6; i++) jobIds.push(await cell.submit(first, [createStep({ count: 3 }), createStep({ count: 2, after: [0] })]))
+  await cell.advanceUntilSettled(checked)
+  t.true(await cell.advanceUntil(() => jobIds.every(jobId => second.leader()?.stateOf(jobId) === 'completed'), 15_000))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+test('after a takeover from a leader that may be alive, a task of an unreachable worker waits until that leader can not have extended its lease', async t => {
+  const { cell, first, busyWorker, startsElsewhere } = await createCellWithLongTask()
+  const second = cell.startDaemon('d2')
+  await cell.clock.advance(1_000)
+  cell.refusesConnections = () => true
+  busyWorker.isCutOff = true
+  await cell.advanceUntilSettled(second.lease.checkHolder('d1:1'))
+  first.kill()
+  t.false(await startsElsewhere(7_000), 'a lease of 5 s that is extended up to 2 s after the takeover')
+  t.true(await startsElsewhere(1_500))
+})
--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -15,7 +15,7 @@
     stop: () => stopping.abort(),
     start (holder: string, holderClock = clock, fields: Partial<Parameters<typeof LeaderLease.create>[0]> = {}) {
       const epochs: number[] = []
-      const lease = LeaderLease.create({ holder, peerAddress: `${holder}:1`, store, unhedgedStore: store, clock: holderClock, log: silentLog, onGained: epoch => epochs.push(epoch), onLost: () => {}, ...fields })
+      const lease = LeaderLease.create({ holder, peerAddress: `${holder}:1`, store, unhedgedStore: store, clock: holderClock, log: silentLog, onGained: ({ epoch }) => epochs.push(epoch), onLost: () => {}, ...fields })
       lease.run(stopping.signal).catch(() => {})
       return { lease, epochs }
     }
@@ -216,3 +216,22 @@
   t.true(first.lease.isValid())
   stop()
 })
+
+// Pattern: the process of the leader is killed while the other daemons run. Waiting for the end of its lease leaves the
+// cell without a leader for two seconds.
+test('a candidate takes over at once when connections to the holder are refused, and not otherwise', async t => {
+  for (const isRefused of [true, false]) {
+    const { clock, start, stop } = createHolders()
+    const first = start('a')
+    await clock.advance(1_000)
+    const second = start('b', clock, { refusesConnections: async address => isRefused && address === 'a:1' })
+    await clock.advance(500)
+    const checked = second.lease.checkHolder('a:1')
+    await clock.advance(100)
+    await checked
+    t.deepEqual(second.epochs, isRefused ? [2] : [])
+    await clock.advance(1_000)
+    t.is(first.lease.isValid(), !isRefused)
+    stop()
+  }
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -13,10 +13,10 @@
 import type { LeaderClient } from './jobService.js'
 import { Leader } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
-import type { Successor } from './leaderLease.js'
+import type { GainedLease, Successor } from './leaderLease.js'
 import type { VmMaintenance } from './maintenance.js'
 import { MemoryMetrics } from './metrics.js'
-import { PeerClients, PeerServer } from './peers.js'
+import { PeerClients, PeerServer, refusesConnections } from './peers.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, StoredRow, WorkerClients } from './ports.js'
@@ -31,6 +31,8 @@
 const MAX_SUCCESSOR_CANDIDATES = 4
 /** Timeout of the takeover request: two calls to the store and a round trip between regions. */
 const TAKEOVER_TIMEOUT_MS = 600
+/** Time to wait for a connection to a daemon that may be dead: a few round trips between regions. */
+const CONNECT_TIMEOUT_MS = 150
 /** Allowance for the network round trip of a call to another daemon. */
 const PEER_ROUND_TRIP_MS = 100
 
@@ -105,9 +107,10 @@
       unhedgedStore: options.store,
       clock,
       log: logs.for('lease'),
-      onGained: (epoch, version) => this.startLeading(epoch, version),
+      onGained: gained => this.startLeading(gained),
       onLost: () => this.stopLeading(),
       hasBetterCandidate: () => this.hasBetterCandidate(),
+      refusesConnections: address => refusesConnections(address, CONNECT_TIMEOUT_MS),
       findSuccessor: () => this.findSuccessor()
     })
     this.agents = [this.localAgent()]
@@ -162,13 +165,14 @@
 
   // Leadership
 
-  private startLeading (epoch: number, epochStartVersion: number) {
+  private startLeading ({ epoch, version, isEarly }: GainedLease) {
     const { store } = this
     const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, maintenance } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
-      epochStartVersion,
+      epochStartVersion: version,
+      mayPredecessorBeActive: isEarly,
       holder: this.holder,
       ...(maintenance === undefined ? {} : { maintenance }),
       store,
@@ -225,7 +229,9 @@
   private async forwardToLeader<M extends 'submit' | 'cancel'> (method: M, req: PeerMethods[M]['req']): Promise<Result<PeerMethods[M]['res'], Failure>> {
     const address = this.remoteLeaderAddress()
     if (address === undefined) return Err(Failure.notRun('leader-unknown', 'No other daemon leads the cell.'))
-    return this.peerClients.call(address, method, req, FORWARD_TIMEOUT_MS)
+    const res = await this.peerClients.call(address, method, req, FORWARD_TIMEOUT_MS)
+    if (res.err) this.checkLeader(address)
+    return res
   }
 
   private async callLeader<M extends 'admitted' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
@@ -234,9 +240,14 @@
     const res = await this.peerClients.call(address, method, req, PEER_TIMEOUT_MS)
     if (res.ok) return res.val
     this.metrics.count(`leader_unreachable_${method}`)
+    this.checkLeader(address)
     return undefined
   }
 
+  private checkLeader (address: string) {
+    this.lease.checkHolder(address).catch((err: unknown) => this.log.error('The leader could not be checked.', { err }))
+  }
+
   /** Whether this daemon could lead now: the store answers its reads and writes quickly, and all partitions with state can be read. */
   private async canTakeOver (): Promise<boolean> {
     const loader = JobLoader.create(this.store, this.options.clock, this.log)
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -4,7 +4,7 @@
 import { AdviceCache } from './advice.js'
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
-import { CHANGES_POLL_INTERVAL_MS, SCHEDULING_INTERVAL_MS, LEADER_PARTITIONS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
+import { CHANGES_POLL_INTERVAL_MS, LEADER_PARTITIONS, LEASE_TTL_MS, SCHEDULING_INTERVAL_MS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import { Dispatcher } from './dispatcher.js'
 import { runsToMove } from './evacuation.js'
 import { Janitor } from './janitor.js'
@@ -34,8 +34,13 @@
 
 export interface LeaderOptions {
   readonly epoch: number
-  /** Version of the lease row that began this epoch; earlier leaders issue no commands after it. */
+  /** Version of the lease row that began this epoch; earlier leaders issue no commands after it, unless one may still be active. */
   readonly epochStartVersion: number
+  /**
+   * Whether the previous leader may still issue commands. If so, no job is scheduled before every worker is adopted, which
+   * fences the previous leader, or all leases that it can have extended have expired.
+   */
+  readonly mayPredecessorBeActive: boolean
   /** Unique per daemon incarnation. */
   readonly holder: string
   readonly maintenance?: VmMaintenance
@@ -98,7 +103,7 @@
     this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
     const jobsLoaded = new Promise<boolean>(resolve => { this.finishLoading = resolve })
     this.workers = WorkerPool.create({
-      ...options, jobsLoaded, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.scheduleRound(), log: this.log
+      ...options, jobsLoaded, predecessorActiveMs: options.mayPredecessorBeActive ? LEASE_TTL_MS : 0, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.scheduleRound(), log: this.log
     })
     this.maintenance = options.maintenance === undefined
       ? undefined
@@ -325,11 +330,12 @@
     this.options.metrics.observe('pass_ms', performance.now() - startedAt)
   }
 
-  /** Jobs whose runs this leader knows: those admitted in this epoch, and earlier ones that aren't held back. */
+  /** Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back. */
   private * dispatchable (): Iterable<Job> {
     const { heldBackJobs } = this
+    const { epochStartVersion, mayPredecessorBeActive } = this.options
     for (const job of this.jobs.live()) {
-      if (job.version > this.options.epochStartVersion || (heldBackJobs !== 'all' && !heldBackJobs.has(job.id))) yield job
+      if ((!mayPredecessorBeActive && job.version > epochStartVersion) || (heldBackJobs !== 'all' && !heldBackJobs.has(job.id))) yield job
     }
   }
 
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -55,6 +55,15 @@
   takeOver (holder: string): Promise<boolean>
 }
 
+/** A lease that this daemon has gained. */
+export interface GainedLease {
+  readonly epoch: number
+  /** Version of the lease row that began the epoch. */
+  readonly version: number
+  /** Whether the lease of the previous holder had not ended: unless it is dead, it may issue commands for another `LEASE_TTL_MS`. */
+  readonly isEarly: boolean
+}
+
 export interface LeaderLeaseOptions {
   /** Unique per daemon incarnation. */
   readonly holder: string
@@ -64,11 +73,12 @@
   readonly unhedgedStore: RowStore
   readonly clock: Clock
   readonly log: Log
-  /** `version` is the version of the lease row that began the epoch; earlier leaders issue no commands after it. */
-  readonly onGained: (epoch: number, version: number) => void
+  readonly onGained: (gained: GainedLease) => void
   readonly onLost: (reason: string) => void
   /** Whether a more capable daemon exists; if so, this one waits longer before it takes over. */
   readonly hasBetterCandidate?: () => boolean
+  /** Whether connections to this peer address are refused, which they are when its daemon is dead and its VM is not. */
+  readonly refusesConnections?: (peerAddress: string) => Promise<boolean>
   /** Finds another daemon that the store answers quickly; resolves with undefined if there is none. */
   readonly findSuccessor?: () => Promise<Successor | undefined>
 }
@@ -99,6 +109,7 @@
   /** True while this daemon issues no commands because it has asked another one to take over. */
   private isTransferring = false
   private isSeekingSuccessor = false
+  private isCheckingHolder = false
 
   private constructor (private readonly options: LeaderLeaseOptions) {}
 
@@ -185,6 +196,24 @@
     return this.held !== undefined
   }
 
+  /**
+   * Takes the lease over before it has ended if the holder's daemon is dead. Called when the leader could not be reached
+   * at this address.
+   */
+  async checkHolder (peerAddress: string): Promise<void> {
+    const { refusesConnections, hasBetterCandidate, log } = this.options
+    if (refusesConnections === undefined || this.isCheckingHolder || this.isStopping || this.held !== undefined || hasBetterCandidate?.() === true) return
+    this.isCheckingHolder = true
+    // The row is read before the connection attempt: an attempt that is refused says nothing about a holder that starts later.
+    const state = await this.readState(LEASE_READ_TIMEOUT_MS)
+    const isHolder = state?.value?.peerAddress === peerAddress && !state.value.released
+    if (state !== undefined && isHolder && await refusesConnections(peerAddress)) {
+      log.info('The leader refuses connections; taking over before its lease ends.', { holder: state.value?.holder, address: peerAddress })
+      await this.acquire(state, true)
+    }
+    this.isCheckingHolder = false
+  }
+
   /** Asks another daemon to take over. Called when there is a better candidate. */
   async transferLeadership (): Promise<void> {
     const { findSuccessor, log, clock } = this.options
@@ -284,17 +313,17 @@
     return (isFree ? -1 : TAKEOVER_AFTER_MS) + (this.options.hasBetterCandidate?.() === true ? LESS_CAPABLE_DELAY_MS : 0)
   }
 
-  private async acquire (state: LeaseState) {
-    if (this.isAcquiring) return
+  private async acquire (state: LeaseState, isEarly = false) {
+    if (this.isAcquiring || this.held !== undefined) return
     this.isAcquiring = true
     try {
-      await this.writeLease(state)
+      await this.writeLease(state, isEarly)
     } finally {
       this.isAcquiring = false
     }
   }
 
-  private async writeLease (state: LeaseState) {
+  private async writeLease (state: LeaseState, isEarly: boolean) {
     const { store, clock, holder, peerAddress, log } = this.options
     const epoch = (state.value?.epoch ?? 0) + 1
     const value: LeaseValue = { holder, peerAddress, epoch, released: false }
@@ -307,18 +336,18 @@
       removes: []
     }, LEASE_TTL_MS)
     if (res.err) log.warn('Lease takeover was not acknowledged.', { epoch, verdict: res.val.verdict, reason: res.val.reason })
-    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent, state.value)
+    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent, state.value, isEarly)
     else this.unchangedSince = undefined
   }
 
-  private gain (held: HeldLease, sinceSent: Stopwatch, previous: LeaseValue | undefined) {
+  private gain (held: HeldLease, sinceSent: Stopwatch, previous: LeaseValue | undefined, isEarly: boolean) {
     this.held = held
     this.sinceRenewal = sinceSent
     this.proofNotBefore = -Infinity
     this.renewalCount = 0
-    this.options.log.info('Leadership gained.', { epoch: held.value.epoch, previous: previous?.holder, previousReleased: previous?.released })
+    this.options.log.info('Leadership gained.', { epoch: held.value.epoch, previous: previous?.holder, previousReleased: previous?.released, isEarly })
     this.renew()
-    this.options.onGained(held.value.epoch, held.version)
+    this.options.onGained({ epoch: held.value.epoch, version: held.version, isEarly })
   }
 
   private lose (reason: string) {
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -1,8 +1,10 @@
+import { connect } from 'node:net'
 import { Client, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
 import type { MethodDefinition, ServiceDefinition, UntypedServiceImplementation, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { Failure } from '@citronnotch/base/errors'
 import type { Log } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
+import { parseAddress } from '@citronnotch/base/utils'
 import type { Result } from '@citronnotch/base/result'
 import type { Verdict } from '@citronnotch/base/verdict'
 import type { JobRecord } from './jobRecord.js'
@@ -134,6 +136,20 @@
   }
 }
 
+/** Resolves with true if a new connection to the address is refused, which is the case when no process listens there. */
+export function refusesConnections (address: string, timeoutMs: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const socket = connect({ ...parseAddress(address), timeout: timeoutMs })
+    const settle = (isRefused: boolean) => {
+      socket.destroy()
+      resolve(isRefused)
+    }
+    socket.once('connect', () => settle(false))
+    socket.once('timeout', () => settle(false))
+    socket.once('error', (err: NodeJS.ErrnoException) => settle(err.code === 'ECONNREFUSED'))
+  })
+}
+
 /** Prefix of the error details that grpc-js gives when a call was never sent because there was no connection. */
 const NO_CONNECTION_PREFIX = 'No connection established'
 
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -81,6 +81,8 @@
   maintenanceWaves: readonly MaintenanceWave[] = []
   /** Wave states published to the operator, each as `<wave> <state>`. */
   readonly publishedWaveStates: string[] = []
+  /** Whether connections to a peer address are refused; tests set it. */
+  refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
   private nextJobNumber = 1
 
@@ -142,11 +144,13 @@
       unhedgedStore,
       clock,
       log: silentLogs.for('lease'),
-      onGained: (epoch, epochStartVersion) => {
+      refusesConnections: async peerAddress => this.refusesConnections(peerAddress),
+      onGained: ({ epoch, version, isEarly }) => {
         stopLeading()
         leader = Leader.create({
           epoch,
-          epochStartVersion,
+          epochStartVersion: version,
+          mayPredecessorBeActive: isEarly,
           holder: `${name}/${this.daemons.length}`,
           ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
           store,
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -53,6 +53,8 @@
   readonly firstToken: number
   /** Duration of the lease on all runs of the worker, in milliseconds. */
   readonly taskLeaseMs: number
+  /** Time for which an earlier leader may still extend the lease before the worker is adopted, in milliseconds. */
+  readonly predecessorActiveMs: number
   readonly events: WorkerEvents
   /** True while this daemon is the leader and may send commands. */
   readonly mayIssueCommands: () => boolean
@@ -120,8 +122,8 @@
     this.id = entry.id
     this.token = options.firstToken
     this.unreachableSince = options.clock.now() + ADOPTION_GRACE_MS
-    // An earlier leader may have extended the lease up to this moment.
-    this.leasesExpireAt = options.clock.now() + options.taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
+    // An earlier leader may have extended the lease up to this moment, or may still do so.
+    this.leasesExpireAt = options.clock.now() + options.predecessorActiveMs + options.taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
     this.client = options.clients.create(entry)
     this.startHedge = Hedge.create({ clock: options.clock, initialTypicalMs: TYPICAL_START_MS, minOverdueMs: MIN_OVERDUE_START_MS })
   }
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -21,6 +21,8 @@
   readonly directory: Directory
   readonly clients: WorkerClients
   readonly taskLeaseMs: number
+  /** Time for which the previous leader may still extend leases on workers that are not adopted, in milliseconds. */
+  readonly predecessorActiveMs: number
   /** Version of the epoch row of the roster's partition. */
   readonly epochVersion: () => number
   readonly events: WorkerEvents
@@ -50,8 +52,8 @@
   private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
   private constructor (private readonly options: WorkerPoolOptions) {
-    const { store, epochVersion, clock, log, taskLeaseMs } = options
-    this.earlierLeasesExpireAt = clock.now() + taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
+    const { store, epochVersion, clock, log, taskLeaseMs, predecessorActiveMs } = options
+    this.earlierLeasesExpireAt = clock.now() + predecessorActiveMs + taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
     this.health = WorkerHealth.create(clock, log)
     this.roster = Roster.create({ store, epochVersion, log })
   }
@@ -160,9 +162,9 @@
   }
 
   private connect (entry: WorkerEntry, signal: AbortSignal) {
-    const { clients, epoch, taskLeaseMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
+    const { clients, epoch, taskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
     const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
-    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log })
+    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log })
     this.links.set(entry.id, link)
     link.run(signal)
   }
