--- a/packages/cell/src/storeHealth.ts
+++ b/packages/cell/src/storeHealth.ts
@@ -10,6 +10,8 @@
 export class StoreHealth {
   private failures = 0
   private lastAnswerAt = -Infinity
+  /** Monotonic time of the first failure since the last answer. */
+  private failingSince = 0
   private unavailableSince: number | undefined
 
   private constructor (private readonly clock: Clock, private readonly log: Log) {}
@@ -22,9 +24,9 @@
     return this.unavailableSince !== undefined
   }
 
-  /** Time since the last answer of an unavailable store, in milliseconds; 0 while it is available. */
+  /** Time since the first failed call to an unavailable store, in milliseconds; 0 while it is available. */
   unavailableMs (): number {
-    return this.unavailableSince === undefined ? 0 : this.clock.now() - Math.max(this.lastAnswerAt, this.unavailableSince - UNAVAILABLE_AFTER_MS)
+    return this.unavailableSince === undefined ? 0 : this.clock.now() - this.failingSince
   }
 
   recordSuccess (): void {
@@ -36,8 +38,9 @@
   }
 
   recordFailure (reason: string): void {
-    this.failures++
     const now = this.clock.now()
+    if (this.failures === 0) this.failingSince = now
+    this.failures++
     if (this.failures < UNAVAILABLE_AFTER_FAILURES || now - this.lastAnswerAt < UNAVAILABLE_AFTER_MS || this.unavailableSince !== undefined) return
     this.unavailableSince = now
     this.log.warn('Store unavailable.', { reason, failures: this.failures })
--- a/packages/cli/src/__tests__/cli.test.ts
+++ b/packages/cli/src/__tests__/cli.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava'
+import { QueueClient } from '../client.js'
+import { submit } from '../commands/submit.js'
 import { EXIT_CODES, toCommandResult } from '../output.js'
 import { timeline } from '../queries/timeline.js'
 
@@ -18,3 +20,13 @@
 for (const [status, exitCode] of exitCodeByStatus) {
   test(`a response with status ${status} gives exit code ${exitCode}`, t => { t.is(toCommandResult({ status, body: {} }, 'ok').exitCode, exitCode) })
 }
+
+test('a job file that can not be read is reported as not sent', async t => {
+  const { exitCode, text } = await submit(QueueClient.create({ address: '127.0.0.1:1', host: 'a.example', path: '/a/' }), '/nonexistent/job.json')
+  t.is(exitCode, EXIT_CODES.usage)
+  t.regex(text, /^Nothing was sent/)
+})
+
+test('status 500 is reported as an unknown outcome', t => {
+  t.is(toCommandResult({ status: 500, body: {} }, '').exitCode, EXIT_CODES.unknownOutcome)
+})
