--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -28,7 +28,10 @@
 const PEERS_INITIAL_POLL_MS = 400
 /** A peer is a better candidate if its leadership weight exceeds this daemon's by this factor. */
 const BETTER_CANDIDATE_RATIO = 1.5
-const MAX_SUCCESSOR_CANDIDATES = 4
+const MAX_SUCCESSOR_CANDIDATES = 8
+/** A candidate is about as near to the store as the nearest if its read time is within this factor and margin of the nearest's. */
+const NEAR_FACTOR = 2
+const NEAR_MARGIN_MS = 10
 /** Timeout of the takeover request: two calls to the store and a round trip between regions. */
 const TAKEOVER_TIMEOUT_MS = 600
 /** Time to wait for a connection to a daemon that may be dead: a few round trips between regions. */
@@ -248,11 +251,14 @@
     this.lease.checkHolder(address).catch((err: unknown) => this.log.error('The leader could not be checked.', { err }))
   }
 
-  /** Whether this daemon could lead now: the store answers its reads and writes quickly, and all partitions with state can be read. */
-  private async canTakeOver (): Promise<boolean> {
+  /**
+   * Time in which this daemon reads the lease, if it could lead now: the store answers its reads and writes quickly, and
+   * all partitions with state can be read.
+   */
+  private async takeOverReadTimeMs (): Promise<number | undefined> {
     const loader = JobLoader.create(this.store, this.options.clock, this.log)
-    const [canRead, registered] = await Promise.all([this.lease.canTakeOver(SUCCESSOR_CALL_TIMEOUT_MS), this.storeRegistration(SUCCESSOR_CALL_TIMEOUT_MS)])
-    return canRead && registered.ok && await loader.canLoad(SUCCESSOR_LOAD_TIMEOUT_MS)
+    const [readTimeMs, registered] = await Promise.all([this.lease.readTimeMs(SUCCESSOR_CALL_TIMEOUT_MS), this.storeRegistration(SUCCESSOR_CALL_TIMEOUT_MS)])
+    return readTimeMs !== undefined && registered.ok && await loader.canLoad(SUCCESSOR_LOAD_TIMEOUT_MS) ? readTimeMs : undefined
   }
 
   // Peers
@@ -277,7 +283,10 @@
         const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
         return pending === undefined ? {} : { pending }
       },
-      canTakeOver: async () => ({ isAble: await this.canTakeOver() }),
+      canTakeOver: async () => {
+        const readTimeMs = await this.takeOverReadTimeMs()
+        return readTimeMs === undefined ? {} : { readTimeMs }
+      },
       takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(holder) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
         const res = await this.localAgent().approve(step, workerIds, timeoutMs)
@@ -360,16 +369,19 @@
   }
 
   /**
-   * Finds a peer that can read the lease now, among those with the highest leadership weight. Among equals the most
-   * recently started comes first: in a rolling restart it has already been restarted.
+   * Finds a peer that could lead now, among those with the highest leadership weight. Peers that are much farther from the
+   * store than the nearest come last. Among equals the most recently started comes first: in a rolling restart it has
+   * already been restarted.
    */
   private async findSuccessor (): Promise<Successor | undefined> {
     const candidates = [...this.peers].sort((a, b) => b.leadershipWeight - a.leadershipWeight || b.startedMs - a.startedMs).slice(0, MAX_SUCCESSOR_CANDIDATES)
-    const areAble = await Promise.all(candidates.map(async ({ peerAddress }) => {
+    const answers = await Promise.all(candidates.map(async ({ peerAddress }) => {
       const res = await this.peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_CALL_TIMEOUT_MS + SUCCESSOR_LOAD_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
-      return res.ok && res.val.isAble
+      return { peerAddress, readTimeMs: res.ok ? res.val.readTimeMs : undefined }
     }))
-    const successor = candidates.find((_, index) => areAble[index])
+    const able = answers.flatMap(({ peerAddress, readTimeMs }) => readTimeMs === undefined ? [] : { peerAddress, readTimeMs })
+    const nearestMs = Math.min(...able.map(({ readTimeMs }) => readTimeMs))
+    const successor = able.find(({ readTimeMs }) => readTimeMs <= NEAR_FACTOR * nearestMs + NEAR_MARGIN_MS)
     if (successor === undefined) return undefined
     const { peerAddress } = successor
     return {
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -16,6 +16,12 @@
 /** Pause before a stopping holder looks for a successor again. */
 const SUCCESSOR_RETRY_MS = 200
 
+/** Delay of an early takeover as a multiple of the time to read the lease, so that a daemon near the store comes first. */
+const DISTANCE_DELAY_FACTOR = 5
+const MAX_DISTANCE_DELAY_MS = 300
+/** Weight of the latest read in the mean time to read the lease. */
+const READ_TIME_WEIGHT = 0.3
+
 const LEASE_ROW: RowKey = { table: TABLES.leader, key: 'lease' }
 const RENEWAL_ROW: RowKey = { table: TABLES.leader, key: 'renewal' }
 
@@ -110,6 +116,7 @@
   private isTransferring = false
   private isSeekingSuccessor = false
   private isCheckingHolder = false
+  private meanReadTimeMs = 0
 
   private constructor (private readonly options: LeaderLeaseOptions) {}
 
@@ -130,10 +137,11 @@
     return value === undefined || value.released ? undefined : value.peerAddress
   }
 
-  /** Whether this daemon can read the lease within `timeoutMs` and would take it over if asked. */
-  async canTakeOver (timeoutMs: number): Promise<boolean> {
-    if (this.isStopping || this.held !== undefined) return false
-    return (await this.readState(timeoutMs)) !== undefined
+  /** Time in which this daemon reads the lease; undefined if that takes longer than `timeoutMs` or it would not take the lease over. */
+  async readTimeMs (timeoutMs: number): Promise<number | undefined> {
+    if (this.isStopping || this.held !== undefined) return undefined
+    const startedAt = this.options.clock.now()
+    return await this.readState(timeoutMs) === undefined ? undefined : this.options.clock.now() - startedAt
   }
 
   // Commands
@@ -201,9 +209,10 @@
    * at this address.
    */
   async checkHolder (peerAddress: string): Promise<void> {
-    const { refusesConnections, hasBetterCandidate, log } = this.options
+    const { refusesConnections, hasBetterCandidate, clock, log } = this.options
     if (refusesConnections === undefined || this.isCheckingHolder || this.isStopping || this.held !== undefined || hasBetterCandidate?.() === true) return
     this.isCheckingHolder = true
+    await clock.sleep(Math.min(MAX_DISTANCE_DELAY_MS, DISTANCE_DELAY_FACTOR * this.meanReadTimeMs))
     // The row is read before the connection attempt: an attempt that is refused says nothing about a holder that starts later.
     const state = await this.readState(LEASE_READ_TIMEOUT_MS)
     const isHolder = state?.value?.peerAddress === peerAddress && !state.value.released
@@ -360,7 +369,10 @@
 
   /** Reads both rows; undefined if the store doesn't answer in time. */
   private async readState (timeoutMs: number): Promise<LeaseState | undefined> {
-    const res = await this.options.store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, timeoutMs)
+    const { store, clock } = this.options
+    const startedAt = clock.now()
+    const res = await store.range({ table: TABLES.leader, partition: LEASE_PARTITION }, timeoutMs)
+    this.meanReadTimeMs += READ_TIME_WEIGHT * (clock.now() - startedAt - this.meanReadTimeMs)
     return res.ok ? parseState(res.val.rows) : undefined
   }
 
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -26,8 +26,8 @@
   /** State of a job on the leader; missing when the daemon has no record of the job or doesn't lead. */
   jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
   pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
-  /** Asks a daemon whether the store answers it quickly and it could lead. */
-  canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly isAble: boolean } }
+  /** Asks a daemon whether it could lead, and in what time it reads the lease; the time is missing when it could not. */
+  canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly readTimeMs?: number } }
   /** Asks a daemon to take over from a leader that issues no more commands. */
   takeOver: { readonly req: { readonly holder: string }, readonly res: { readonly isTaken: boolean } }
   /** Asks the placement policy service on behalf of the leader; `approved` holds pairs of worker id and ticket. */
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -15,7 +15,7 @@
 #define LEASE_TTL 2      /* ticks that a daemon's lease is valid after its renewal was sent */
 #define TAKEOVER_DELAY 3 /* ticks without a renewal after which another daemon takes the lease over */
 #define TASK_LEASE_TTL 3 /* ticks that the lease on a run is valid after the start request was sent */
-#define MAX_TICKS 8      /* ticks explored */
+#define MAX_TICKS 7      /* ticks explored */
 #define WORKERS 2
 #define NOT_OBSERVED 255
 
