--- a/packages/cell/src/__tests__/takeoverLoad.test.ts
+++ b/packages/cell/src/__tests__/takeoverLoad.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { admissionPartitionOf } from '../jobs.js'
 import { ReadWindow } from '../readWindow.js'
 import { TestCell, createWorkerEntry, createStep } from '../testing/index.js'
 
@@ -30,9 +31,9 @@
   const ids: string[] = []
   for (let i = 0; i < 40; i++) ids.push(await cell.submit(daemon, [createStep()]))
   const stateOf = async (id: string) => (await cell.advanceUntilSettled(daemon.jobs.stateOf(id, 3_000))).unwrap()
-  t.true(await cell.advanceUntil(() => ids.every(id => cell.store.get('ended', `jobs-${Number.parseInt(id, 16) % 128}`, id) !== undefined)), 'the jobs are not moved to the ended table')
+  t.true(await cell.advanceUntil(() => ids.every(id => cell.store.get('ended', admissionPartitionOf(id), id) !== undefined)), 'the jobs are not moved to the ended table')
   for (const id of ids) {
-    const partition = `jobs-${Number.parseInt(id, 16) % 128}`
+    const partition = admissionPartitionOf(id)
     t.is(cell.store.get('jobs', partition, id), undefined)
     t.is(cell.store.get('payloads', partition, id), undefined)
   }
