refactor(cell): membership and the rows of the lease in files of their own

A leader that sees a better candidate now hands over only to a better one; before, a strong daemon that was dead could make weaker ones pass leadership on every 2 s. A daemon that has handed over reads the lease again at once, so that it forwards to the new leader.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -7,47 +7,28 @@
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
 import { ConfigWatch } from './configWatch.js'
-import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, TABLES, TASK_LEASE_MS } from './constants.js'
+import { PEER_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TASK_LEASE_MS } from './constants.js'
 import { JobLoader } from './jobLoader.js'
 import { JobService } from './jobService.js'
 import type { LeaderClient } from './jobService.js'
 import { Leader } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
-import type { GainedLease, Successor } from './leaderLease.js'
+import type { GainedLease } from './leaderLease.js'
 import type { VmMaintenance } from './maintenance.js'
+import { Membership } from './membership.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer, refusesConnections } from './peers.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
-import type { Directory, PolicyService, RowStore, StoredRow, WorkerClients } from './ports.js'
+import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
 
 /** Interval between reads of the list of daemons: on the leader, on other daemons, and until the first peer is found. */
 const PEERS_LEADER_POLL_MS = 2_000
 const PEERS_FOLLOWER_POLL_MS = 8_000
 const PEERS_INITIAL_POLL_MS = 400
-/** A peer is a better candidate if its leadership weight exceeds this daemon's by this factor. */
-const BETTER_CANDIDATE_RATIO = 1.5
-const MAX_SUCCESSOR_CANDIDATES = 8
-/** A candidate is about as near to the store as the nearest if its read time is within this factor and margin of the nearest's. */
-const NEAR_FACTOR = 2
-const NEAR_MARGIN_MS = 10
-/** Timeout of the takeover request: two calls to the store and a round trip between regions. */
-const TAKEOVER_TIMEOUT_MS = 600
 /** Time to wait for a connection to a daemon that may be dead: a few round trips between regions. */
 const CONNECT_TIMEOUT_MS = 150
-/** Allowance for the network round trip of a call to another daemon. */
-const PEER_ROUND_TRIP_MS = 100
-
-interface PeerInfo {
-  readonly name: string
-  readonly peerAddress: string
-  readonly leadershipWeight: number
-  /** Start time, in Unix milliseconds. */
-  readonly startedMs: number
-}
-
-const REGISTER_RETRY_MS = 500
 /** Allowance for the network round trip of an advice call to another daemon. */
 const ADVICE_ROUND_TRIP_MS = 200
 
@@ -84,14 +65,11 @@
   private readonly store: RowStore
   /** Unique per daemon incarnation. */
   private readonly holder: string
-  /** Unix time in milliseconds. */
-  private readonly startedMs: number
+  private readonly membership: Membership
   private readonly lease: LeaderLease
   private readonly peerClients = PeerClients.create()
   private readonly stopping = new AbortController()
   private agents: readonly AdviceAgent[] = []
-  /** The other registered daemons. */
-  private peers: readonly PeerInfo[] = []
   private leader: Leader | undefined
   private peerServer: PeerServer | undefined
 
@@ -102,7 +80,9 @@
     this.log = logs.for('daemon')
     this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
     this.holder = `${name}/${randomUUID()}`
-    this.startedMs = clock.date().getTime()
+    this.membership = Membership.create({
+      self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, store, peerClients: this.peerClients, clock, log: this.log
+    })
     this.lease = LeaderLease.create({
       holder: this.holder,
       peerAddress,
@@ -112,9 +92,9 @@
       log: logs.for('lease'),
       onGained: gained => this.startLeading(gained),
       onLost: () => this.stopLeading(),
-      hasBetterCandidate: () => this.hasBetterCandidate(),
+      hasBetterCandidate: () => this.membership.hasBetterCandidate(),
       refusesConnections: address => refusesConnections(address, CONNECT_TIMEOUT_MS),
-      findSuccessor: () => this.findSuccessor()
+      findSuccessor: () => this.membership.findSuccessor()
     })
     this.agents = [this.localAgent()]
     this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), clock, log: logs.for('jobs'), metrics: this.metrics })
@@ -131,7 +111,7 @@
     this.runComponent('config', this.config.run(signal))
     this.runComponent('lease', this.lease.run(signal))
     this.runComponent('peers', this.watchPeers(signal))
-    this.runComponent('register', this.register(signal))
+    this.runComponent('register', this.membership.register(signal))
   }
 
   /** Whether this daemon has a configuration and can reach the store. */
@@ -257,7 +237,7 @@
    */
   private async takeOverReadTimeMs (): Promise<number | undefined> {
     const loader = JobLoader.create(this.store, this.options.clock, this.log)
-    const [readTimeMs, registered] = await Promise.all([this.lease.readTimeMs(SUCCESSOR_CALL_TIMEOUT_MS), this.storeRegistration(SUCCESSOR_CALL_TIMEOUT_MS)])
+    const [readTimeMs, registered] = await Promise.all([this.lease.readTimeMs(SUCCESSOR_CALL_TIMEOUT_MS), this.membership.storeSelf(SUCCESSOR_CALL_TIMEOUT_MS)])
     return readTimeMs !== undefined && registered.ok && await loader.canLoad(SUCCESSOR_LOAD_TIMEOUT_MS) ? readTimeMs : undefined
   }
 
@@ -317,81 +297,26 @@
     }
   }
 
-  /** Stores the address of this daemon, so that the others find it. */
-  private async register (signal: AbortSignal) {
-    const { clock } = this.options
-    while (!signal.aborted) {
-      const res = await this.storeRegistration(STORE_TIMEOUT_MS)
-      if (res.ok) return
-      this.log.warn('Registration of the daemon failed; retrying.', { verdict: res.val.verdict, reason: res.val.reason })
-      await clock.sleep(REGISTER_RETRY_MS, signal)
-    }
-  }
-
-  private storeRegistration (timeoutMs: number) {
-    const { name, peerAddress, leadershipWeight } = this.options
-    return this.store.transact({
-      partition: DAEMONS_PARTITION,
-      expect: [],
-      puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: leadershipWeight, startedMs: this.startedMs } }],
-      removes: []
-    }, timeoutMs)
-  }
-
   /** Polls the list of daemons: the leader asks its peers for advice and transfers leadership to a better candidate. */
   private async watchPeers (signal: AbortSignal) {
-    const { store } = this
-    const { name, clock } = this.options
+    const { membership } = this
+    const { clock } = this.options
     while (!signal.aborted) {
-      const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
-      if (page.ok) this.updatePeers(page.val.rows.filter(({ key }) => key !== name))
-      if (this.leader !== undefined && this.hasBetterCandidate()) await this.lease.transferLeadership()
-      const interval = this.peers.length === 0 ? PEERS_INITIAL_POLL_MS : this.leader === undefined ? PEERS_FOLLOWER_POLL_MS : PEERS_LEADER_POLL_MS
+      await membership.refresh()
+      this.updateAgents()
+      if (this.leader !== undefined && membership.hasBetterCandidate()) await this.lease.transferLeadership(() => membership.findBetterSuccessor())
+      const interval = membership.others().length === 0 ? PEERS_INITIAL_POLL_MS : this.leader === undefined ? PEERS_FOLLOWER_POLL_MS : PEERS_LEADER_POLL_MS
       await clock.sleep(interval, signal)
     }
   }
 
-  private updatePeers (rows: readonly StoredRow[]) {
-    this.peers = rows.map(({ key, value }) => {
-      const { peerAddress, strength, startedMs } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown, readonly startedMs?: unknown }
-      return { name: key, peerAddress: String(peerAddress ?? ''), leadershipWeight: Number(strength ?? 0), startedMs: Number(startedMs ?? 0) }
-    })
+  private updateAgents () {
     const agentsByName = new Map(this.agents.map(agent => [agent.name, agent]))
-    this.agents = [this.localAgent(), ...this.peers.map(({ name, peerAddress }) => {
+    this.agents = [this.localAgent(), ...this.membership.others().map(({ name, peerAddress }) => {
       const agentName = `${name} ${peerAddress}`
       return agentsByName.get(agentName) ?? this.remoteAgent(agentName, peerAddress)
     })]
   }
-
-  /** Whether another daemon has a much higher leadership weight. */
-  private hasBetterCandidate (): boolean {
-    return this.peers.some(({ leadershipWeight }) => leadershipWeight > BETTER_CANDIDATE_RATIO * this.options.leadershipWeight)
-  }
-
-  /**
-   * Finds a peer that could lead now, among those with the highest leadership weight. Peers that are much farther from the
-   * store than the nearest come last. Among equals the most recently started comes first: in a rolling restart it has
-   * already been restarted.
-   */
-  private async findSuccessor (): Promise<Successor | undefined> {
-    const candidates = [...this.peers].sort((a, b) => b.leadershipWeight - a.leadershipWeight || b.startedMs - a.startedMs).slice(0, MAX_SUCCESSOR_CANDIDATES)
-    const answers = await Promise.all(candidates.map(async ({ peerAddress }) => {
-      const res = await this.peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_CALL_TIMEOUT_MS + SUCCESSOR_LOAD_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
-      return { peerAddress, readTimeMs: res.ok ? res.val.readTimeMs : undefined }
-    }))
-    const able = answers.flatMap(({ peerAddress, readTimeMs }) => readTimeMs === undefined ? [] : { peerAddress, readTimeMs })
-    const nearestMs = Math.min(...able.map(({ readTimeMs }) => readTimeMs))
-    const successor = able.find(({ readTimeMs }) => readTimeMs <= NEAR_FACTOR * nearestMs + NEAR_MARGIN_MS)
-    if (successor === undefined) return undefined
-    const { peerAddress } = successor
-    return {
-      peerAddress,
-      takeOver: async holder => {
-        const res = await this.peerClients.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
-        return res.ok && res.val.isTaken
-      }
-    }
-  }
 }
 
 function toPeerOutcome<T> (res: Result<T, Failure>): PeerOutcome<T> {
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -5,7 +5,9 @@
   LEASE_OBSERVE_MS, LEASE_OBSERVE_OVERDUE_MS, LEASE_OVERDUE_MS, LEASE_READ_TIMEOUT_MS, LEASE_RENEW_LAPSED_MS, LEASE_RENEW_MS,
   LEASE_SUSPECT_MS, LEASE_TTL_MS, LEASE_PARTITION, TABLES, TAKEOVER_AFTER_MS
 } from './constants.js'
-import type { RowKey, RowStore, StoredRow } from './ports.js'
+import { LEASE_ROW, RENEWAL_ROW, isRenewed, parseState } from './leaseRows.js'
+import type { LeaseState, LeaseValue, RenewalValue } from './leaseRows.js'
+import type { RowStore } from './ports.js'
 
 /** Minimum delay between two calls of the loop to the store. */
 const MIN_PAUSE_MS = 50
@@ -22,32 +24,6 @@
 /** Weight of the latest read in the mean time to read the lease. */
 const READ_TIME_WEIGHT = 0.3
 
-const LEASE_ROW: RowKey = { table: TABLES.leader, key: 'lease' }
-const RENEWAL_ROW: RowKey = { table: TABLES.leader, key: 'renewal' }
-
-/** Stored value of the lease row. It is written only when the lease changes hands. */
-interface LeaseValue {
-  /** Unique per daemon incarnation. */
-  readonly holder: string
-  readonly peerAddress: string
-  readonly epoch: number
-  readonly released: boolean
-}
-
-/** Stored value of the renewal row, which the holder writes. */
-interface RenewalValue {
-  readonly epoch: number
-  /** Number of the renewal within the epoch, starting at 1. */
-  readonly count: number
-}
-
-interface LeaseState {
-  readonly value: LeaseValue | undefined
-  readonly version: number
-  readonly renewal: RenewalValue
-  readonly renewalVersion: number
-}
-
 /** The lease of this daemon while it is the holder. */
 interface HeldLease {
   readonly value: LeaseValue
@@ -190,6 +166,7 @@
       if (res.ok) {
         // After a conflict, either an earlier attempt was applied or another daemon has taken over.
         if (await successor?.takeOver(held.value.holder) === true) log.info('Leadership handed over.', { successor: successor?.peerAddress })
+        await this.observe()
         return
       }
       log.warn('Lease release attempt failed.', { attempt, verdict: res.val.verdict, reason: res.val.reason })
@@ -223,9 +200,9 @@
     this.isCheckingHolder = false
   }
 
-  /** Asks another daemon to take over. Called when there is a better candidate. */
-  async transferLeadership (): Promise<void> {
-    const { findSuccessor, log, clock } = this.options
+  /** Asks another daemon to take over: the one that `findSuccessor` finds. */
+  async transferLeadership (findSuccessor = this.options.findSuccessor): Promise<void> {
+    const { log, clock } = this.options
     const { held } = this
     if (findSuccessor === undefined || held === undefined || this.isSeekingSuccessor || this.isStopping) return
     this.isSeekingSuccessor = true
@@ -239,6 +216,7 @@
     if (isTaken) {
       log.info('Leadership handed over.', { successor: successor.peerAddress })
       this.lose('another daemon has taken over')
+      await this.observe()
       return
     }
     log.info('No other daemon took over the leadership.', { asked: successor.peerAddress })
@@ -382,26 +360,3 @@
     return isOverdue ? LEASE_OBSERVE_OVERDUE_MS : LEASE_OBSERVE_MS
   }
 }
-
-/** Whether the lease has changed hands or was renewed since `previous`. A renewal that arrives after a later one doesn't count. */
-function isRenewed (previous: LeaseState | undefined, state: LeaseState): boolean {
-  if (previous === undefined || previous.version !== state.version) return true
-  return state.renewal.epoch > previous.renewal.epoch || (state.renewal.epoch === previous.renewal.epoch && state.renewal.count > previous.renewal.count)
-}
-
-function parseState (rows: readonly StoredRow[]): LeaseState {
-  const find = ({ key }: RowKey) => rows.find(row => row.key === key && !row.deleted)
-  const [lease, renewal] = [find(LEASE_ROW), find(RENEWAL_ROW)]
-  const renewalValue = renewal?.value as Partial<RenewalValue> | undefined
-  return {
-    value: lease === undefined ? undefined : parseLease(lease.value),
-    version: lease?.version ?? 0,
-    renewal: { epoch: Number(renewalValue?.epoch ?? 0), count: Number(renewalValue?.count ?? 0) },
-    renewalVersion: renewal?.version ?? 0
-  }
-}
-
-function parseLease (value: unknown): LeaseValue {
-  const { holder, peerAddress, epoch, released } = (value ?? {}) as Partial<LeaseValue>
-  return { holder: String(holder ?? ''), peerAddress: String(peerAddress ?? ''), epoch: Number(epoch ?? 0), released: released === true }
-}
--- /dev/null
+++ b/packages/cell/src/membership.ts
@@ -0,0 +1,133 @@
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
+import { DAEMONS_PARTITION, STORE_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TABLES } from './constants.js'
+import type { Successor } from './leaderLease.js'
+import type { PeerClients } from './peers.js'
+import type { RowStore, StoredRow } from './ports.js'
+
+const REGISTER_RETRY_MS = 500
+/** A peer is a better candidate if its leadership weight exceeds this daemon's by this factor. */
+const BETTER_CANDIDATE_RATIO = 1.5
+const MAX_SUCCESSOR_CANDIDATES = 8
+/** A candidate is about as near to the store as the nearest if its read time is within this factor and margin of the nearest's. */
+const NEAR_FACTOR = 2
+const NEAR_MARGIN_MS = 10
+/** Timeout of the takeover request: two calls to the store and a round trip between regions. */
+const TAKEOVER_TIMEOUT_MS = 600
+/** Allowance for the network round trip of a call to another daemon. */
+const PEER_ROUND_TRIP_MS = 100
+
+export interface Peer {
+  readonly name: string
+  readonly peerAddress: string
+  /** Capacity to lead, relative to other daemons. */
+  readonly leadershipWeight: number
+  /** Start time, in Unix milliseconds. */
+  readonly startedMs: number
+}
+
+export interface MembershipOptions {
+  /** This daemon, as the others find it. */
+  readonly self: Peer
+  readonly store: RowStore
+  readonly peerClients: PeerClients
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/** The registered daemons, and which of them could lead. */
+export class Membership {
+  /** The other registered daemons. */
+  private peers: readonly Peer[] = []
+
+  private constructor (private readonly options: MembershipOptions) {}
+
+  static create (options: MembershipOptions): Membership {
+    return new Membership(options)
+  }
+
+  // Queries
+
+  others (): readonly Peer[] {
+    return this.peers
+  }
+
+  /** Whether another daemon has a much higher leadership weight. */
+  hasBetterCandidate (): boolean {
+    return this.peers.some(({ leadershipWeight }) => leadershipWeight > this.minBetterWeight())
+  }
+
+  /** Finds a peer that could lead now and has a much higher leadership weight. */
+  findBetterSuccessor (): Promise<Successor | undefined> {
+    return this.findSuccessorAmong(this.peers.filter(({ leadershipWeight }) => leadershipWeight > this.minBetterWeight()))
+  }
+
+  /** Finds a peer that could lead now. */
+  findSuccessor (): Promise<Successor | undefined> {
+    return this.findSuccessorAmong(this.peers)
+  }
+
+  // Commands
+
+  /** Stores the address of this daemon, so that the others find it; resolves once it is stored. */
+  async register (signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.options
+    while (!signal.aborted) {
+      const res = await this.storeSelf(STORE_TIMEOUT_MS)
+      if (res.ok) return
+      log.warn('Registration of the daemon failed; retrying.', { verdict: res.val.verdict, reason: res.val.reason })
+      await clock.sleep(REGISTER_RETRY_MS, signal)
+    }
+  }
+
+  storeSelf (timeoutMs: number): ReturnType<RowStore['transact']> {
+    const { store, self: { name, peerAddress, leadershipWeight, startedMs } } = this.options
+    return store.transact({
+      partition: DAEMONS_PARTITION,
+      expect: [],
+      puts: [{ table: TABLES.daemons, key: name, value: { peerAddress, strength: leadershipWeight, startedMs } }],
+      removes: []
+    }, timeoutMs)
+  }
+
+  /** Reads the list of daemons; it stays as it is when the read fails. */
+  async refresh (): Promise<void> {
+    const { store, self } = this.options
+    const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
+    if (page.ok) this.peers = page.val.rows.filter(({ key }) => key !== self.name).map(decodePeer)
+  }
+
+  private minBetterWeight (): number {
+    return BETTER_CANDIDATE_RATIO * this.options.self.leadershipWeight
+  }
+
+  /**
+   * Asks the peers with the highest leadership weight. Peers that are much farther from the store than the nearest come
+   * last. Among equals the most recently started comes first: in a rolling restart it has already been restarted.
+   */
+  private async findSuccessorAmong (peers: readonly Peer[]): Promise<Successor | undefined> {
+    const { peerClients } = this.options
+    const candidates = [...peers].sort((a, b) => b.leadershipWeight - a.leadershipWeight || b.startedMs - a.startedMs).slice(0, MAX_SUCCESSOR_CANDIDATES)
+    const answers = await Promise.all(candidates.map(async ({ peerAddress }) => {
+      const res = await peerClients.call(peerAddress, 'canTakeOver', {}, SUCCESSOR_CALL_TIMEOUT_MS + SUCCESSOR_LOAD_TIMEOUT_MS + PEER_ROUND_TRIP_MS)
+      return { peerAddress, readTimeMs: res.ok ? res.val.readTimeMs ?? Infinity : Infinity }
+    }))
+    const able = answers.filter(({ readTimeMs }) => readTimeMs < Infinity)
+    const nearestMs = Math.min(...able.map(({ readTimeMs }) => readTimeMs))
+    const successor = able.find(({ readTimeMs }) => readTimeMs <= NEAR_FACTOR * nearestMs + NEAR_MARGIN_MS)
+    if (successor === undefined) return undefined
+    const { peerAddress } = successor
+    return {
+      peerAddress,
+      takeOver: async holder => {
+        const res = await peerClients.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
+        return res.ok && res.val.isTaken
+      }
+    }
+  }
+}
+
+function decodePeer ({ key, value }: StoredRow): Peer {
+  const { peerAddress, strength, startedMs } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown, readonly startedMs?: unknown }
+  return { name: key, peerAddress: String(peerAddress ?? ''), leadershipWeight: Number(strength ?? 0), startedMs: Number(startedMs ?? 0) }
+}
