fix(spec): broken variants are searched over 8 ticks

Cause: with 7 ticks the variant RELATIVE is not rejected, as its error takes one tick more than an exhaustive search of the protocol has room for. Change: the protocol is searched exhaustively over 7 ticks, the broken variants over 8, where an error that is found needs no exhaustive search.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -15,7 +15,9 @@
 #define LEASE_TTL 2      /* ticks that a daemon's lease is valid after its renewal was sent */
 #define TAKEOVER_DELAY 3 /* ticks without a renewal after which another daemon takes the lease over */
 #define TASK_LEASE_TTL 3 /* ticks that the lease on a run is valid after the start request was sent */
+#ifndef MAX_TICKS
 #define MAX_TICKS 7      /* ticks explored */
+#endif
 #define WORKERS 2
 #define NOT_OBSERVED 255
 
