fix(cell): a run leaves a draining worker only if another worker of the same service has room

Cause: found by reading; room on a worker of another service counted. The deployments have one service. Measured: the tests of the pattern pass.

--- a/packages/cell/src/evacuation.ts
+++ b/packages/cell/src/evacuation.ts
@@ -14,8 +14,12 @@
   return all.flatMap(worker => {
     const leavesInMs = worker.leavesInMs()
     if (leavesInMs === undefined || !worker.isAdopted) return []
-    return [...worker.runs.values()].filter(run => run.state === 'running' && run.task !== undefined && remainingMs(run, now) > leavesInMs &&
-      all.some(other => other.canStart() && isUsable(other) && fits(run.task?.step.need ?? other.entry.capacity, other.freeCapacity())))
+    const others = all.filter(other => other.entry.service === worker.entry.service && other.canStart() && isUsable(other))
+    return [...worker.runs.values()].filter(run => {
+      const need = run.need()
+      if (run.state !== 'running' || need === undefined || remainingMs(run, now) <= leavesInMs) return false
+      return others.some(other => fits(need, other.freeCapacity()))
+    })
   })
 }
 
