--- a/bench/src/losses.ts
+++ b/bench/src/losses.ts
@@ -44,9 +44,9 @@
 }
 
 function causeOf ({ starts, repeatedRunsMs }: JobTrace, lifetime: Interval, storedAfterMs: number, gaps: readonly Interval[]): Cause {
-  const leaderlessMs = gaps.reduce((sum, gap) => sum + overlapMs(gap, lifetime), 0)
+  const leaderlessMs = totalOverlapMs(gaps, lifetime)
   const firstStartMs = starts[0] ?? lifetime.endMs
-  const waitedMs = firstStartMs - lifetime.startMs - gaps.reduce((sum, gap) => sum + overlapMs(gap, { startMs: lifetime.startMs, endMs: firstStartMs }), 0)
+  const waitedMs = firstStartMs - lifetime.startMs - totalOverlapMs(gaps, { startMs: lifetime.startMs, endMs: firstStartMs })
   const repeatedMs = repeatedRunsMs.length === 0 ? 0 : Math.max(...repeatedRunsMs) - firstStartMs
   const runningMs = lifetime.endMs - lifetime.startMs - leaderlessMs - storedAfterMs - waitedMs - repeatedMs
   const shares: ReadonlyArray<readonly [Cause, number]> = [
@@ -73,8 +73,8 @@
   return gaps
 }
 
-function overlapMs (a: Interval, b: Interval): number {
-  return Math.max(0, Math.min(a.endMs, b.endMs) - Math.max(a.startMs, b.startMs))
+function totalOverlapMs (intervals: readonly Interval[], { startMs, endMs }: Interval): number {
+  return intervals.reduce((sum, interval) => sum + Math.max(0, Math.min(interval.endMs, endMs) - Math.max(interval.startMs, startMs)), 0)
 }
 
 function parseLine (text: string): readonly LogLine[] {
--- a/packages/cell/src/hedge.ts
+++ b/packages/cell/src/hedge.ts
@@ -121,8 +121,10 @@
     const res = await send()
     // A refusal is faster than the answer to an executed call and says nothing about the response time.
     if (res.err && res.val.verdict === 'not-run') return res
-    if (res.ok) this.lastAnsweredSentAt = Math.max(this.lastAnsweredSentAt, startedAt)
-    if (res.ok) this.retryBudget = Math.min(MAX_RETRY_BUDGET, this.retryBudget + RETRY_BUDGET_PER_ANSWER)
+    if (res.ok) {
+      this.lastAnsweredSentAt = Math.max(this.lastAnsweredSentAt, startedAt)
+      this.retryBudget = Math.min(MAX_RETRY_BUDGET, this.retryBudget + RETRY_BUDGET_PER_ANSWER)
+    }
     const tookMs = clock.now() - startedAt
     if (tookMs <= this.typicalMs) this.typicalMs *= TYPICAL_TIME_DECREASE
     else this.typicalMs *= TYPICAL_TIME_INCREASE
