Review case: a crash loop of one lasting job stops the whole cell

Cause: the numbers of all failed runs of a task that lasts go into the progress row of its job; once the row is too large, the store refuses every batch with it. Change: adds a script that shows it.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
