--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -5,6 +5,8 @@
 const STOP_MS = 200
 const MAX_LISTED = 500
 const TICK_MS = 20
+/** Time after which a request that was sent without an answer from the network is repeated. */
+const RETRANSMISSION_MS = 200
 
 /**
  * Stand-in of a worker, after PROTOCOL.md: fencing, leases on its own clock, ends that are listed until they are taken note of.
@@ -16,6 +18,10 @@
   constructor ({ id, machine = `m-${id}`, service, host, capacity, labels, store, record, behaviour, needOf = () => undefined }) {
     Object.assign(this, { id, machine, service, host, capacity, labels, store, record, behaviour, needOf })
     this.sockets = new Set()
+    /** Channels of an earlier life on which a request came while there was no power. */
+    this.heldSockets = new Set()
+    /** Channels that were opened while there was no power. In a network their first packet would be lost: they stay silent. */
+    this.darkSockets = new WeakSet()
   }
 
   /** Begins a life of the worker, at the address that it had. */
@@ -32,12 +38,15 @@
     this.state = 'ready'
     this.beats = 0
     this.deadSockets = new Set(this.sockets)
+    // What the other side repeats on a channel of an earlier life is answered with a reset.
+    for (const socket of this.sockets) if (this.heldSockets.has(socket)) setTimeout(() => socket.resetAndDestroy(), RETRANSMISSION_MS)
+    this.heldSockets.clear()
     this.isUp = true
     if (this.http === undefined) {
       this.http = await serve(this.host, req => this.handle(req))
       this.http.server.on('connection', socket => {
         this.sockets.add(socket)
-        if (!this.isUp) this.deadSockets.add(socket)
+        if (!this.isUp) this.darkSockets.add(socket)
         socket.on('close', () => this.sockets.delete(socket))
         socket.on('error', () => {})
       })
@@ -50,8 +59,8 @@
   }
 
   /**
-   * Loses power: everything that runs is gone, and neither open channels nor new ones are answered. They stay silent until the
-   * other side closes them, as after a loss of power without a last packet.
+   * Loses power: everything that runs is gone, and neither open channels nor new ones are answered. There is no last packet, so
+   * that the other side sees nothing but silence.
    */
   crash () {
     this.record('worker-crashes', { worker: this.id, running: [...this.running.values()].map(({ task, run }) => `${task}#${run}`) })
@@ -89,7 +98,15 @@
   }
 
   async handle ({ path, headers, body, socket }) {
-    if (!this.isUp || this.deadSockets.has(socket)) return undefined
+    if (this.darkSockets.has(socket)) return undefined
+    if (!this.isUp) {
+      this.heldSockets.add(socket)
+      return undefined
+    }
+    if (this.deadSockets.has(socket)) {
+      socket.resetAndDestroy()
+      return undefined
+    }
     const life = this.bootedAt
     const reply = await this.dispatch(path, headers, body)
     return this.isUp && life === this.bootedAt ? reply : undefined
