fix(cell): keep unanswered starts of a worker that restarts under its id until its next incarnation is adopted

Cause: a start without an answer is sent again for up to 3.6 s. A repetition that is sent after the worker has lost power is executed by its next incarnation, which has seen no fencing token and whose clock begins anew, so that the deadline does not stop it either. Once the leader knew of the restart, it counted all runs of the earlier incarnation as lost and started the tasks elsewhere. Evidence: in the leader's log of one such task "Run lost. reason=worker-restarted" at 31.065 s, "Runs started. 0#2" on another worker at 31.068 s, and at 31.070 s the adoption of the next incarnation lists run 1. Ruled out: two leaders (one epoch); an expired lease (the second start came 3 ms after the first was given up). Change: a run is gone with an incarnation only if a report of that incarnation has listed it and no start of it is unanswered. The others are kept; the link to the next incarnation takes them over, and its first report under a higher token decides. If no incarnation returns, they wait for the longest lease that it could have granted. By reading: repetitions of a start went on after its run had been given up.

--- /dev/null
+++ b/packages/cell/src/__tests__/workerRestart.test.ts
@@ -0,0 +1,86 @@
+import test from 'ava'
+import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
+
+const LONG_RUN_MS = 4_000
+
+const SMALL = { milliCores: 2_000, memoryMb: 16_000, accelerators: 0 }
+
+/** A cell whose tasks start on w1, the worker with less free capacity, while it can be reached. */
+async function createCell (durationMs = LONG_RUN_MS) {
+  const entries = (born: number) => [createWorkerEntry('w1', { capacity: SMALL, born }), createWorkerEntry('w2')]
+  const cell = TestCell.create({ workers: entries(1), behaviour: () => ({ durationMs, end: 'done' }) })
+  const [worker, other] = cell.workers.all()
+  if (worker === undefined || other === undefined) throw new Error('no workers')
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  return { cell, worker, other, daemon, register: (born: number) => cell.setRegistry(entries(born)) }
+}
+
+// Guards against TWICE: the leader took a restart of the worker as proof that an unanswered start had not been executed.
+test('an unanswered start that the next incarnation of a worker executes is not repeated on another worker', async t => {
+  const { cell, worker, daemon, register } = await createCell()
+  worker.fault = command => command === 'start' ? { kind: 'applied-late', afterMs: 400 } : undefined
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(200)
+  worker.restart(2)
+  await cell.advanceUntil(() => cell.audit.hasStarted(jobId), 1_000)
+  worker.fault = () => undefined
+  register(2)
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against TWICE: the answer to a start does not say which incarnation of the worker has executed it.
+test('a start that the next incarnation of a worker answers is not repeated on another worker', async t => {
+  const { cell, worker, daemon, register } = await createCell()
+  worker.restart(2)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId), 200), 'the leader does not know of the restart yet')
+  register(2)
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against TWICE: a new leader took the restart of a worker as proof that nothing of its predecessor runs there.
+test('a new leader does not repeat a start that the next incarnation of an unreachable worker has executed', async t => {
+  const { cell, worker, other, daemon, register } = await createCell(60_000)
+  worker.restart(2)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId), 200))
+  worker.isCutOff = true
+  register(2)
+  daemon.kill()
+  cell.startDaemon('d2')
+  await cell.clock.advance(12_000)
+  t.deepEqual(worker.runningTasks(), [], 'the lease of the worker has expired')
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once no run of it can be left')
+})
+
+// Guards against LOST: a start that the next incarnation has not received must not keep its task waiting.
+test('a start that no incarnation has executed is repeated once the next one is adopted', async t => {
+  const { cell, worker, daemon, register } = await createCell(500)
+  worker.isCutOff = true
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(300)
+  worker.restart(2)
+  worker.fault = command => command === 'start' ? { kind: 'refused', reason: 'unhealthy' } : undefined
+  worker.isCutOff = false
+  register(2)
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 5_000))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against LOST: the starts that are kept for the next incarnation must not wait for one that never comes.
+test('the unanswered starts of a worker that restarts and then disappears are repeated on another worker', async t => {
+  const { cell, worker, daemon } = await createCell(500)
+  worker.fault = command => command === 'start' ? { kind: 'applied-late', afterMs: 60_000 } : undefined
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(100)
+  worker.restart(2)
+  await cell.clock.advance(300)
+  cell.setRegistry([createWorkerEntry('w2')])
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 12_000))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -167,6 +167,7 @@
       onDeposed: () => this.stopLeading(),
       onRefused: () => this.lease.renewNow(),
       taskLeaseMs: Math.min(TASK_LEASE_MS, maxTaskLeaseMs),
+      maxTaskLeaseMs,
       statusRetentionMs,
       clock,
       logs,
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -65,6 +65,10 @@
   state: RunState = 'starting'
   /** Reading of the worker's clock when it confirmed the start; undefined until it has. */
   confirmedAtMs: number | undefined
+  /** True once a report of the worker's current incarnation has listed the run. The answer to a start names no incarnation. */
+  isListed = false
+  /** Number of times that the start was sent without learning whether it was executed. */
+  unansweredStarts = 0
   percent = 0
   /** Progress in percent when this leader started or adopted the run. */
   startPercent = 0
@@ -75,7 +79,7 @@
   private constructor (
     readonly id: TaskId,
     readonly number: number,
-    readonly worker: WorkerLink,
+    public worker: WorkerLink,
     /** Undefined if this leader doesn't have the job. */
     readonly task: Task | undefined,
     readonly fencingToken: number,
@@ -89,6 +93,22 @@
     return new Run(fields.id, fields.number, fields.worker, fields.task, fields.fencingToken, fields.startedAt)
   }
 
+  /** Whether the next incarnation of the worker may have the run, should the current one end. */
+  mayOutliveIncarnation (): boolean {
+    return !this.isListed || this.unansweredStarts > 0
+  }
+
+  /** Continues the run on the next incarnation of its worker, which hasn't confirmed it yet. */
+  moveToIncarnation (worker: WorkerLink, now: number): void {
+    this.worker = worker
+    if (this.state !== 'stopping') this.state = 'starting'
+    this.confirmedAtMs = undefined
+    this.isListed = false
+    this.percent = 0
+    this.startPercent = 0
+    this.progressAt = now
+  }
+
   /** Capacity that the run takes. Undefined if this leader doesn't have the job; nothing may be started next to such a run. */
   need (): ResourceVector | undefined {
     return this.task?.step.need
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -54,6 +54,8 @@
   /** Called when the store has refused a transaction of this leader without executing it. */
   readonly onRefused: () => void
   readonly taskLeaseMs: number
+  /** Longest lease that a worker grants, in milliseconds. */
+  readonly maxTaskLeaseMs: number
   /** Time for which the outcome of an ended job must remain available to callers, in milliseconds. */
   readonly statusRetentionMs: number
   readonly clock: Clock
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -162,6 +162,7 @@
           onDeposed: stopLeading,
           onRefused: () => lease.renewNow(),
           taskLeaseMs: 5_000,
+          maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
           clock,
           logs: silentLogs,
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -53,6 +53,8 @@
   readonly firstToken: number
   /** Duration of the lease on all runs of the worker, in milliseconds. */
   readonly taskLeaseMs: number
+  /** Longest lease that a worker grants, in milliseconds. */
+  readonly maxTaskLeaseMs: number
   /** Time for which an earlier leader may still extend the lease before the worker is adopted, in milliseconds. */
   readonly predecessorActiveMs: number
   readonly events: WorkerEvents
@@ -118,18 +120,22 @@
   /** Starts can be hedged because the worker accepts each run number once. */
   private readonly startHedge: Hedge
 
-  private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
+  private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions, unknownRunsExpireInMs: number) {
     this.id = entry.id
     this.token = options.firstToken
     this.unreachableSince = options.clock.now() + ADOPTION_GRACE_MS
     // An earlier leader may have extended the lease up to this moment, or may still do so.
-    this.leasesExpireAt = options.clock.now() + options.predecessorActiveMs + options.taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
+    this.leasesExpireAt = options.clock.now() + options.predecessorActiveMs + unknownRunsExpireInMs
     this.client = options.clients.create(entry)
     this.startHedge = Hedge.create({ clock: options.clock, initialTypicalMs: TYPICAL_START_MS, minOverdueMs: MIN_OVERDUE_START_MS })
   }
 
-  static create (options: WorkerLinkOptions): WorkerLink {
-    return new WorkerLink(options.entry, options)
+  /** Takes over the runs of the link to the previous incarnation, if there is one, which must have ended. */
+  static create (options: WorkerLinkOptions, previous?: WorkerLink): WorkerLink {
+    if (previous === undefined) return new WorkerLink(options.entry, options, latestExpiryMs(options.taskLeaseMs))
+    const link = new WorkerLink(options.entry, options, latestExpiryOnNextIncarnationMs(options.maxTaskLeaseMs))
+    link.takeOverRuns(previous)
+    return link
   }
 
   freeCapacity (): ResourceVector {
@@ -222,12 +228,31 @@
     })
   }
 
-  /** Marks this incarnation as ended, for example because the worker has restarted, and reports its runs as lost. */
+  /** Marks this incarnation as ended and reports its runs as lost. No later incarnation can receive their starts. */
   declareDead (): void {
     if (this.isDead) return
-    this.isDead = true
-    this.isAdopted = false
-    this.reportAllLost('worker-restarted')
+    this.markDead()
+    this.reportLost('worker-restarted', () => true)
+  }
+
+  /**
+   * Marks this incarnation as ended because the worker has restarted under its id. The next incarnation may have executed
+   * starts that were sent to this one, or may still do so: it has seen no fencing token, and the leases in them don't end
+   * before its clock. These runs are kept until the next incarnation is adopted or their leases have expired.
+   */
+  declareRestarted (): void {
+    if (this.isDead) return
+    const { clock, log, maxTaskLeaseMs } = this.options
+    this.markDead()
+    this.unreachableSince ??= clock.now()
+    this.leasesExpireAt = Math.max(this.leasesExpireAt, clock.now() + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs))
+    this.reportLost('worker-restarted', run => !run.mayOutliveIncarnation())
+    if (this.runs.size > 0) log.info('Starts are kept until the next incarnation of the worker is adopted.', { worker: this.id, runs: [...this.runs.keys()] })
+  }
+
+  /** Reports the runs as lost if the worker is unreachable and their leases have expired. */
+  reportExpired (): void {
+    if (!this.isAdopted && this.runs.size > 0 && this.options.clock.now() > this.leasesExpireAt) this.reportLost('lease-lapsed', () => true)
   }
 
   /** Reserves capacity for a run and tells the worker to start it. */
@@ -247,6 +272,7 @@
       id: listed.task, number: listed.run, worker: this, task, fencingToken: this.token, startedAt: this.options.clock.now()
     })
     run.state = 'running'
+    run.isListed = true
     run.percent = listed.percent
     run.startPercent = listed.percent
     run.checkpoint = listed.checkpoint
@@ -269,10 +295,10 @@
   private async sendStart (run: Run, payload: string, ticket: string) {
     const { log, events } = this.options
     const leaseUntilMs = this.nextLeaseUntilMs()
-    const res = await this.startHedge.call(() => this.startOnce({
+    const res = await this.startHedge.call(() => this.startOnce(run, {
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
     }))
-    if (!this.runs.has(runKeyOf(run.id, run.number))) return
+    if (!this.isTracked(run)) return
     if (res.ok) {
       run.confirmedAtMs = res.val
       if (run.state === 'starting') run.state = 'running'
@@ -291,15 +317,18 @@
   }
 
   /** Resolves with the worker's clock. A refusal is a failure, so that an earlier unanswered send keeps the outcome uncertain. */
-  private async startOnce (cmd: StartCommand): Promise<Result<number, Failure>> {
+  private async startOnce (run: Run, cmd: StartCommand): Promise<Result<number, Failure>> {
+    if (this.isDead || !this.isTracked(run)) return Err(Failure.notRun('start-withdrawn', 'The start is not needed any more.'))
+    run.unansweredStarts++
     const res = await this.client.start(cmd, WORKER_TIMEOUT_MS)
+    if (res.ok || res.val.verdict === 'not-run') run.unansweredStarts--
     if (res.err) return res
     return res.val.accepted ? Ok(res.val.clockMs) : Err(Failure.notRun(`${REFUSAL_CODE_PREFIX}${res.val.reason}`, 'The worker refused the start.'))
   }
 
   private async sendStop (run: Run) {
     const { clock, mayIssueCommands, log } = this.options
-    while (this.runs.has(runKeyOf(run.id, run.number)) && !this.isDead && !this.isClosed) {
+    while (this.isTracked(run) && !this.isDead && !this.isClosed) {
       if (mayIssueCommands()) {
         const res = await this.client.stop({ task: run.id, run: run.number, fencingToken: this.token }, WORKER_TIMEOUT_MS)
         if (res.err) log.debug('Call to stop a run failed.', { task: formatTaskId(run.id), run: run.number, worker: this.id, verdict: res.val.verdict, reason: res.val.reason })
@@ -335,7 +364,7 @@
       this.unreachableSince = clock.now()
       events.workerChanged(this)
     }
-    if (this.runs.size > 0 && clock.now() > this.leasesExpireAt) this.reportAllLost('lease-lapsed')
+    this.reportExpired()
     return undefined
   }
 
@@ -362,7 +391,7 @@
     const { clock, log, events } = this.options
     if (report.born !== this.entry.born) {
       log.info('Worker has restarted.', { worker: this.id, born: report.born, knownBorn: this.entry.born, runs: this.runs.size })
-      this.declareDead()
+      this.declareRestarted()
       events.workerChanged(this)
       return Promise.resolve()
     }
@@ -418,6 +447,7 @@
         run.progressAt = clock.now()
       }
       if (run.state === 'starting') run.state = 'running'
+      run.isListed = true
       run.confirmedAtMs ??= report.clockMs
     }
     if (report.ended.length >= MAX_FINISHED_RUNS_LISTED) return
@@ -454,8 +484,28 @@
     return leaseUntilMs
   }
 
-  private reportAllLost (reason: LossReason) {
-    for (const run of [...this.runs.values()]) {
+  /** Continues the runs that the previous link has kept. The first report under this link's higher token shows which were started. */
+  private takeOverRuns (previous: WorkerLink) {
+    const runs = [...previous.runs.values()]
+    previous.runs.clear()
+    for (const run of runs) {
+      run.moveToIncarnation(this, this.options.clock.now())
+      this.addRun(run)
+      if (run.state === 'stopping') this.sendStop(run)
+    }
+  }
+
+  private markDead () {
+    this.isDead = true
+    this.isAdopted = false
+  }
+
+  private isTracked (run: Run): boolean {
+    return this.runs.get(runKeyOf(run.id, run.number)) === run
+  }
+
+  private reportLost (reason: LossReason, isLost: (run: Run) => boolean) {
+    for (const run of [...this.runs.values()].filter(isLost)) {
       this.removeRun(run)
       this.options.events.runLost(this, run, reason)
     }
@@ -480,6 +530,16 @@
   }
 }
 
+/** Time until a lease has certainly expired on the worker, in milliseconds after it was sent. */
+export function latestExpiryMs (leaseMs: number): number {
+  return leaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
+}
+
+/** The same for a start that was sent to an incarnation that has ended: the next one may receive it until the call is closed, and grants at most its longest lease. */
+export function latestExpiryOnNextIncarnationMs (maxLeaseMs: number): number {
+  return WORKER_TIMEOUT_MS + latestExpiryMs(maxLeaseMs)
+}
+
 function runKeyOf (task: TaskId, run: number): string {
   return `${formatTaskId(task)}#${run}`
 }
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,13 +1,13 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { READY_PERCENT, LEASE_EXPIRY_MARGIN_MS, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, MIN_WORKER_CLOCK_RATE, WORKER_RETRY_MS } from './constants.js'
+import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
 import type { RosterMember } from './roster.js'
 import { formatTaskId } from './types.js'
 import type { WorkerEntry } from './types.js'
 import { WorkerHealth } from './workerHealth.js'
-import { WorkerLink } from './workerLink.js'
+import { WorkerLink, latestExpiryMs, latestExpiryOnNextIncarnationMs } from './workerLink.js'
 import type { WorkerEvents } from './workerLink.js'
 
 /** Time without progress after which a run counts as stalled; a task that runs ten times slower still gains one percent in this time. */
@@ -21,6 +21,8 @@
   readonly directory: Directory
   readonly clients: WorkerClients
   readonly taskLeaseMs: number
+  /** Longest lease that a worker grants, in milliseconds. */
+  readonly maxTaskLeaseMs: number
   /** Time for which the previous leader may still extend leases on workers that are not adopted, in milliseconds. */
   readonly predecessorActiveMs: number
   /** Version of the epoch row of the roster's partition. */
@@ -44,6 +46,8 @@
   private readonly roster: Roster
   /** Monotonic time after which every lease of earlier leaders has expired. */
   private readonly earlierLeasesExpireAt: number
+  /** The same for starts of earlier leaders that a later incarnation of the worker may have executed. */
+  private readonly earlierStartsExpireAt: number
   /** The same time on the store's clock; undefined until that clock is known. */
   private earlierLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
@@ -52,8 +56,9 @@
   private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
   private constructor (private readonly options: WorkerPoolOptions) {
-    const { store, epochVersion, clock, log, taskLeaseMs, predecessorActiveMs } = options
-    this.earlierLeasesExpireAt = clock.now() + predecessorActiveMs + taskLeaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
+    const { store, epochVersion, clock, log, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs } = options
+    this.earlierLeasesExpireAt = clock.now() + predecessorActiveMs + latestExpiryMs(taskLeaseMs)
+    this.earlierStartsExpireAt = clock.now() + predecessorActiveMs + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs)
     this.health = WorkerHealth.create(clock, log)
     this.roster = Roster.create({ store, epochVersion, log })
   }
@@ -146,25 +151,33 @@
     for (const link of [...this.links.values()]) {
       const entry = entriesById.get(link.id)
       if (entry !== undefined && entry.born === link.entry.born && !link.isDead) link.updateEntry(entry)
-      else this.handleUnlisted(link, entry, entriesByAddress.get(link.entry.address))
+      else this.handleUnlisted(link, entry, entriesByAddress.get(link.entry.address), signal)
     }
     for (const entry of entries) if (!this.links.has(entry.id)) this.connect(entry, signal)
     this.options.onChange()
   }
 
   /** Handles an incarnation of a worker that the registry no longer lists. */
-  private handleUnlisted (link: WorkerLink, entry: WorkerEntry | undefined, sameAddressEntry: WorkerEntry | undefined) {
-    const isReplaced = entry !== undefined ? entry.born > link.entry.born : sameAddressEntry !== undefined && sameAddressEntry.born > link.entry.born
+  private handleUnlisted (link: WorkerLink, entry: WorkerEntry | undefined, sameAddressEntry: WorkerEntry | undefined, signal: AbortSignal) {
+    const isRestarted = entry !== undefined && entry.born > link.entry.born
+    const isReplaced = entry === undefined && sameAddressEntry !== undefined && sameAddressEntry.born > link.entry.born
+    if (isRestarted) link.declareRestarted()
+    // A worker with another id refuses what was sent to this one.
     if (isReplaced) link.declareDead()
     // A worker that is missing gets no new work; its runs stay tracked until they have finished or are lost.
     link.updateEntry({ ...link.entry, state: 'draining' })
-    if (link.isDead || (link.runs.size === 0 && !link.isAdopted)) this.drop(link, isReplaced ? 'replaced' : 'gone')
+    if (link.isDead && entry !== undefined) return this.connect(entry, signal, link)
+    if (link.isDead) link.reportExpired()
+    if (link.runs.size === 0 && !link.isAdopted) this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
-  private connect (entry: WorkerEntry, signal: AbortSignal) {
-    const { clients, epoch, taskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
-    const firstToken = (this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
-    const link: WorkerLink = WorkerLink.create({ entry, clients, firstToken, taskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log })
+  private connect (entry: WorkerEntry, signal: AbortSignal, previous?: WorkerLink) {
+    const { clients, epoch, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
+    const firstToken = (previous?.lastToken() ?? this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
+    const link: WorkerLink = WorkerLink.create({
+      entry, clients, firstToken, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log
+    }, previous)
+    if (previous !== undefined) this.drop(previous, 'restarted')
     this.links.set(entry.id, link)
     link.run(signal)
   }
@@ -194,8 +207,10 @@
   private areRunsKnown (member: RosterMember): boolean {
     const { id, born } = member
     const link = this.links.get(id)
-    if (link !== undefined && (link.entry.born > born || (link.isAdopted && link.entry.born === born))) return true
-    return this.haveMemberLeasesExpired(member)
+    if (link === undefined || link.entry.born < born) return this.haveMemberLeasesExpired(member)
+    if (link.isAdopted) return true
+    // The incarnation after the one in the roster may have executed starts that were sent to the earlier one.
+    return link.entry.born === born ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStartsExpireAt
   }
 
   /** Whether every lease that earlier leaders gave this worker has expired. */
@@ -237,6 +252,7 @@
  * work, nor of an unreachable worker whose leases have expired, which is added again once it is reachable.
  */
 function mayHaveRuns (link: WorkerLink): boolean {
+  if (link.isDead) return link.runs.size > 0
   const isDrained = link.entry.state === 'draining' && link.isAdopted && link.runs.size === 0
-  return !link.isDead && !isDrained && !link.haveLeasesExpired()
+  return !isDrained && !link.haveLeasesExpired()
 }
