fix(cell): heartbeats to an unreachable worker acknowledge no finished runs

A heartbeat names the last finished run that is stored; the next incarnation numbers its finished runs anew and forgot those up to that number before the leader had read them. Change: a heartbeat acknowledges finished runs only while the worker is adopted, so not after a call without an answer. Runs that it lists again are recognised by their numbers.

--- a/packages/cell/src/__tests__/workerRestart.test.ts
+++ b/packages/cell/src/__tests__/workerRestart.test.ts
@@ -84,3 +84,27 @@
   t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 12_000))
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against TWICE: the acknowledgement of the earlier incarnation's finished runs, whose numbers begin anew, made the
+// next one forget a run that was done before the leader had read it.
+test('a run that is done on the next incarnation before the leader knows of it is not started again', async t => {
+  const { cell, worker, daemon, register } = await createCell(100)
+  const firstId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(firstId) === 'completed'))
+  await cell.clock.advance(1_000)
+  worker.isCutOff = true
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(2_100)
+  worker.restart(2)
+  // The new incarnation receives a repetition of the start before the next heartbeat.
+  let hasStarted = false
+  worker.fault = command => {
+    if (command === 'start') hasStarted = true
+    return command === 'hold' && !hasStarted ? { kind: 'refused', reason: 'unhealthy' } : undefined
+  }
+  worker.isCutOff = false
+  t.true(await cell.advanceUntil(() => cell.audit.isDone({ jobId, occurrence: 0, step: 0, index: 0 }), 3_000))
+  register(2)
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -353,7 +353,9 @@
     const token = this.token
     // The lease of an unreachable worker isn't extended, so that it expires at a known time.
     const leaseUntilMs = this.isAdopted && this.options.mayExtendLeases() ? this.nextLeaseUntilMs() : undefined
-    const res = await this.sendHeartbeat({ fencingToken: token, acknowledged: this.acknowledgedSequence, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
+    // An unreachable worker may have restarted, and its next incarnation numbers its finished runs anew.
+    const acknowledged = this.isAdopted ? this.acknowledgedSequence : 0
+    const res = await this.sendHeartbeat({ fencingToken: token, acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
     if (!await this.options.jobsLoaded || this.isDead) return undefined
     if (res.ok && res.val.accepted) return { finishedRunsStored: this.applyReport(res.val.report, token) }
     const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
