fix(cell,platform,base): one unusable registry entry, or one failed iteration, stops no loop

Cause: the entry's port is above 65535. The decoder checked the address only by its look, WorkerPool applies all entries in one loop, HttpClient throws "Invalid URL", and the rejection ended the registry loop of that leader for good while it went on leading. Evidence: "Daemon component failed. part=leader" with TypeError: Invalid URL from WorkerPool.connect, no line of the registry after it, and lease renewals all the while. A batch of the commit queue that fails with an exception is staged again.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -4,6 +4,7 @@
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
 import { Failure } from '@citronnotch/base/errors'
+import { supervise } from '@citronnotch/base/supervise'
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
 import { ConfigWatch } from './configWatch.js'
@@ -108,10 +109,10 @@
   async start (): Promise<void> {
     const { signal } = this.stopping
     this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), this.options.logs.for('peers'))
-    this.runComponent('config', this.config.run(signal))
-    this.runComponent('lease', this.lease.run(signal))
-    this.runComponent('peers', this.watchPeers(signal))
-    this.runComponent('register', this.membership.register(signal))
+    this.supervise('config', () => this.config.run(signal))
+    this.supervise('lease', () => this.lease.run(signal))
+    this.supervise('peers', () => this.watchPeers(signal))
+    this.supervise('register', () => this.membership.register(signal))
   }
 
   /** Whether this daemon has a configuration and can reach the store. */
@@ -142,8 +143,8 @@
     this.options.policyService?.close().catch((err: unknown) => this.log.error('Policy client did not close.', { err }))
   }
 
-  private runComponent (part: string, loop: Promise<void>) {
-    loop.catch((err: unknown) => this.log.error('Daemon component failed.', { part, err }))
+  private supervise (part: string, run: () => Promise<void>) {
+    supervise(run, { part, signal: this.stopping.signal, clock: this.options.clock, log: this.log, onFailure: () => this.metrics.count('loops_failed') })
   }
 
   // Leadership
@@ -173,7 +174,8 @@
       logs,
       metrics: this.metrics
     })
-    this.runComponent('leader', this.leader.run())
+    // Its loops are supervised one by one.
+    this.leader.run().catch((err: unknown) => this.log.error('Leader failed.', { epoch, err }))
   }
 
   private stopLeading () {
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -63,13 +63,14 @@
       if (signal.aborted) return
       await this.delayBatch(signal)
       const batch = this.dequeueBatch()
-      const committed = mayIssueCommands() && await this.commit(batch)
-      if (committed) {
-        for (const { waiters } of batch) for (const resolve of waiters) resolve()
-      } else {
-        for (const entry of batch) this.restage(entry)
-        await clock.sleep(COMMIT_RETRY_MS, signal)
+      let isCommitted = false
+      try {
+        isCommitted = mayIssueCommands() && await this.commit(batch)
+      } finally {
+        if (!isCommitted) for (const entry of batch) this.restage(entry)
       }
+      if (isCommitted) for (const { waiters } of batch) for (const resolve of waiters) resolve()
+      else await clock.sleep(COMMIT_RETRY_MS, signal)
     }
   }
 
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -73,11 +73,8 @@
     this.obsoleteProgressKeys.set(index, [...(this.obsoleteProgressKeys.get(index) ?? []), id])
   }
 
-  async run (signal: AbortSignal): Promise<void> {
-    await Promise.all([this.cleanUp(signal), this.scanForExpired(signal)])
-  }
-
-  private async cleanUp (signal: AbortSignal) {
+  /** Moves the rows of ended jobs until the signal aborts. */
+  async cleanUp (signal: AbortSignal): Promise<void> {
     const { clock, mayIssueCommands } = this.options
     while (!signal.aborted) {
       await clock.sleep(ROUND_PAUSE_MS, signal)
@@ -128,16 +125,16 @@
     })
   }
 
-  /** Removes expired outcomes, one partition after another. */
-  private async scanForExpired (signal: AbortSignal) {
+  /** Removes expired outcomes, one partition after another, until the signal aborts. */
+  async removeExpired (signal: AbortSignal): Promise<void> {
     const { clock, mayIssueCommands } = this.options
     for (let index = 0; !signal.aborted; index = (index + 1) % ADMISSION_PARTITIONS) {
       await clock.sleep(SCAN_PAUSE_MS, signal)
-      if (mayIssueCommands() && !signal.aborted) await this.removeExpired(admissionPartitionName(index))
+      if (mayIssueCommands() && !signal.aborted) await this.removeExpiredOf(admissionPartitionName(index))
     }
   }
 
-  private async removeExpired (partition: string) {
+  private async removeExpiredOf (partition: string) {
     const { store, clock, retentionMs, log } = this.options
     const expiryCutoffMs = clock.date().getTime() - retentionMs - ENDED_RETENTION_MARGIN_MS
     let from = ''
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -1,6 +1,7 @@
 import { setMaxListeners } from 'node:events'
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log, LogFactory } from '@citronnotch/base/logger'
+import { supervise } from '@citronnotch/base/supervise'
 import { AdviceCache } from './advice.js'
 import type { AdviceAgent } from './advice.js'
 import { CommitQueue } from './commitQueue.js'
@@ -144,23 +145,29 @@
   async run (): Promise<void> {
     const { signal } = this.stopping
     // Workers are connected and fenced while the jobs are loaded.
-    await Promise.all([this.workers.run(signal), this.loadAndSchedule(signal)])
+    await Promise.all([this.supervise('workers', () => this.workers.run(signal)), this.loadAndSchedule(signal)])
   }
 
   private async loadAndSchedule (signal: AbortSignal) {
-    await this.load(signal)
+    await this.supervise('load', () => this.load(signal))
     this.finishLoading(!signal.aborted)
     if (signal.aborted) return
     await Promise.all([
-      ...this.commitQueues.map(commitQueue => commitQueue.run(signal)),
-      this.watchChanges(signal),
-      this.janitor.run(signal),
-      this.enableEarlierJobs(signal),
-      this.maintenance?.run(signal),
-      this.tick(signal)
+      ...this.commitQueues.map(commitQueue => this.supervise('commits', () => commitQueue.run(signal))),
+      this.supervise('changes', () => this.watchChanges(signal)),
+      this.supervise('clean-up', () => this.janitor.cleanUp(signal)),
+      this.supervise('expiry', () => this.janitor.removeExpired(signal)),
+      this.supervise('earlier jobs', () => this.enableEarlierJobs(signal)),
+      this.supervise('maintenance', async () => this.maintenance?.run(signal)),
+      this.supervise('tick', () => this.tick(signal))
     ])
   }
 
+  private supervise (part: string, run: () => Promise<void>): Promise<void> {
+    const { clock, metrics } = this.options
+    return supervise(run, { part, signal: this.stopping.signal, clock, log: this.log, onFailure: () => metrics.count('loops_failed') })
+  }
+
   // Queries
 
   /** State of a job; undefined when this leader has no record of it. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -1,7 +1,9 @@
 import { ManualClock } from '@citronnotch/base/clock'
 import type { Clock } from '@citronnotch/base/clock'
 import { LogFactory } from '@citronnotch/base/logger'
+import type { Failure } from '@citronnotch/base/errors'
 import { Ok } from '@citronnotch/base/result'
+import type { Result } from '@citronnotch/base/result'
 import type { AdviceAgent } from '../advice.js'
 import { HedgedStore } from '../hedgedStore.js'
 import { STEP_DEFAULTS } from '../jobRecord.js'
@@ -81,6 +83,8 @@
   maintenanceWaves: readonly MaintenanceWave[] = []
   /** Wave states published to the operator, each as `<wave> <state>`. */
   readonly publishedWaveStates: string[] = []
+  /** Called before each read of the worker registry; returns a failure to inject, or throws. */
+  beforeRegistryRead: () => Result<never, Failure> | undefined = () => undefined
   /** Whether connections to a peer address are refused; tests set it. */
   refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
@@ -125,7 +129,7 @@
     const directory: Directory = {
       readConfig: async () => Ok({ config: undefined, version: 0 }),
       watchConfig: async () => Ok({ config: undefined, version: 0 }),
-      listWorkers: async () => Ok(this.registry),
+      listWorkers: async () => this.beforeRegistryRead() ?? Ok(this.registry),
       listWaves: async () => Ok(this.maintenanceWaves),
       publishWave: async (wave, state) => {
         this.publishedWaveStates.push(`${wave} ${state}`)
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { supervise } from '@citronnotch/base/supervise'
 import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
@@ -15,6 +16,9 @@
 /** Time after which the roster records when the leases of an unreachable worker expire; shorter outages are frequent. */
 const UNREACHABLE_MS = 500
 
+/** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
+const MAX_UNUSABLE_LOGGED = 1_000
+
 export interface WorkerPoolOptions {
   readonly epoch: number
   readonly store: RowStore
@@ -44,6 +48,8 @@
   /** Highest fencing tokens of dropped workers, by worker id: a worker may start again under the same id. */
   private readonly lastTokens = new Map<string, number>()
   private readonly roster: Roster
+  /** Ids of the workers that could not be used, each of which is logged once. */
+  private readonly unusable = new Set<string>()
   /** Monotonic time after which every lease of earlier leaders has expired. */
   private readonly earlierLeasesExpireAt: number
   /** The same for starts of earlier leaders that a later incarnation of the worker may have executed. */
@@ -151,12 +157,23 @@
     for (const link of [...this.links.values()]) {
       const entry = entriesById.get(link.id)
       if (entry !== undefined && entry.born === link.entry.born && !link.isDead) link.updateEntry(entry)
-      else this.handleUnlisted(link, entry, entriesByAddress.get(link.entry.address), signal)
+      else this.isolate(link.id, () => this.handleUnlisted(link, entry, entriesByAddress.get(link.entry.address), signal))
     }
-    for (const entry of entries) if (!this.links.has(entry.id)) this.connect(entry, signal)
+    for (const entry of entries) if (!this.links.has(entry.id)) this.isolate(entry.id, () => this.connect(entry, signal))
     this.options.onChange()
   }
 
+  /** Applies a change of one worker; if that fails, the worker is set aside and the others are not affected. */
+  private isolate (workerId: string, apply: () => void) {
+    try {
+      apply()
+    } catch (err) {
+      if (this.unusable.has(workerId) || this.unusable.size >= MAX_UNUSABLE_LOGGED) return
+      this.unusable.add(workerId)
+      this.options.log.error('Worker can not be used and is left out.', { worker: workerId, err })
+    }
+  }
+
   /** Handles an incarnation of a worker that the registry no longer lists. */
   private handleUnlisted (link: WorkerLink, entry: WorkerEntry | undefined, sameAddressEntry: WorkerEntry | undefined, signal: AbortSignal) {
     const isRestarted = entry !== undefined && entry.born > link.entry.born
@@ -179,7 +196,7 @@
     }, previous)
     if (previous !== undefined) this.drop(previous, 'restarted')
     this.links.set(entry.id, link)
-    link.run(signal)
+    supervise(() => link.run(signal), { part: `worker ${link.id}`, signal, clock, log })
   }
 
   private drop (link: WorkerLink, reason: string) {
