fix(cell): a task that has failed on a worker avoids it for a while only

Cause: after a failure a task waits for another worker, so as not to use up its attempts. Whether there is one was concluded from the workers that could run it if they were empty, and never looked at again. Other workers are preferred as before. Same cause on related paths: gangs left out all workers on which one of their runs had failed, and runs without progress added to the same sets. Bounded already: suspensions, pauses after refusals, reservations, advice.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { AdviceCache } from './advice.js'
+import type { AvoidedWorkers } from './avoidedWorkers.js'
 import type { Job, Run, Step, Task } from './jobs.js'
 import { latenessOf } from './lateness.js'
 import type { Lateness } from './lateness.js'
@@ -151,7 +152,7 @@
     const workers = this.allowedWorkers(candidate, round)
     const started: Run[] = []
     for (const task of waitingTasks) {
-      const worker = this.bestWorker(step, workers, round.free, task.failedOn)
+      const worker = this.bestWorker(step, workers, round.free, task.avoidedWorkers)
       if (worker === undefined) break
       started.push(this.start(candidate, task, step.nextRunNumber(this.options.epoch), worker, round.free, task.lastRunNumber))
     }
@@ -201,16 +202,18 @@
   }
 
   /** Picks the worker with the least free processor time on which a task fits, preferably on the affinity rack. */
-  private bestWorker (step: Step, workers: readonly WorkerLink[], free: FreeCapacity, failedOn: ReadonlySet<string>, plannedCounts?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
+  private bestWorker (step: Step, workers: readonly WorkerLink[], free: FreeCapacity, avoided: AvoidedWorkers, plannedCounts?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
     const { affinityRack, usesIdleCapacity } = step.spec
     const { need } = step
-    // Each failed run uses up one of few attempts, so a task waits for a worker on which it hasn't failed, if there is one.
-    const mayReuseFailed = failedOn.size > 0 && workers.every(worker => failedOn.has(worker.id))
+    const now = this.options.clock.now()
+    const isAvoided = (worker: WorkerLink) => avoided.isAvoided(worker.id, now)
+    // There is no other worker to wait for.
+    const mayUseAvoided = workers.every(isAvoided)
     let best: WorkerLink | undefined
     let bestScore = Infinity
     for (const worker of workers) {
       const available = free.get(worker)
-      if (available === undefined || !fits(need, available) || (failedOn.has(worker.id) && !mayReuseFailed)) continue
+      if (available === undefined || !fits(need, available) || (!mayUseAvoided && isAvoided(worker))) continue
       if (slotsWithinLimit(step, worker) <= (plannedCounts?.get(worker) ?? 0)) continue
       if (usesIdleCapacity && (available.milliCores <= 0 || hostsStep(worker, other => other.hasLatencyTarget()))) continue
       const isOffAffinityRack = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,3 +1,4 @@
+import { AvoidedWorkers } from './avoidedWorkers.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
 import type { JobOutcome, ResourceVector, StepSpec, TaskId } from './types.js'
@@ -121,8 +122,8 @@
   checkpoint = ''
   /** Numbers of the failed runs. */
   readonly failedRuns = new Set<number>()
-  /** Ids of workers on which a run of this task has failed or stalled. */
-  readonly failedOn = new Set<string>()
+  /** Workers on which a run of this task has failed or stalled. */
+  readonly avoidedWorkers = AvoidedWorkers.create()
   readonly runs: Run[] = []
 
   constructor (readonly step: Step, readonly index: number) {}
@@ -146,8 +147,8 @@
   remainingTasks: number
   /** Monotonic time in milliseconds before which no task is started, because a worker refused a start or could not be reached. */
   notBefore = 0
-  /** Ids of workers on which a run of this step has failed or stalled. */
-  readonly avoidedWorkers = new Set<string>()
+  /** Workers on which a run of this step has failed or stalled. */
+  readonly avoidedWorkers = AvoidedWorkers.create()
 
   constructor (readonly job: Job, readonly occurrence: number, readonly index: number, readonly spec: StepSpec) {
     this.tasks = Array.from({ length: spec.count }, (_, task) => new Task(this, task))
@@ -194,6 +195,12 @@
     for (const member of this.spec.gang ? this.tasks : [task]) member.checkpoint = checkpoint
   }
 
+  /** Records that a run of a task has failed or stalled on a worker, so that others are tried first. */
+  avoidWorker (task: Task, workerId: string, now: number): void {
+    this.avoidedWorkers.add(workerId, now)
+    task.avoidedWorkers.add(workerId, now)
+  }
+
   /** Records a failed run and returns the number of failures so far. The members of a gang fail together and share one count. */
   recordFailure (task: Task, runNumber: number): number {
     const countedTask = this.spec.gang ? this.tasks[0] ?? task : task
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -277,8 +277,7 @@
 
   private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
     this.workers.health.recordFailure(link.id, job.id)
-    step.avoidedWorkers.add(link.id)
-    task.failedOn.add(link.id)
+    step.avoidWorker(task, link.id, this.options.clock.now())
     const failures = step.recordFailure(task, run)
     const queue = this.options.queue(job.record.queue)
     if (step.spec.longRunning || queue === undefined || failures < queue.maxAttempts) return
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -142,8 +142,7 @@
         const stalledMs = link.reportedAt() - run.progressAt
         if (run.state !== 'running' || run.task === undefined || stalledMs < STALL_MS || run.percent >= READY_PERCENT) continue
         this.options.log.warn('Run makes no progress.', { task: formatTaskId(run.id), run: run.number, worker: link.id, percent: run.percent, forMs: Math.round(stalledMs) })
-        run.task.step.avoidedWorkers.add(link.id)
-        run.task.failedOn.add(link.id)
+        run.task.step.avoidWorker(run.task, link.id, this.options.clock.now())
         // A task on idle capacity makes no progress while other tasks use the whole worker.
         if (!run.task.step.spec.usesIdleCapacity) this.health.recordStall(link.id)
         link.stop(run)
