fix(platform,cell,base): every reader of values from outside survives any bytes

Cause: values from outside were converted with String and Number, which call methods of the value and descend into it: nested lists overflow the stack, an object with its own toString fails. A worker's report is read in a call that nobody waits for, so the failure ended the process. Rows of our own tables were trusted to have the type that this version writes; one odd row kept every leader from loading its state. Change: values are checked by their type, never converted, with readers in base/untrusted. A row that can't be read is left out and logged. What must not be guessed is held back: a job without readable progress, and all jobs until earlier leases have expired if the roster is not readable. A failure in the background is logged instead of ending the process. Calls to peers without a usable address fail at once, and a failed check of the leader's address does not block later ones.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -3,7 +3,7 @@
 import { silentLog } from '@citronnotch/base/logger'
 import { CommitQueue } from '../commitQueue.js'
 import { Job } from '../jobs.js'
-import type { StoredProgress } from '../jobs.js'
+import type { StoredProgress } from '../storedProgress.js'
 import { MemoryStore, createStep } from '../testing/index.js'
 
 const PARTITION = 'leader-0'
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,8 +1,10 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
 import { COMMIT_BATCH_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import type { Job, StoredProgress } from './jobs.js'
+import type { Job } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
+import { decodeProgress } from './storedProgress.js'
+import type { StoredProgress } from './storedProgress.js'
 
 /** Each job needs one expected version and one write. */
 const ENTRIES_PER_JOB = 2
@@ -141,7 +143,7 @@
     }
     // An earlier transaction whose answer was lost has been applied, possibly with the same values as this one.
     for (const { job, key } of writes) job.progressVersion = currentVersionOf(currentRows, key)
-    const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(currentRows.get(`${key.table}/${key.key}`)?.value) === JSON.stringify(value))
+    const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(decodeProgress(currentRows.get(`${key.table}/${key.key}`)?.value)) === JSON.stringify(value))
     if (isAlreadyStored) return true
     log.info('Versions of progress rows refreshed after a conflict.', { jobs: batch.length })
     return false
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -1,8 +1,9 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { finiteOr, recordOf } from '@citronnotch/base/untrusted'
 import { ADMISSION_PARTITIONS, ENDED_RETENTION_MARGIN_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionName, cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
-import type { EndedRecord } from './jobs.js'
+import type { EndedRecord } from './storedProgress.js'
 import type { RowStore, Transaction } from './ports.js'
 
 /** Pause between two rounds, so that clean-up uses only a small part of the store's request rate. */
@@ -145,7 +146,7 @@
         return
       }
       const { rows, hasMore } = page.val
-      const expired = rows.filter(({ value }) => Number((value as Partial<EndedRecord> | undefined)?.endedAtMs ?? 0) <= expiryCutoffMs)
+      const expired = rows.filter(({ value }) => finiteOr(recordOf(value).endedAtMs, 0) <= expiryCutoffMs)
       for (let offset = 0; offset < expired.length; offset += MAX_TRANSACTION_ENTRIES) {
         const batch = expired.slice(offset, offset + MAX_TRANSACTION_ENTRIES)
         await this.transact({ partition, expect: [], puts: [], removes: batch.map(({ key }) => ({ table: TABLES.ended, key })) })
--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { countOr, recordOf } from '@citronnotch/base/untrusted'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, LOAD_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionName, leaderPartitionName } from './jobs.js'
 import type { RangeQuery, RowStore, StoredRow } from './ports.js'
@@ -46,7 +47,7 @@
       return undefined
     }
     const current = row.val.rows[0]
-    const stored = Number((current?.value as { epoch?: unknown } | undefined)?.epoch ?? 0)
+    const stored = countOr(recordOf(current?.value).epoch, 0)
     if (stored > epoch) return 'deposed'
     if (stored === epoch && current !== undefined) return current.version
     const res = await this.store.transact({
--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -1,3 +1,5 @@
+import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import { MAX_TASKS_PER_STEP } from './types.js'
 import type { JobSpec, Schedule, StepSpec } from './types.js'
 
 /** An admitted job without its payload, which scheduling decisions don't need. */
@@ -42,10 +44,29 @@
 
 /** Returns undefined if the value isn't that of a live job. */
 export function decodeJob (value: unknown): JobRecord | undefined {
-  const { queue, service, steps, schedule, admittedAtMs } = (value ?? {}) as Partial<StoredJob>
-  if (queue === undefined || service === undefined || admittedAtMs === undefined || !Array.isArray(steps)) return undefined
-  const completeSteps = steps.map(step => ({ ...STEP_DEFAULTS, ...step } as StepSpec))
-  return { queue, service, spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs }
+  const { queue, service, steps, schedule, admittedAtMs } = recordOf(value)
+  if (!isString(queue) || !isString(service) || finiteOr(admittedAtMs, undefined) === undefined || !Array.isArray(steps)) return undefined
+  const completeSteps = steps.map(step => ({ ...STEP_DEFAULTS, ...recordOf(step) }))
+  if (!isListOf(completeSteps, isStep) || !(schedule === undefined || isSchedule(schedule))) return undefined
+  return { queue, service, spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs: admittedAtMs as number }
+}
+
+function isStep (value: unknown): value is StepSpec {
+  const step = recordOf(value)
+  const { count, need } = step
+  const { milliCores, memoryMb, accelerators } = recordOf(need)
+  return isCount(count) && count <= MAX_TASKS_PER_STEP && [milliCores, memoryMb, accelerators].every(isCount) &&
+    Object.entries(STEP_DEFAULTS).every(([name, defaultValue]) => hasTypeOf(step[name], defaultValue))
+}
+
+function hasTypeOf (value: unknown, example: unknown): boolean {
+  if (Array.isArray(example)) return isListOf(value, isCount)
+  return typeof example === 'number' ? finiteOr(value, undefined) !== undefined : typeof value === typeof example
+}
+
+function isSchedule (value: unknown): value is Schedule {
+  const { firstRunMs, intervalMs, repetitions } = recordOf(value)
+  return isCount(repetitions) && [firstRunMs, intervalMs].every(ms => finiteOr(ms, undefined) !== undefined)
 }
 
 function withoutDefaults (step: StepSpec): Partial<StepSpec> {
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -5,11 +5,11 @@
 import type { Result } from '@citronnotch/base/result'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
-import type { EndedRecord, StoredProgress } from './jobs.js'
 import { encodeJob } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
+import { decodeEnded } from './storedProgress.js'
 import type { StoreHealth } from './storeHealth.js'
 import type { JobOutcome, JobSpec, JobState, Queue } from './types.js'
 
@@ -154,8 +154,7 @@
       ? await this.readRows(TABLES.ended, admissionPartitionOf(jobId), jobId, `${jobId}\0`)
       : await this.readRows(TABLES.progress, leaderPartitionName(leaderPartitionOf(jobId)), jobId, `${jobId}\0`)
     if (outcomeRows.err) return outcomeRows
-    const value = outcomeRows.val[0]?.value as EndedRecord | StoredProgress | undefined
-    return Ok({ job, isCancelled, outcome: value !== undefined && 'outcome' in value ? value.outcome : undefined })
+    return Ok({ job, isCancelled, outcome: decodeEnded(outcomeRows.val[0]?.value)?.outcome })
   }
 
   private async readRows (table: string, partition: string, from: string, to: string): Promise<Result<readonly StoredRow[], Failure>> {
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -2,11 +2,11 @@
 import type { Log } from '@citronnotch/base/logger'
 import { ENDED_RETENTION_MARGIN_MS } from './constants.js'
 import type { Janitor } from './janitor.js'
-import { Job, jobIdOfCancelKey } from './jobs.js'
-import type { StoredProgress } from './jobs.js'
+import { Job, isJobId, jobIdOfCancelKey } from './jobs.js'
 import { decodeJob } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import type { StoredRow } from './ports.js'
+import { decodeEnded, decodeProgress } from './storedProgress.js'
 import type { JobOutcome, JobState } from './types.js'
 
 interface RecentOutcome {
@@ -82,7 +82,7 @@
       progressById.delete(row.key)
     }
     // An earlier leader moved these jobs to the table of ended jobs, but didn't remove their progress rows.
-    for (const { key, value } of progressById.values()) if ('outcome' in (value as StoredProgress) && !this.isTracked(key)) this.options.janitor.enqueueProgressRemoval(key)
+    for (const { key, value } of progressById.values()) if (isJobId(key) && decodeEnded(value) !== undefined && !this.isTracked(key)) this.options.janitor.enqueueProgressRemoval(key)
     return cancelledJobIds(jobRows)
   }
 
@@ -119,9 +119,12 @@
   }
 
   private restoreJob (row: StoredRow, progress: StoredRow | undefined) {
-    const { janitor } = this.options
-    const stored = progress?.value as StoredProgress | undefined
-    if (stored !== undefined && 'outcome' in stored) {
+    const { janitor, log } = this.options
+    const stored = decodeProgress(progress?.value)
+    if (progress !== undefined && stored === undefined) {
+      // Without its progress, tasks of the job that are done would run again.
+      log.error('Progress row could not be decoded; the job is left out.', { job: row.key, version: progress.version })
+    } else if (stored !== undefined && 'outcome' in stored) {
       this.recordOutcome(row.key, stored.outcome)
       janitor.enqueueEndedJob(row.key, row.version, stored)
     } else {
@@ -151,7 +154,7 @@
 }
 
 function isAdmissionRow ({ key, deleted }: StoredRow): boolean {
-  return !deleted && !key.includes('.')
+  return !deleted && isJobId(key)
 }
 
 function cancelledJobIds (rows: readonly StoredRow[]): readonly string[] {
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,35 +1,18 @@
 import { AvoidedWorkers } from './avoidedWorkers.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
+import type { JobProgress, StepProgress } from './storedProgress.js'
 import type { JobOutcome, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
-/** Stored progress of one step. The keys of the records are task indexes. */
-export interface StepProgress {
-  /** One character per task: `1` if it is done, otherwise `0`. */
-  readonly done: string
-  /** Numbers of the failed runs of each task. */
-  readonly failed?: Readonly<Record<string, readonly number[]>>
-  /** Latest checkpoint of each unfinished task, from runs whose finish has been acknowledged. */
-  readonly checkpoints?: Readonly<Record<string, string>>
-}
-
-/** Stored progress of a job by occurrence number: `done`, or the progress of each step. */
-export type JobProgress = Readonly<Record<string, 'done' | readonly StepProgress[]>>
-
 export type RunState = 'starting' | 'running' | 'stopping'
 
-/**
- * Final outcome of a job. It is stored first in the job's progress row in place of the progress, and later in a row of
- * the table of ended jobs, which replaces the row that admitted the job.
- */
-export interface EndedRecord {
-  readonly outcome: JobOutcome
-  readonly endedAtMs: number
-}
+const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i
 
-/** Value of a row in the progress table. */
-export type StoredProgress = { readonly occurrences: JobProgress } | EndedRecord
+/** Whether the text is a job id, whose last digits decide on the job's partitions. */
+export function isJobId (text: string): boolean {
+  return JOB_ID_PATTERN.test(text)
+}
 
 /** Name of the partition that holds the rows that admit and cancel a job. */
 export function admissionPartitionOf (jobId: string): string {
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -189,15 +189,18 @@
     const { refusesConnections, hasBetterCandidate, clock, log } = this.options
     if (refusesConnections === undefined || this.isCheckingHolder || this.isStopping || this.held !== undefined || hasBetterCandidate?.() === true) return
     this.isCheckingHolder = true
-    await clock.sleep(Math.min(MAX_DISTANCE_DELAY_MS, DISTANCE_DELAY_FACTOR * this.meanReadTimeMs))
-    // The row is read before the connection attempt: an attempt that is refused says nothing about a holder that starts later.
-    const state = await this.readState(LEASE_READ_TIMEOUT_MS)
-    const isHolder = state?.value?.peerAddress === peerAddress && !state.value.released
-    if (state !== undefined && isHolder && await refusesConnections(peerAddress)) {
-      log.info('The leader refuses connections; taking over before its lease ends.', { holder: state.value?.holder, address: peerAddress })
-      await this.acquire(state, true)
+    try {
+      await clock.sleep(Math.min(MAX_DISTANCE_DELAY_MS, DISTANCE_DELAY_FACTOR * this.meanReadTimeMs))
+      // The row is read before the connection attempt: an attempt that is refused says nothing about a holder that starts later.
+      const state = await this.readState(LEASE_READ_TIMEOUT_MS)
+      const isHolder = state?.value?.peerAddress === peerAddress && !state.value.released
+      if (state !== undefined && isHolder && await refusesConnections(peerAddress)) {
+        log.info('The leader refuses connections; taking over before its lease ends.', { holder: state.value?.holder, address: peerAddress })
+        await this.acquire(state, true)
+      }
+    } finally {
+      this.isCheckingHolder = false
     }
-    this.isCheckingHolder = false
   }
 
   /** Asks another daemon to take over: the one that `findSuccessor` finds. */
--- a/packages/cell/src/leaseRows.ts
+++ b/packages/cell/src/leaseRows.ts
@@ -1,3 +1,4 @@
+import { countOr, recordOf, stringOr } from '@citronnotch/base/untrusted'
 import { TABLES } from './constants.js'
 import type { RowKey, StoredRow } from './ports.js'
 
@@ -40,16 +41,16 @@
 export function parseState (rows: readonly StoredRow[]): LeaseState {
   const find = ({ key }: RowKey) => rows.find(row => row.key === key && !row.deleted)
   const [lease, renewal] = [find(LEASE_ROW), find(RENEWAL_ROW)]
-  const renewalValue = renewal?.value as Partial<RenewalValue> | undefined
+  const renewalValue = recordOf(renewal?.value)
   return {
     value: lease === undefined ? undefined : parseLease(lease.value),
     version: lease?.version ?? 0,
-    renewal: { epoch: Number(renewalValue?.epoch ?? 0), count: Number(renewalValue?.count ?? 0) },
+    renewal: { epoch: countOr(renewalValue.epoch, 0), count: countOr(renewalValue.count, 0) },
     renewalVersion: renewal?.version ?? 0
   }
 }
 
 function parseLease (value: unknown): LeaseValue {
-  const { holder, peerAddress, epoch, released } = (value ?? {}) as Partial<LeaseValue>
-  return { holder: String(holder ?? ''), peerAddress: String(peerAddress ?? ''), epoch: Number(epoch ?? 0), released: released === true }
+  const { holder, peerAddress, epoch, released } = recordOf(value)
+  return { holder: stringOr(holder, ''), peerAddress: stringOr(peerAddress, ''), epoch: countOr(epoch, 0), released: released === true }
 }
--- a/packages/cell/src/membership.ts
+++ b/packages/cell/src/membership.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { finiteOr, isString, recordOf } from '@citronnotch/base/untrusted'
+import { isSocketAddress } from '@citronnotch/base/utils'
 import { DAEMONS_PARTITION, STORE_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TABLES } from './constants.js'
 import type { Successor } from './leaderLease.js'
 import type { PeerClients } from './peers.js'
@@ -94,7 +96,7 @@
   async refresh (): Promise<void> {
     const { store, self } = this.options
     const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
-    if (page.ok) this.peers = page.val.rows.filter(({ key }) => key !== self.name).map(decodePeer)
+    if (page.ok) this.peers = page.val.rows.filter(({ key }) => key !== self.name).flatMap(row => decodePeer(row) ?? [])
   }
 
   private minBetterWeight (): number {
@@ -127,7 +129,9 @@
   }
 }
 
-function decodePeer ({ key, value }: StoredRow): Peer {
-  const { peerAddress, strength, startedMs } = (value ?? {}) as { readonly peerAddress?: unknown, readonly strength?: unknown, readonly startedMs?: unknown }
-  return { name: key, peerAddress: String(peerAddress ?? ''), leadershipWeight: Number(strength ?? 0), startedMs: Number(startedMs ?? 0) }
+/** Returns undefined if the row isn't that of a daemon that can be called. */
+function decodePeer ({ key, value }: StoredRow): Peer | undefined {
+  const { peerAddress, strength, startedMs } = recordOf(value)
+  if (!isString(peerAddress) || !isSocketAddress(peerAddress)) return undefined
+  return { name: key, peerAddress, leadershipWeight: finiteOr(strength, 0), startedMs: finiteOr(startedMs, 0) }
 }
--- a/packages/cell/src/payloads.ts
+++ b/packages/cell/src/payloads.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { isString, recordOf } from '@citronnotch/base/untrusted'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { admissionPartitionOf } from './jobs.js'
 import type { Job } from './jobs.js'
@@ -54,8 +55,8 @@
     while (job.payload === undefined && job.outcome === undefined) {
       const page = await store.range({ table: TABLES.payloads, partition: admissionPartitionOf(job.id), from: job.id, to: `${job.id}\0`, limit: 1 }, STORE_TIMEOUT_MS)
       if (page.ok) {
-        const payload = (page.val.rows[0]?.value as { readonly payload?: unknown } | undefined)?.payload
-        if (typeof payload === 'string') job.payload ??= payload
+        const { payload } = recordOf(page.val.rows[0]?.value)
+        if (isString(payload)) job.payload ??= payload
         else log.error('Payload of a job is missing.', { job: job.id, version: page.val.version })
         return onLoaded()
       }
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -5,7 +5,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
-import { parseAddress } from '@citronnotch/base/utils'
+import { isSocketAddress, parseAddress } from '@citronnotch/base/utils'
 import type { Verdict } from '@citronnotch/base/verdict'
 import type { JobRecord } from './jobRecord.js'
 import type { JobState } from './types.js'
@@ -104,6 +104,7 @@
   call<M extends PeerMethod> (address: string, method: M, req: PeerMethods[M]['req'], timeoutMs: number): Promise<Result<PeerMethods[M]['res'], Failure>> {
     const definition = service[method]
     if (definition === undefined) throw new Error(`peer method ${method} is not defined`)
+    if (!isSocketAddress(address)) return Promise.resolve(Err(Failure.notRun('peer-unreachable', 'The daemon has no usable address.')))
     return new Promise(resolve => {
       this.client(address).makeUnaryRequest<PeerMethods[M]['req'], PeerMethods[M]['res']>(
         definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, { deadline: Date.now() + timeoutMs },
@@ -138,6 +139,7 @@
 
 /** Resolves with true if a new connection to the address is refused, which is the case when no process listens there. */
 export function refusesConnections (address: string, timeoutMs: number): Promise<boolean> {
+  if (!isSocketAddress(address)) return Promise.resolve(false)
   return new Promise(resolve => {
     const socket = connect({ ...parseAddress(address), timeout: timeoutMs })
     const settle = (isRefused: boolean) => {
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -1,4 +1,5 @@
 import type { Log } from '@citronnotch/base/logger'
+import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { leaderPartitionName } from './jobs.js'
 import type { RowStore } from './ports.js'
@@ -33,6 +34,7 @@
   /** Members that the stored row is known to contain, by worker id. */
   private stored: ReadonlyMap<string, RosterMember> = new Map()
   private earlierMembers: readonly RosterMember[] = []
+  private isEarlierRowReadable = true
   private version = 0
   /** Whether the row is known to contain exactly `stored`; false after a write without a confirmed result. */
   private isRowCurrent = true
@@ -54,6 +56,11 @@
     return this.hasActive(worker) && this.stored.get(worker.id)?.jobs === undefined
   }
 
+  /** Whether the row that was loaded could be read. If not, any worker may have runs of earlier leaders. */
+  isComplete (): boolean {
+    return this.isEarlierRowReadable
+  }
+
   /** Members that the row listed when it was loaded. */
   membersOfEarlierLeaders (): readonly RosterMember[] {
     return this.earlierMembers
@@ -73,7 +80,10 @@
     }
     const row = res.val.rows.find(({ key }) => key === 'roster')
     this.version = row?.version ?? 0
-    this.earlierMembers = (row?.value as { workers?: readonly RosterMember[] } | undefined)?.workers ?? []
+    const { workers } = recordOf(row?.value)
+    this.isEarlierRowReadable = row === undefined || isListOf(workers, isMember)
+    this.earlierMembers = isListOf(workers, isMember) ? workers : []
+    if (!this.isEarlierRowReadable) log.error('Roster row is not readable; all jobs wait until the leases of earlier leaders have expired.', { version: this.version })
     this.stored = byId(this.earlierMembers)
     return true
   }
@@ -120,6 +130,11 @@
   }
 }
 
+function isMember (value: unknown): value is RosterMember {
+  const { id, born, lapsesAtMs, jobs } = recordOf(value)
+  return isString(id) && isCount(born) && (lapsesAtMs === undefined || finiteOr(lapsesAtMs, undefined) !== undefined) && (jobs === undefined || isListOf(jobs, isString))
+}
+
 function byId (members: readonly RosterMember[]): ReadonlyMap<string, RosterMember> {
   return new Map(members.map(member => [member.id, member]))
 }
--- /dev/null
+++ b/packages/cell/src/storedProgress.ts
@@ -0,0 +1,57 @@
+import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import type { JobOutcome } from './types.js'
+
+/** Stored progress of one step. The keys of the records are task indexes. */
+export interface StepProgress {
+  /** One character per task: `1` if it is done, otherwise `0`. */
+  readonly done: string
+  /** Numbers of the failed runs of each task. */
+  readonly failed?: Readonly<Record<string, readonly number[]>>
+  /** Latest checkpoint of each unfinished task, from runs whose finish has been acknowledged. */
+  readonly checkpoints?: Readonly<Record<string, string>>
+}
+
+/** Stored progress of a job by occurrence number: `done`, or the progress of each step. */
+export type JobProgress = Readonly<Record<string, 'done' | readonly StepProgress[]>>
+
+/**
+ * Final outcome of a job. It is stored first in the job's progress row in place of the progress, and later in a row of
+ * the table of ended jobs, which replaces the row that admitted the job.
+ */
+export interface EndedRecord {
+  readonly outcome: JobOutcome
+  /** Unix time in milliseconds. */
+  readonly endedAtMs: number
+}
+
+/** Value of a row in the progress table. */
+export type StoredProgress = { readonly occurrences: JobProgress } | EndedRecord
+
+const OUTCOMES: ReadonlySet<unknown> = new Set<JobOutcome>(['completed', 'failed', 'cancelled'])
+const OCCURRENCE_PATTERN = /^\d{1,15}$/
+
+/** Returns undefined if the value isn't that of a row with an outcome. */
+export function decodeEnded (value: unknown): EndedRecord | undefined {
+  const { outcome, endedAtMs } = recordOf(value)
+  return OUTCOMES.has(outcome) ? { outcome: outcome as JobOutcome, endedAtMs: finiteOr(endedAtMs, 0) } : undefined
+}
+
+/** Returns undefined if the value isn't that of a row in the progress table. */
+export function decodeProgress (value: unknown): StoredProgress | undefined {
+  const { occurrences } = recordOf(value)
+  return decodeEnded(value) ?? (isJobProgress(occurrences) ? { occurrences } : undefined)
+}
+
+function isJobProgress (value: unknown): value is JobProgress {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return false
+  return Object.entries(value).every(([occurrence, steps]) => OCCURRENCE_PATTERN.test(occurrence) && (steps === 'done' || isListOf(steps, isStepProgress)))
+}
+
+function isStepProgress (value: unknown): value is StepProgress {
+  const { done, failed, checkpoints } = recordOf(value)
+  return isString(done) && isRecordOf(failed, runs => isListOf(runs, isCount)) && isRecordOf(checkpoints, isString)
+}
+
+function isRecordOf (value: unknown, isElement: (element: unknown) => boolean): boolean {
+  return value === undefined || (typeof value === 'object' && value !== null && Object.values(value).every(isElement))
+}
--- a/packages/cell/src/testing/memoryStore.ts
+++ b/packages/cell/src/testing/memoryStore.ts
@@ -89,6 +89,11 @@
     this.apply({ partition, expect: [], puts: [{ table, key, value }], removes: [] })
   }
 
+  /** Writes a row whose value need not be one that could be encoded again. */
+  putOdd (table: string, partition: string, key: string, value: unknown): void {
+    this.write({ table, partition, key, version: ++this.latestVersion, deleted: false, value })
+  }
+
   remove (table: string, partition: string, key: string): void {
     this.apply({ partition, expect: [], puts: [], removes: [{ table, key }] })
   }
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -6,6 +6,9 @@
   readonly accelerators: number
 }
 
+/** Maximum number of tasks of one step; limits the memory that one job can take. */
+export const MAX_TASKS_PER_STEP = 10_000
+
 /** One step of a job: `count` tasks of the same kind. */
 export interface StepSpec {
   readonly count: number
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -262,7 +262,7 @@
     task.runs.push(run)
     task.lastRunNumber = Math.max(task.lastRunNumber, number)
     this.addRun(run)
-    this.sendStart(run, payload, ticket)
+    this.inBackground('start', this.sendStart(run, payload, ticket))
     return run
   }
 
@@ -289,7 +289,7 @@
   stop (run: Run): void {
     if (run.state === 'stopping') return
     run.state = 'stopping'
-    this.sendStop(run)
+    this.inBackground('stop', this.sendStop(run))
   }
 
   private async sendStart (run: Run, payload: string, ticket: string) {
@@ -344,7 +344,11 @@
     this.isAdopted = false
     this.unreachableSince = this.options.clock.now()
     this.options.events.workerChanged(this)
-    if (this.options.mayIssueCommands()) this.heartbeat(0)
+    if (this.options.mayIssueCommands()) this.inBackground('heartbeat', this.heartbeat(0))
+  }
+
+  private inBackground (operation: string, outcome: Promise<unknown>) {
+    outcome.catch((err: unknown) => this.options.log.error('Call to a worker failed unexpectedly.', { worker: this.id, operation, err }))
   }
 
   /** Returns undefined when the worker doesn't answer or refuses the heartbeat. */
@@ -493,7 +497,7 @@
     for (const run of runs) {
       run.moveToIncarnation(this, this.options.clock.now())
       this.addRun(run)
-      if (run.state === 'stopping') this.sendStop(run)
+      if (run.state === 'stopping') this.inBackground('stop', this.sendStop(run))
     }
   }
 
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -97,6 +97,7 @@
    * leases have not expired; `all` if such a worker may run any job.
    */
   jobsWithUnknownRuns (): ReadonlySet<string> | 'all' {
+    if (!this.roster.isComplete() && this.options.clock.now() <= this.earlierStartsExpireAt) return 'all'
     const jobIds = new Set<string>()
     for (const member of this.roster.membersOfEarlierLeaders()) {
       if (this.areRunsKnown(member)) continue
