fix(cell): another entry at the address of a worker does not prove that the worker has been replaced

Cause: while a worker's own entry is missing for a moment, an entry with its address and a later born was taken as proof that another worker had taken its place, and its runs were counted as lost. Anybody can write such an entry; the platform asks that an entry of another writer names no worker. Change: the worker counts as replaced only once a worker has answered under the other id. A worker that really has been replaced is also found by its successor's refusal of calls to the earlier id, as before. Measured: "an entry of another writer with the address of a worker …" (oddRows.test.ts) fails before with a run on w2 beside the one on w1, and passes after.

--- a/packages/cell/src/__tests__/oddRows.test.ts
+++ b/packages/cell/src/__tests__/oddRows.test.ts
@@ -2,7 +2,7 @@
 import { isCount } from '@citronnotch/base/untrusted'
 import { TABLES } from '../constants.js'
 import { admissionPartitionName, admissionPartitionOf, leaderPartitionName, leaderPartitionOf } from '../jobs.js'
-import { TestCell, createOddValues, createStep, spreadOverFields } from '../testing/index.js'
+import { TestCell, createOddValues, createStep, createWorkerEntry, spreadOverFields } from '../testing/index.js'
 
 const JOB_ID = 'ffffffffffff0000'
 const STEP = { count: 1, need: { milliCores: 1, memoryMb: 1, accelerators: 0 } }
@@ -47,3 +47,19 @@
     })
   }
 }
+
+// Guards against TWICE: a copy of a worker's entry under another id made the leader believe that the worker had been replaced.
+test('an entry of another writer with the address of a worker does not prove that the worker has been replaced', async t => {
+  const cell = TestCell.create({ behaviour: () => ({ durationMs: 3_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.advanceUntil(() => cell.audit.hasStarted(jobId))
+  const [busy, idle] = cell.workers.all()[0]?.runningTasks().length === 1 ? ['w1', 'w2'] as const : ['w2', 'w1'] as const
+  const { address } = createWorkerEntry(busy)
+  cell.setRegistry([createWorkerEntry('copy-0', { address, born: 99 }), createWorkerEntry(idle)])
+  await cell.clock.advance(1_500)
+  cell.setRegistry([createWorkerEntry(busy), createWorkerEntry(idle)])
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -177,7 +177,8 @@
   /** Handles an incarnation of a worker that the registry no longer lists. */
   private handleUnlisted (link: WorkerLink, entry: WorkerEntry | undefined, sameAddressEntry: WorkerEntry | undefined, signal: AbortSignal) {
     const isRestarted = entry !== undefined && entry.born > link.entry.born
-    const isReplaced = entry === undefined && sameAddressEntry !== undefined && sameAddressEntry.born > link.entry.born
+    // Only an answer under the other id proves that the address has passed on: anybody may have written the other entry.
+    const isReplaced = entry === undefined && sameAddressEntry !== undefined && sameAddressEntry.born > link.entry.born && this.links.get(sameAddressEntry.id)?.isAdopted === true
     if (isRestarted) link.declareRestarted()
     // A worker with another id refuses what was sent to this one.
     if (isReplaced) link.declareDead()
