test(cell,soak): an end that is lost with its worker does not forbid another start

The leader logged "Run lost. run=2001 worker=w4 reason=worker-restarted", which it does only for runs whose end it has not received, and started run 2002 elsewhere. The rule TWICE forbids a start after an end "if that end is taken note of then or later"; this one can't be. Change: the stand-in of a worker reports the ends that nobody has acknowledged when it loses power, and the audit no longer counts these; every other end forbids a start as before.

--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -129,6 +129,8 @@
       this.options.audit.recordFinish(this.entry.id, activeRun.task, activeRun.run, 'lapsed')
     }
     this.activeRuns.clear()
+    for (const { task, run } of this.finishedRuns) this.options.audit.recordEndLost(this.entry.id, task, run)
+    this.finishedRuns = []
   }
 
   /** Starts a new incarnation with the same id, which has no runs and has seen no fencing token. */
@@ -136,7 +138,6 @@
     this.crash()
     this.isCutOff = false
     this.highestFinishedRun.clear()
-    this.finishedRuns = []
     this.lastSequence = 0
     this.highestToken = 0
     this.leaseUntilMs = 0
