perf(cell): one reading of the clock in a scheduling round

Cause: the check of avoided workers read the clock and looked workers up for each task that a round tried, also when no run had ever failed. Change: the time is read once a round, and workers are looked up only for a task with failures.

--- a/packages/cell/src/avoidedWorkers.ts
+++ b/packages/cell/src/avoidedWorkers.ts
@@ -23,6 +23,11 @@
     return new AvoidedWorkers()
   }
 
+  /** Whether no run has failed on any worker. */
+  isEmpty (): boolean {
+    return this.byId.size === 0
+  }
+
   /** Whether a run has ever failed on the worker. */
   has (workerId: string): boolean {
     return this.byId.has(workerId)
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -52,6 +52,8 @@
 /** Places waiting tasks on workers and starts them. */
 export class Dispatcher {
   private rotation = 0
+  /** Monotonic time of the current round in milliseconds; read once, because a round tries many tasks. */
+  private now = 0
 
   private constructor (private readonly options: DispatcherOptions) {}
 
@@ -61,6 +63,7 @@
 
   /** Runs one scheduling round: starts the tasks that fit, in order of urgency. */
   runRound (jobs: Iterable<Job>): void {
+    this.now = this.options.clock.now()
     const candidates = this.findCandidates(jobs)
     const free: FreeCapacity = new Map()
     for (const worker of this.options.workers()) {
@@ -84,14 +87,13 @@
   private findCandidates (jobs: Iterable<Job>): readonly Candidate[] {
     const { clock, queue: queueOf } = this.options
     const unixMs = clock.date().getTime()
-    const now = clock.now()
     const candidates: Candidate[] = []
     for (const job of jobs) {
       if (job.outcome !== undefined) continue
       const queue = queueOf(job.record.queue)
       if (queue === undefined) continue
       for (const step of job.liveSteps()) {
-        if (step.notBefore > now || !step.isReady()) continue
+        if (step.notBefore > this.now || !step.isReady()) continue
         const waitingTasks = step.tasks.filter(task => task.isWaiting())
         if (waitingTasks.length === 0) continue
         if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
@@ -205,15 +207,14 @@
   private bestWorker (step: Step, workers: readonly WorkerLink[], free: FreeCapacity, avoided: AvoidedWorkers, plannedCounts?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
     const { affinityRack, usesIdleCapacity } = step.spec
     const { need } = step
-    const now = this.options.clock.now()
-    const isAvoided = (worker: WorkerLink) => avoided.isAvoided(worker.id, now)
-    // There is no other worker to wait for.
-    const mayUseAvoided = workers.every(isAvoided)
+    const isAvoided = (worker: WorkerLink) => avoided.isAvoided(worker.id, this.now)
+    // If all are avoided, there is no other worker to wait for.
+    const avoidsSome = !avoided.isEmpty() && !workers.every(isAvoided)
     let best: WorkerLink | undefined
     let bestScore = Infinity
     for (const worker of workers) {
       const available = free.get(worker)
-      if (available === undefined || !fits(need, available) || (!mayUseAvoided && isAvoided(worker))) continue
+      if (available === undefined || !fits(need, available) || (avoidsSome && isAvoided(worker))) continue
       if (slotsWithinLimit(step, worker) <= (plannedCounts?.get(worker) ?? 0)) continue
       if (usesIdleCapacity && (available.milliCores <= 0 || hostsStep(worker, other => other.hasLatencyTarget()))) continue
       const isOffAffinityRack = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
