--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -237,8 +237,8 @@
 
   /**
    * Marks this incarnation as ended because the worker has restarted under its id. The next incarnation may have executed
-   * starts that were sent to this one, or may still do so: it has seen no fencing token, and the leases in them don't end
-   * before its clock. These runs are kept until the next incarnation is adopted or their leases have expired.
+   * starts that were sent to this one, or may still do so: it has seen no fencing token, and the deadlines in them lie in
+   * the future of its clock, which begins anew. These runs are kept until it is adopted or their leases have expired.
    */
   declareRestarted (): void {
     if (this.isDead) return
