--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -55,6 +55,14 @@
   notBefore: number
 }
 
+/** What the agents do. */
+export interface AdviceLoad {
+  readonly agents: number
+  /** Agents that get no further call now, because of their backlog or a failure. */
+  readonly busy: number
+  readonly pendingCalls: number
+}
+
 /** Requests and caches placement tickets for steps whose queue has a placement policy. */
 export class AdviceCache {
   private readonly steps = new Map<Step, StepAdvice>()
@@ -99,6 +107,13 @@
     return this.pickAgent(false) !== undefined
   }
 
+  load (): AdviceLoad {
+    const agents = this.options.agents()
+    const now = this.options.clock.now()
+    const isBusy = (agent: AdviceAgent) => this.loadOf(agent).backlogMs > MAX_BACKLOG_MS || this.loadOf(agent).notBefore > now
+    return { agents: agents.length, busy: agents.filter(isBusy).length, pendingCalls: [...this.steps.values()].filter(({ isPending }) => isPending).length }
+  }
+
   isPending (step: Step): boolean {
     return this.steps.get(step)?.isPending === true
   }
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -32,6 +32,9 @@
   readonly lateness: Lateness
 }
 
+/** Numbers of steps with tasks to start, by queue and then by the lateness of their jobs. */
+export type WaitingSteps = Readonly<Record<string, readonly [number, number, number]>>
+
 /** Maximum number of gangs with reserved workers at a time; more would leave too little capacity for other jobs. */
 const MAX_RESERVING_GANGS = 2
 /** Score of one penalty point; outweighs any amount of free processor time in the choice of a worker. */
@@ -84,6 +87,14 @@
     }
   }
 
+  /** Counts the steps that have tasks to start but no worker yet. */
+  waitingSteps (jobs: Iterable<Job>): WaitingSteps {
+    this.now = this.options.clock.now()
+    const counts: Record<string, [number, number, number]> = {}
+    for (const { queue, lateness } of this.findCandidates(jobs)) (counts[queue.name] ??= [0, 0, 0])[lateness]++
+    return counts
+  }
+
   private findCandidates (jobs: Iterable<Job>): readonly Candidate[] {
     const { clock, queue: queueOf } = this.options
     const unixMs = clock.date().getTime()
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -16,6 +16,7 @@
 import type { JobRecord } from './jobRecord.js'
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
+import { LoadReport } from './loadReport.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
 import type { VmMaintenance } from './maintenance.js'
@@ -78,6 +79,7 @@
   private readonly maintenance: Maintenance | undefined
   private readonly loader: JobLoader
   private readonly payloads: PayloadLoader
+  private readonly loadReport: LoadReport
   private changesVersion = 0
   /** Versions of the epoch rows, indexed by leader partition. */
   private epochVersions: readonly number[] = []
@@ -132,6 +134,13 @@
       clock,
       onStart: (step, runs) => this.recordStarted(step, runs)
     })
+    this.loadReport = LoadReport.create({
+      waitingSteps: () => this.dispatcher.waitingSteps(this.dispatchable()),
+      adviceLoad: () => this.advice.load(),
+      commitsWaiting: () => this.commitsWaiting(),
+      clock,
+      log: this.log
+    })
   }
 
   static create (options: LeaderOptions): Leader {
@@ -257,6 +266,7 @@
     const { metrics, clock } = this.options
     const ageMs = clock.date().getTime() - step.job.record.admittedAtMs
     metrics.count('runs_started', runs.length)
+    this.loadReport.recordStarts(runs.length)
     metrics.observe('admission_to_start_ms', ageMs)
     this.log.info('Runs started.', {
       job: step.job.id,
@@ -322,6 +332,10 @@
     await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job)
   }
 
+  private commitsWaiting (): number {
+    return this.commitQueues.reduce((sum, commitQueue) => sum + commitQueue.size(), 0)
+  }
+
   private scheduleRound () {
     if (this.isRoundScheduled || this.stopping.signal.aborted) return
     this.isRoundScheduled = true
@@ -335,7 +349,9 @@
     if (!this.isLoaded || !this.options.mayIssueCommands() || this.stopping.signal.aborted) return
     const startedAt = performance.now()
     this.dispatcher.runRound(this.dispatchable())
-    this.options.metrics.observe('pass_ms', performance.now() - startedAt)
+    const durationMs = performance.now() - startedAt
+    this.options.metrics.observe('pass_ms', durationMs)
+    this.loadReport.recordRound(durationMs)
   }
 
   /** Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back. */
@@ -431,7 +447,8 @@
       this.workers.stopStalledRuns()
       this.moveRunsFromLeavingWorkers()
       metrics.gauge('jobs_live', this.jobs.size())
-      metrics.gauge('commits_waiting', this.commitQueues.reduce((sum, commitQueue) => sum + commitQueue.size(), 0))
+      metrics.gauge('commits_waiting', this.commitsWaiting())
+      this.loadReport.tick()
       this.scheduleRound()
     }
   }
