test(cell): a scheduling round over a backlog costs a look at each worker for each waiting step

Change: three tests that count the looks of one round at 400 workers, 100 advice agents and 500 waiting steps.

--- /dev/null
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -0,0 +1,124 @@
+import test from 'ava'
+import { ManualClock } from '@citronnotch/base/clock'
+import { silentLog } from '@citronnotch/base/logger'
+import { AdviceCache } from '../advice.js'
+import type { AdviceAgent } from '../advice.js'
+import { Dispatcher } from '../dispatcher.js'
+import { Job } from '../jobs.js'
+import { createQueue, createStep, createWorkerEntry } from '../testing/index.js'
+import type { WorkerClient } from '../ports.js'
+import type { StepSpec } from '../types.js'
+import { WorkerLink } from '../workerLink.js'
+
+const WORKERS = 400
+const AGENTS = 100
+const WAITING_STEPS = 500
+const CAPACITY = { milliCores: 32_000, memoryMb: 128_000, accelerators: 0 }
+const NEED = { milliCores: 8_000, memoryMb: 20_000, accelerators: 0 }
+const POLICY = { decisionMs: 20, perWorkerMs: 1, validityMs: 2_500 }
+/** Looks at a property of a worker or an agent that a round may take for each worker, agent and waiting step. */
+const LOOKS_PER_ITEM = 40
+
+/** A worker that accepts all commands and never answers. */
+const silentClient: WorkerClient = {
+  heartbeat: () => new Promise(() => {}),
+  start: () => new Promise(() => {}),
+  stop: () => new Promise(() => {}),
+  close: async () => {}
+}
+
+/** Wraps an object so that each property that is read counts as one look. */
+function countLooks<T extends object> (target: T, looks: { count: number }): T {
+  return new Proxy(target, {
+    get (object, name) {
+      looks.count++
+      const value: unknown = Reflect.get(object, name, object)
+      return typeof value === 'function' ? value.bind(object) : value
+    },
+    set: (object, name, value) => Reflect.set(object, name, value, object)
+  })
+}
+
+function createJob (number: number, fields: Partial<StepSpec>): Job {
+  const job = Job.create(number.toString(16).padStart(16, '0'), { queue: 'renewals', service: 'dispatch', admittedAtMs: 0, spec: { steps: [createStep({ need: NEED, ...fields })] } }, 1)
+  job.payload = 'payload'
+  return job
+}
+
+/** Creates a cell with waiting steps, in which the given numbers of workers and agents are free, and counts the looks of one round. */
+async function countLooksOfRound ({ freeWorkers, freeAgents, step = {} }: { readonly freeWorkers: number, readonly freeAgents: number, readonly step?: Partial<StepSpec> }) {
+  const clock = ManualClock.create()
+  const looks = { count: 0 }
+  const queue = createQueue({ advice: POLICY, slackFactor: 1_000_000 })
+  const occupying = createJob(1, { count: WORKERS, need: CAPACITY })
+  const links = Array.from({ length: WORKERS }, (_, index) => {
+    const link = WorkerLink.create({
+      entry: createWorkerEntry(`w${index}`, { capacity: CAPACITY }),
+      clients: { create: () => silentClient },
+      firstToken: 1,
+      taskLeaseMs: 5_000,
+      maxTaskLeaseMs: 6_000,
+      predecessorActiveMs: 0,
+      events: {} as never,
+      mayIssueCommands: () => true,
+      jobsLoaded: Promise.resolve(true),
+      mayExtendLeases: () => true,
+      clock,
+      log: silentLog
+    })
+    link.isAdopted = true
+    const task = occupying.task({ jobId: occupying.id, occurrence: 0, step: 0, index })
+    if (index >= freeWorkers && task !== undefined) link.start(task, 1, '', '')
+    return countLooks(link, looks)
+  })
+  const calls: string[] = []
+  const agents = Array.from({ length: AGENTS }, (_, index): AdviceAgent => countLooks({
+    name: `agent-${index}`,
+    approve: stepId => {
+      calls.push(stepId)
+      return new Promise(() => {})
+    }
+  }, looks))
+  const advice = AdviceCache.create({ agents: () => agents, onAnswer: () => {}, clock, log: silentLog })
+  const dispatcher = Dispatcher.create({
+    epoch: 1, workers: () => links, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, clock, onStart: () => {}
+  })
+  // Long calls keep all agents busy except those that stay free.
+  for (let busy = 0; busy < AGENTS - freeAgents; busy++) {
+    const [busyStep] = [...createJob(10_000 + busy, {}).liveSteps()]
+    if (busyStep !== undefined) advice.request(busyStep, { ...POLICY, decisionMs: 90, perWorkerMs: 0 }, links.slice(0, 1))
+  }
+  const jobs = Array.from({ length: WAITING_STEPS }, (_, index) => createJob(100 + index, { count: 3, ...step }))
+  calls.length = 0
+  looks.count = 0
+  dispatcher.runRound(jobs)
+  return { looks: looks.count, calls: calls.length, started: jobs.reduce((sum, job) => sum + [...job.runs()].length, 0) }
+}
+
+const LIMIT = LOOKS_PER_ITEM * (WORKERS + AGENTS + WAITING_STEPS)
+
+// Guards against SHORT: with a backlog, rounds that looked at every worker for every waiting step took the processor from heartbeats, starts and commits.
+test.failing('backlog in a full cell: a scheduling round does not look at each worker for each waiting step', async t => {
+  const { looks, started } = await countLooksOfRound({ freeWorkers: 0, freeAgents: AGENTS })
+  t.is(started, 0)
+  t.true(looks <= LIMIT, `${looks} looks, at most ${LIMIT} are allowed`)
+})
+
+// Guards against SHORT: the same for gangs, which plan all of their members.
+test.failing('backlog of gangs in a full cell: a scheduling round does not look at each worker for each waiting gang', async t => {
+  const { looks, started } = await countLooksOfRound({ freeWorkers: 0, freeAgents: AGENTS, step: { gang: true, count: 20 } })
+  t.is(started, 0)
+  t.true(looks <= LIMIT, `${looks} looks, at most ${LIMIT} are allowed`)
+})
+
+// Guards against SHORT: with slow placement advice, each waiting step looked at all agents and all workers in each round.
+test.failing('backlog behind busy advice agents: a scheduling round does not look at each agent or worker for each waiting step', async t => {
+  const { looks, calls } = await countLooksOfRound({ freeWorkers: WORKERS, freeAgents: 0 })
+  t.is(calls, 0, 'no agent can take a call')
+  t.true(looks <= LIMIT, `${looks} looks, at most ${LIMIT} are allowed`)
+})
+
+test('advice is requested for as many steps as agents are free', async t => {
+  const { calls } = await countLooksOfRound({ freeWorkers: WORKERS, freeAgents: 7 })
+  t.true(calls >= 7, `${calls} calls by 7 free agents`)
+})
