fix(base): an answer that has arrived is no timeout because this process was busy

Node runs due timers before it reads what has arrived. A leader without processor time, whose event loop takes 50 to 80 ms a turn, took answers that it had not read yet for overdue or lost ones: it sent heartbeats, starts and transactions again, and adopted workers anew, at the moment at which it had the least processor time for that. The class of fault: a conclusion about another process drawn from one's own delay. Change: the callback of a timer runs after the input that has arrived by then. All timeouts and all repetitions of calls use it. Measured: httpClient.test.ts, a test that failed before: a call with a timeout of 150 ms, answered after 60 ms while the process is busy for 400 ms.

--- a/packages/base/src/__tests__/httpClient.test.ts
+++ b/packages/base/src/__tests__/httpClient.test.ts
@@ -1,5 +1,7 @@
+import { fork } from 'node:child_process'
 import { createServer } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
+import { fileURLToPath } from 'node:url'
 import test from 'ava'
 import { SystemClock } from '../clock.js'
 import { HttpClient } from '../httpClient.js'
@@ -43,3 +45,25 @@
   t.true(res.err && res.val.verdict === 'not-run', 'nothing listens any more, and nothing was sent')
   await client.close()
 })
+
+/** Keeps this process from reading answers, as a long computation does. */
+function blockFor (ms: number) {
+  for (const endsAt = performance.now() + ms; performance.now() < endsAt;);
+}
+
+// Guards against SHORT: a leader without processor time took answers that it had not read yet for lost ones, and sent its calls again.
+test('an answer that has arrived while this process was busy is no timeout', async t => {
+  const child = fork(fileURLToPath(new URL('./answeringServer.js', import.meta.url)))
+  t.teardown(() => { child.kill() })
+  const port = await new Promise<number>(resolve => child.once('message', message => resolve(message as number)))
+  const client = HttpClient.create({ url: `http://127.0.0.1:${port}`, clock: SystemClock.create(), timeoutMs: 150, connections: 1, codePrefix: 'test', serverName: 'test server' })
+  t.true((await client.post('/', {})).ok)
+  const call = client.post('/', {})
+  // The request is written before the process is busy, and answered meanwhile.
+  await sleep(20)
+  // After this, due timers run before answers are read.
+  await new Promise(resolve => setImmediate(resolve))
+  blockFor(400)
+  t.true((await call).ok)
+  await client.close()
+})
--- a/packages/base/src/clock.ts
+++ b/packages/base/src/clock.ts
@@ -6,7 +6,7 @@
   date (): Date
   /** Resolves after `ms` milliseconds, or at once when `signal` aborts. */
   sleep (ms: number, signal?: AbortSignal): Promise<void>
-  /** Calls `callback` after `ms` milliseconds unless cancelled. Much cheaper than a sleep that is aborted. */
+  /** Calls `callback` after `ms` milliseconds unless cancelled, once input that has arrived by then was processed. Much cheaper than a sleep that is aborted. */
   after (ms: number, callback: () => void): CancelTimer
 }
 
@@ -40,8 +40,13 @@
   }
 
   after (ms: number, callback: () => void): CancelTimer {
-    const timer = setTimeout(callback, ms)
-    return () => clearTimeout(timer)
+    let immediate: NodeJS.Immediate | undefined
+    // A busy process runs due timers before it reads what has arrived meanwhile, and would take it for missing.
+    const timer = setTimeout(() => { immediate = setImmediate(callback) }, ms)
+    return () => {
+      clearTimeout(timer)
+      clearImmediate(immediate)
+    }
   }
 }
 
