--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -102,6 +102,8 @@
   private highestToken = 0
   private leaseUntilMs = 0
   private bootedAt: number
+  /** Number of crashes so far: a call that was waiting during one gets no answer. */
+  private crashes = 0
 
   private constructor (private readonly options: MemoryWorkerOptions, public entry: WorkerEntry) {
     this.bootedAt = options.clock.now()
@@ -124,6 +126,7 @@
   /** Loses power: nothing runs any more, and commands have no effect and get no answer until `restart`. */
   crash (): void {
     this.isCutOff = true
+    this.crashes++
     for (const activeRun of this.activeRuns.values()) {
       if (this.isGangMember(activeRun.task)) this.options.gangs?.markBroken(activeRun.task, activeRun.run)
       this.options.audit.recordFinish(this.entry.id, activeRun.task, activeRun.run, 'lapsed')
@@ -159,10 +162,14 @@
     const { clock } = this.options
     await clock.sleep(COMMAND_LATENCY_MS)
     const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task)
-    if (fault === undefined) return Ok(await execute())
-    if (fault.kind === 'refused') return Ok(refuse(fault.reason) as T)
-    if (fault.kind === 'answer-lost') await execute()
-    if (fault.kind === 'applied-late') {
+    const { crashes } = this
+    if (fault === undefined) {
+      const outcome = await execute()
+      if (this.crashes === crashes) return Ok(outcome)
+    }
+    if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
+    if (fault?.kind === 'answer-lost') await execute()
+    if (fault?.kind === 'applied-late') {
       const { bootedAt } = this
       clock.sleep(fault.afterMs).then(() => fault.isQueued === true && this.bootedAt !== bootedAt ? undefined : execute()).catch(() => {})
     }
