--- a/bench/src/leaderLoad.ts
+++ b/bench/src/leaderLoad.ts
@@ -17,10 +17,6 @@
 import type { Arrival, Load } from './loads.js'
 import { summarizeProfile } from './profile.js'
 
-/**
- * Plays a load against real daemons on loopback: the first leads, the second takes the submissions. Reports the
- * processor time of the leader, what it was spent on, and how long jobs waited for their first start.
- */
 export interface LeaderLoadOptions {
   readonly load: Load
   readonly seed: number
@@ -55,8 +51,23 @@
 const REGISTER_INTERVAL_MS = 1_500
 const SUBMIT_TICK_MS = 10
 
-export async function runLeaderLoad ({ load, seed, seconds, scale, pressure, firstPort, program }: LeaderLoadOptions): Promise<LeaderLoadResult> {
+/**
+ * Plays a load against real daemons on loopback: the first leads, the second takes the submissions. Reports the
+ * processor time of the leader, what it was spent on, and how long jobs waited for their first start. Rejects if a
+ * daemon ends early.
+ */
+export async function runLeaderLoad (options: LeaderLoadOptions): Promise<LeaderLoadResult> {
+  const processes: ChildProcess[] = []
+  try {
+    return await playLoad(options, processes)
+  } finally {
+    for (const child of processes) child.kill('SIGKILL')
+  }
+}
+
+async function playLoad ({ load, seed, seconds, scale, pressure, firstPort, program }: LeaderLoadOptions, processes: ChildProcess[]): Promise<LeaderLoadResult> {
   const generator = xoroshiro128plus(seed)
+  // The workers of a gang would be in several processes, which don't know of each other's gang members.
   const arrivals = generateArrivals({ ...load, durationSeconds: seconds, kinds: load.kinds.map(kind => ({ ...kind, arrivalsPerSecond: kind.arrivalsPerSecond * scale * pressure, gangShare: 0 })) }, () => uniformFloat64(generator))
   const clock = SystemClock.create()
   const logFolder = mkdtempSync(join(tmpdir(), 'citronnotch-load-'))
@@ -69,6 +80,7 @@
     const ids = workers.filter((_id, index) => index % WORKER_PROCESSES === part)
     const child = fork(fileURLToPath(new URL('emulatedWorkers.js', import.meta.url)), [JSON.stringify({ ids, fields })])
     children.push(child)
+    processes.push(child)
     return new Promise<readonly WorkerEntry[]>(resolve => child.once('message', message => resolve(message as readonly WorkerEntry[])))
   }))).flat()
   const register = () => { for (const entry of entries) emulator.register(entry) }
@@ -92,6 +104,7 @@
     daemon.stdout.pipe(createWriteStream(join(logFolder, `d${index}.log`)))
     daemon.stderr.pipe(process.stderr)
     daemons.push(daemon)
+    processes.push(daemon)
     return settings.callerAddress
   }
   startDaemon(0, ['--cpu-prof', `--cpu-prof-dir=${logFolder}`])
@@ -108,6 +121,7 @@
     const res = await client.call({ method: 'POST', path: `/${arrival.kind.queue}/${jobId}`, headers: { host: HOST, 'content-type': 'application/json' }, body: Buffer.from(JSON.stringify(body)) })
     if (res.err || res.val.status !== 200) refused++
   }
+  if (daemons.some(({ exitCode }) => exitCode !== null)) throw new Error(`a daemon has ended; is the program built, and are the ports free? Its output is above or in ${logFolder}`)
   const leaderPid = daemons[0]?.pid ?? 0
   const cpuBefore = processorSeconds(leaderPid)
   const startedAt = clock.now()
@@ -120,7 +134,7 @@
   const cores = (processorSeconds(leaderPid) - cpuBefore) / ((clock.now() - startedAt) / 1_000)
   daemons[0]?.kill('SIGTERM')
   await new Promise(resolve => daemons[0]?.once('exit', resolve))
-  for (const child of [...children, ...daemons]) child.kill('SIGKILL')
+  for (const child of children) child.kill('SIGKILL')
   clearInterval(registerTimer)
   emulator.close()
   await client.close()
