feat(cell): a daemon knows how old its configuration is

Change: each read and watch carries the time on the store's clock at which it was answered; the age is a gauge (config_age_ms), 'Configuration in force.' names source and previous age, 'Configuration is old.' is reported once a second with the utilization of the event loop and the time for which the store has been unavailable.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -45,6 +45,8 @@
   /** Maximum lease that a worker grants, in milliseconds. */
   readonly maxTaskLeaseMs: number
   readonly statusRetentionMs: number
+  /** Time within which a confirmed configuration must be in force, in milliseconds. */
+  readonly configApplyMs: number
   readonly store: RowStore
   readonly storeHealth: StoreHealth
   readonly directory: Directory
@@ -79,7 +81,15 @@
     const store = HedgedStore.create(options.store, clock)
     this.store = store
     this.log = logs.for('daemon')
-    this.config = ConfigWatch.create({ directory, clock, log: logs.for('config') })
+    this.config = ConfigWatch.create({
+      directory,
+      storeClock: () => store.clockMs(),
+      storeUnavailableMs: () => storeHealth.unavailableMs(),
+      applyWithinMs: options.configApplyMs,
+      clock,
+      log: logs.for('config'),
+      metrics: this.metrics
+    })
     this.holder = `${name}/${randomUUID()}`
     this.membership = Membership.create({
       self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, store, peerClients: this.peerClients, clock, log: this.log
@@ -110,6 +120,7 @@
     const { signal } = this.stopping
     this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), this.options.logs.for('peers'))
     this.supervise('config', () => this.config.run(signal))
+    this.supervise('config age', () => this.config.monitor(signal))
     this.supervise('lease', () => this.lease.run(signal))
     this.supervise('peers', () => this.watchPeers(signal))
     this.supervise('register', () => this.membership.register(signal))
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -45,10 +45,13 @@
   readonly hasMore: boolean
   /** Latest version in the store at the time of the read. */
   readonly version: number
+  /** Time of the read on the store's monotonic clock, in milliseconds; undefined when the store doesn't tell. */
+  readonly atMs?: number | undefined
 }
 
 export type ChangesOutcome =
-  | { readonly kind: 'changes', readonly rows: readonly StoredRow[], readonly version: number }
+  /** `atMs`: time of the answer on the store's monotonic clock, in milliseconds. */
+  | { readonly kind: 'changes', readonly rows: readonly StoredRow[], readonly version: number, readonly atMs?: number | undefined }
   /** The store no longer keeps the changes since the requested version. */
   | { readonly kind: 'history-lost' }
 
@@ -65,11 +68,21 @@
   clockMs (): ClockBounds | undefined
 }
 
+/** The configuration as read from the store. */
+export interface ConfigReading {
+  /** Undefined when there is none, or none that is newer. */
+  readonly config: CellConfig | undefined
+  /** Latest version in the store at the time of the read. */
+  readonly version: number
+  /** Time of the read on the store's monotonic clock, in milliseconds; undefined when the store doesn't tell. */
+  readonly asOfMs: number | undefined
+}
+
 /** The configuration, workers and maintenance waves that the platform publishes. */
 export interface Directory {
-  readConfig (): Promise<Result<{ readonly config: CellConfig | undefined, readonly version: number }, Failure>>
-  /** Waits up to `waitMs` for a newer configuration; undefined when there is none. */
-  watchConfig (version: number, waitMs: number): Promise<Result<{ readonly config: CellConfig | undefined, readonly version: number } | 'history-lost', Failure>>
+  readConfig (): Promise<Result<ConfigReading, Failure>>
+  /** Waits up to `waitMs` for a newer configuration. */
+  watchConfig (version: number, waitMs: number): Promise<Result<ConfigReading | 'history-lost', Failure>>
   listWorkers (): Promise<Result<readonly WorkerEntry[], Failure>>
   listWaves (): Promise<Result<readonly MaintenanceWave[], Failure>>
   /** Publishes the state of a wave for the operator. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -127,8 +127,8 @@
     const metrics = MemoryMetrics.create()
     const queues = new Map((options.queues ?? [createQueue()]).map(queue => [queue.name, queue]))
     const directory: Directory = {
-      readConfig: async () => Ok({ config: undefined, version: 0 }),
-      watchConfig: async () => Ok({ config: undefined, version: 0 }),
+      readConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
+      watchConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
       listWorkers: async () => this.beforeRegistryRead() ?? Ok(this.registry),
       listWaves: async () => Ok(this.maintenanceWaves),
       publishWave: async (wave, state) => {
