fix(cell): a daemon learns of a configuration from others, and answers by none that is too old

What callers saw: 404 for a route that was added, or service on one that was removed, at one daemon, long after the operator's write was acknowledged. Cause: the store was the only source of the configuration, and nothing knew how old the one in force was. A daemon that the store refuses knew nothing new for as long as that lasted; a busy one, or one on a full link, took one answer after the other for lost (1,700 + 150 + 900 + 150 + 900 ms and more) and answered by the old version meanwhile. Class: a decision taken from state whose age is unknown. Change: a configuration that is not confirmed within half of the time in which it must be in force is read beside the watch and asked from four other daemons; what they tell carries the store's time of their last confirmation, so that age is not lost on the way. If most of those asked answer and none has a newer one, the store is down for all, and they go on answering. An older version confirms nothing. Why it works: an answer relies on a version that was the latest at most 0.8 of the bound before it, whatever delayed the watch; configWatch.test.ts holds this over random phases of slow and silent stores and peers (150 runs), and fails without the check.

--- /dev/null
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -0,0 +1,186 @@
+import { ManualClock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import { silentLog } from '@citronnotch/base/logger'
+import { Err, Ok } from '@citronnotch/base/result'
+import test from 'ava'
+import fc from 'fast-check'
+import { ConfigInForce, decodeKnownConfig } from '../configInForce.js'
+import { ConfigWatch } from '../configWatch.js'
+import { MemoryMetrics } from '../metrics.js'
+import { createOddValues, createQueue, spreadOverFields } from '../testing/index.js'
+import type { Result } from '@citronnotch/base/result'
+import type { ConfigReading } from '../ports.js'
+import type { CellConfig } from '../types.js'
+
+const APPLY_WITHIN_MS = 2_500
+const READ_TIMEOUT_MS = 900
+const WATCH_TIMEOUT_MS = 1_700
+const PEER_TIMEOUT_MS = 400
+const STEP_MS = 50
+const FUZZ_SEED = 40
+const FUZZ_RUNS = 150
+
+// Guards against CONFIG: a busy leader took answers for lost one after the other, and answered by an old configuration for seconds.
+test('a configuration whose watch and reads get no answer is taken from other daemons in time', async t => {
+  const cell = createCell({ storeDelayMs: () => Infinity, peerDelayMs: () => 20 })
+  cell.storeDelayMs = () => 5
+  await cell.clock.advance(200)
+  cell.storeDelayMs = () => Infinity
+  cell.publish()
+  await cell.clock.advance(APPLY_WITHIN_MS)
+  t.is(cell.inForce.version(), cell.published())
+})
+
+// Guards against CONFIG: whatever the store and the other daemons do, no answer relies on a version older than the bound allows.
+test('an answer relies on a configuration that was the latest within the bound, or no daemon that was asked has a later one', async t => {
+  await fc.assert(fc.asyncProperty(fc.array(fc.record({
+    lengthMs: fc.integer({ min: 200, max: 4_000 }),
+    storeDelayMs: fc.constantFrom(5, 300, 850, 1_600, Infinity),
+    peerDelayMs: fc.constantFrom(5, 150, 390, Infinity),
+    changes: fc.boolean()
+  }), { minLength: 2, maxLength: 6 }), async phases => {
+    const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
+    await cell.clock.advance(100)
+    for (const { lengthMs, storeDelayMs, peerDelayMs, changes } of phases) {
+      cell.storeDelayMs = () => storeDelayMs
+      cell.peerDelayMs = () => peerDelayMs
+      if (changes) cell.publish()
+      for (let elapsedMs = 0; elapsedMs < lengthMs; elapsedMs += STEP_MS) {
+        const dueVersion = cell.publishedBefore(APPLY_WITHIN_MS)
+        const answer = { isSettled: false }
+        cell.watch.mayAnswer().then(mayAnswer => {
+          answer.isSettled = true
+          if (mayAnswer && cell.inForce.version() < dueVersion) throw new Error(`answers by ${cell.inForce.version()} when ${dueVersion} is due`)
+        }).catch((err: unknown) => cell.violations.push(String(err)))
+        await cell.clock.advance(STEP_MS)
+      }
+      if (cell.violations.length > 0) throw new Error(cell.violations[0])
+    }
+    cell.stop()
+  }), { seed: FUZZ_SEED, numRuns: FUZZ_RUNS })
+  t.pass()
+})
+
+// Guards against lost service: what no daemon can know must not keep them from answering.
+test('a daemon answers by an old configuration if the others have none that is newer, and not if none of them answers', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
+  await cell.clock.advance(100)
+  cell.storeDelayMs = () => Infinity
+  cell.arePeersRefused = true
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.true(await cell.watch.mayAnswer())
+  cell.peerDelayMs = () => Infinity
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.false(await cell.watch.mayAnswer())
+  cell.storeDelayMs = () => 5
+  await cell.clock.advance(APPLY_WITHIN_MS)
+  t.true(await cell.watch.mayAnswer())
+})
+
+// Guards against CONFIG: a read that returns an older version must neither put it in force nor confirm the newer one.
+test('an older version is not put in force and confirms nothing', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => Infinity })
+  cell.publish()
+  await cell.clock.advance(100)
+  const version = cell.inForce.version()
+  cell.readVersion = () => version - 1
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.is(cell.inForce.version(), version)
+  t.false(await cell.watch.mayAnswer())
+})
+
+// Guards against processes that end by themselves, and against CONFIG by a configuration that is not whole.
+test('no odd value of another daemon is taken for its configuration', t => {
+  const queue = { ...createQueue(), advice: { decisionMs: 1, perWorkerMs: 1, validityMs: 1 } }
+  const config = { version: 3, queues: [queue], limits: { maxBodyBytes: 1 } }
+  const valid = { version: 3, asOfMs: 1, config }
+  t.deepEqual(decodeKnownConfig(JSON.parse(JSON.stringify(valid))), valid)
+  for (const [description, odd] of createOddValues()) {
+    if (odd === undefined) continue
+    for (const value of spreadOverFields(valid, odd)) t.notThrows(() => decodeKnownConfig(value), description)
+    for (const value of spreadOverFields(queue, odd)) t.notThrows(() => decodeKnownConfig({ ...valid, config: { ...config, queues: [value] } }), description)
+    t.is(decodeKnownConfig({ ...valid, config: odd }), undefined, description)
+    t.is(decodeKnownConfig({ ...valid, config: { ...config, queues: [{ ...queue, pathPrefix: 7 }] } }), undefined, description)
+  }
+})
+
+interface Delays {
+  /** Time that the store takes to answer; `Infinity`: it doesn't. */
+  storeDelayMs: () => number
+  peerDelayMs: () => number
+}
+
+interface Cell extends Delays {
+  readonly clock: ManualClock
+  readonly inForce: ConfigInForce
+  readonly watch: ConfigWatch
+  readonly violations: string[]
+  /** Whether the other daemons have the first version only, known to be the latest when they started. */
+  arePeersRefused: boolean
+  /** Version that the store returns. */
+  readVersion: () => number
+  /** Latest version that was published. */
+  published (): number
+  /** Latest version that was published at least `ms` ago. */
+  publishedBefore (ms: number): number
+  publish (): void
+  stop (): void
+}
+
+function createCell (delays: Delays): Cell {
+  const clock = ManualClock.create()
+  const abort = new AbortController()
+  const publishedAt: number[] = [0]
+  const now = () => ({ earliest: clock.now(), latest: clock.now() })
+  const inForce = ConfigInForce.create({ storeClock: now, clock, log: silentLog })
+  const cell: Cell = {
+    ...delays,
+    clock,
+    inForce,
+    violations: [],
+    arePeersRefused: false,
+    published: () => publishedAt.length,
+    publishedBefore: ms => publishedAt.filter(at => at + ms <= clock.now()).length,
+    publish: () => { publishedAt.push(clock.now()) },
+    readVersion: () => publishedAt.length,
+    stop: () => abort.abort(),
+    watch: ConfigWatch.create({
+      inForce,
+      directory: {
+        readConfig: () => answer(cell.storeDelayMs(), READ_TIMEOUT_MS, 0),
+        watchConfig: async (version, waitMs) => {
+          const deadline = clock.now() + waitMs
+          while (cell.readVersion() <= version && clock.now() < deadline) await clock.sleep(STEP_MS)
+          return answer(cell.storeDelayMs(), WATCH_TIMEOUT_MS, waitMs)
+        },
+        listWorkers: () => Promise.reject(new Error('not used')),
+        listWaves: () => Promise.reject(new Error('not used')),
+        publishWave: () => Promise.reject(new Error('not used'))
+      },
+      askPeers: () => [0, 1, 2].map(async () => {
+        const delayMs = cell.peerDelayMs()
+        await clock.sleep(Math.min(delayMs, PEER_TIMEOUT_MS))
+        if (delayMs > PEER_TIMEOUT_MS) return undefined
+        const config = cell.arePeersRefused ? configOf(1) : configOf(publishedAt.length)
+        return { version: config.version, asOfMs: cell.arePeersRefused ? 0 : clock.now(), config }
+      }),
+      storeUnavailableMs: () => 0,
+      applyWithinMs: APPLY_WITHIN_MS,
+      clock,
+      log: silentLog,
+      metrics: MemoryMetrics.create()
+    })
+  }
+  async function answer (delayMs: number, timeoutMs: number, waitedMs: number): Promise<Result<ConfigReading, Failure>> {
+    await clock.sleep(Math.min(delayMs, timeoutMs - Math.min(waitedMs, timeoutMs)))
+    if (delayMs + waitedMs > timeoutMs) return Err(Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.'))
+    const version = cell.readVersion()
+    return Ok({ config: configOf(version), version, asOfMs: clock.now() })
+  }
+  for (const run of [cell.watch.run(abort.signal), cell.watch.monitor(abort.signal)]) run.catch((err: unknown) => cell.violations.push(String(err)))
+  return cell
+}
+
+function configOf (version: number): CellConfig {
+  return { version, queues: [createQueue()], limits: { maxBodyBytes: 1 } }
+}
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -7,6 +7,8 @@
 import { supervise } from '@citronnotch/base/supervise'
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
+import { ConfigInForce, decodeKnownConfig } from './configInForce.js'
+import type { KnownConfig } from './configInForce.js'
 import { ConfigWatch } from './configWatch.js'
 import { PEER_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TASK_LEASE_MS } from './constants.js'
 import { JobLoader } from './jobLoader.js'
@@ -35,6 +37,8 @@
 
 /** Timeout of a submission or cancellation that is forwarded to the leader. */
 const FORWARD_TIMEOUT_MS = 1_200
+/** Number of other daemons that are asked for their configuration at a time. */
+const CONFIG_PEERS = 4
 
 export interface CellDaemonOptions {
   readonly name: string
@@ -60,11 +64,12 @@
 
 /** One daemon of a cell: serves callers, and leads the cell while it holds the leadership lease. */
 export class CellDaemon {
-  readonly config: ConfigWatch
+  readonly config: ConfigInForce
   readonly jobs: JobService
   readonly metrics = MemoryMetrics.create()
 
   private readonly log: Log
+  private readonly configWatch: ConfigWatch
   private readonly store: RowStore
   /** Unique per daemon incarnation. */
   private readonly holder: string
@@ -81,9 +86,11 @@
     const store = HedgedStore.create(options.store, clock)
     this.store = store
     this.log = logs.for('daemon')
-    this.config = ConfigWatch.create({
+    this.config = ConfigInForce.create({ storeClock: () => store.clockMs(), clock, log: logs.for('config') })
+    this.configWatch = ConfigWatch.create({
+      inForce: this.config,
       directory,
-      storeClock: () => store.clockMs(),
+      askPeers: version => this.membership.sample(CONFIG_PEERS).map(({ peerAddress }) => this.askConfig(peerAddress, version)),
       storeUnavailableMs: () => storeHealth.unavailableMs(),
       applyWithinMs: options.configApplyMs,
       clock,
@@ -92,7 +99,7 @@
     })
     this.holder = `${name}/${randomUUID()}`
     this.membership = Membership.create({
-      self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, store, peerClients: this.peerClients, clock, log: this.log
+      self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, store, peerClients: this.peerClients, random: Math.random, clock, log: this.log
     })
     this.lease = LeaderLease.create({
       holder: this.holder,
@@ -119,8 +126,8 @@
   async start (): Promise<void> {
     const { signal } = this.stopping
     this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), this.options.logs.for('peers'))
-    this.supervise('config', () => this.config.run(signal))
-    this.supervise('config age', () => this.config.monitor(signal))
+    this.supervise('config', () => this.configWatch.run(signal))
+    this.supervise('config age', () => this.configWatch.monitor(signal))
     this.supervise('lease', () => this.lease.run(signal))
     this.supervise('peers', () => this.watchPeers(signal))
     this.supervise('register', () => this.membership.register(signal))
@@ -131,6 +138,11 @@
     return this.config.current() !== undefined && !this.options.storeHealth.isUnavailable()
   }
 
+  /** Whether requests may be answered by the configuration in force; false while this daemon can't know whether it is the latest. */
+  mayAnswer (): Promise<boolean> {
+    return this.configWatch.mayAnswer()
+  }
+
   /** Time after which a caller that is refused now should retry, in milliseconds. */
   retryAfterMs (): number {
     return retryAfterMs(this.options.storeHealth.unavailableMs(), Math.random)
@@ -277,6 +289,7 @@
         const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
         return pending === undefined ? {} : { pending }
       },
+      config: ({ version }) => this.config.known(version) ?? {},
       canTakeOver: async () => {
         const readTimeMs = await this.takeOverReadTimeMs()
         return readTimeMs === undefined ? {} : { readTimeMs }
@@ -311,6 +324,11 @@
     }
   }
 
+  private async askConfig (peerAddress: string, version: number): Promise<KnownConfig | undefined> {
+    const res = await this.peerClients.call(peerAddress, 'config', { version }, PEER_TIMEOUT_MS)
+    return res.ok ? decodeKnownConfig(res.val) : undefined
+  }
+
   /** Polls the list of daemons: the leader asks its peers for advice and transfers leadership to a better candidate. */
   private async watchPeers (signal: AbortSignal) {
     const { membership } = this
--- /dev/null
+++ b/packages/cell/src/configInForce.ts
@@ -0,0 +1,136 @@
+import type { Clock } from '@citronnotch/base/clock'
+import type { Log } from '@citronnotch/base/logger'
+import type { ClockBounds } from '@citronnotch/base/remoteClock'
+import { finiteOr, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import type { Stopwatch } from '@citronnotch/base/stopwatch'
+import type { ConfigReading } from './ports.js'
+import type { CellConfig, Queue } from './types.js'
+
+/** What a daemon tells another one of the configuration that it has in force. */
+export interface KnownConfig {
+  readonly version: number
+  /** Time on the store's monotonic clock at which there was no later version, in milliseconds. */
+  readonly asOfMs: number
+  /** Missing when the other daemon has this version already. */
+  readonly config?: CellConfig
+}
+
+export interface ConfigInForceOptions {
+  /** Bounds of the store's clock at this moment; undefined before the store's first answer. */
+  readonly storeClock: () => ClockBounds | undefined
+  readonly clock: Clock
+  readonly log: Log
+}
+
+/** The configuration that this daemon answers by, and for how long it has not been known to be the latest. */
+export class ConfigInForce {
+  private config: CellConfig | undefined
+  /** Time on the store's clock at which no newer configuration existed. */
+  private asOfMs: number | undefined
+  /** Started when the last read that confirmed the configuration was sent. */
+  private sinceRead: Stopwatch | undefined
+  private queuesByName: ReadonlyMap<string, Queue> = new Map()
+  private queuesByHost: ReadonlyMap<string, readonly Queue[]> = new Map()
+
+  private constructor (private readonly options: ConfigInForceOptions) {}
+
+  static create (options: ConfigInForceOptions): ConfigInForce {
+    return new ConfigInForce(options)
+  }
+
+  // Queries
+
+  current (): CellConfig | undefined {
+    return this.config
+  }
+
+  /** Version in force; -1 while there is none. */
+  version (): number {
+    return this.config?.version ?? -1
+  }
+
+  /** Time for which the configuration in force is not known to be the latest, in milliseconds; infinite before the first read. */
+  ageMs (): number {
+    const now = this.options.storeClock()
+    const byStoreClock = this.asOfMs === undefined || now === undefined ? Infinity : Math.max(0, now.latest - this.asOfMs)
+    return Math.min(byStoreClock, this.sinceRead?.elapsedMs() ?? Infinity)
+  }
+
+  queue (name: string): Queue | undefined {
+    return this.queuesByName.get(name)
+  }
+
+  /** Returns the queue of the host with the longest matching path prefix. */
+  match (host: string, path: string): Queue | undefined {
+    return this.queuesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+  }
+
+  /** What to tell a daemon that has `theirVersion` in force; undefined when this daemon knows nothing. */
+  known (theirVersion: number): KnownConfig | undefined {
+    if (this.config === undefined || this.asOfMs === undefined) return undefined
+    const { version } = this.config
+    return { version, asOfMs: this.asOfMs, ...(version === theirVersion ? {} : { config: this.config }) }
+  }
+
+  // Commands
+
+  /** Records an answer of the store. `sinceRequest` was started when the request was sent. */
+  observeReading ({ config, asOfMs }: ConfigReading, sinceRequest: Stopwatch, source: 'read' | 'watch'): void {
+    if (config !== undefined) this.apply(config, source)
+    // A read that returns an older version shows nothing about the one in force.
+    if (config !== undefined && config.version < this.version()) return
+    this.sinceRead = sinceRequest
+    this.confirm(asOfMs)
+  }
+
+  /** Records what another daemon has in force. */
+  observePeer (known: KnownConfig): void {
+    if (known.config !== undefined) this.apply(known.config, 'peer')
+    if (known.version === this.version()) this.confirm(known.asOfMs)
+  }
+
+  private confirm (asOfMs: number | undefined) {
+    if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
+  }
+
+  private apply (config: CellConfig, source: string) {
+    if (config.version <= this.version()) return
+    const previousAgeMs = this.ageMs()
+    this.config = config
+    // Jobs of a removed queue continue under its last settings.
+    this.queuesByName = new Map([...this.queuesByName, ...config.queues.map(queue => [queue.name, queue] as const)])
+    const byHost = new Map<string, Queue[]>()
+    for (const queue of config.queues) byHost.set(queue.host, [...(byHost.get(queue.host) ?? []), queue])
+    for (const queues of byHost.values()) queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    this.queuesByHost = byHost
+    this.options.log.info('Configuration in force.', {
+      version: config.version, queues: config.queues.length, source, ...(previousAgeMs < Infinity ? { previousAgeMs: Math.round(previousAgeMs) } : {})
+    })
+  }
+}
+
+/** Returns undefined if the value isn't what a daemon tells of its configuration. */
+export function decodeKnownConfig (value: unknown): KnownConfig | undefined {
+  const { version, asOfMs, config } = recordOf(value)
+  const known = { version: finiteOr(version, undefined), asOfMs: finiteOr(asOfMs, undefined) }
+  if (known.version === undefined || known.asOfMs === undefined) return undefined
+  if (config === undefined) return { version: known.version, asOfMs: known.asOfMs }
+  return isConfig(config) && config.version === known.version ? { version: known.version, asOfMs: known.asOfMs, config } : undefined
+}
+
+function isConfig (value: unknown): value is CellConfig {
+  const { version, queues, limits } = recordOf(value)
+  return finiteOr(version, undefined) !== undefined && isListOf(queues, isQueue) && finiteOr(recordOf(limits).maxBodyBytes, undefined) !== undefined
+}
+
+function isQueue (value: unknown): value is Queue {
+  const { name, host, pathPrefix, service, advice, ...numbers } = recordOf(value)
+  const { decisionMs, perWorkerMs, validityMs } = recordOf(advice)
+  return [name, host, pathPrefix, service].every(isString) &&
+    areFinite([numbers.priority, numbers.maxAttempts, numbers.slackFactor, numbers.targetLatencyMs]) &&
+    (advice === undefined || areFinite([decisionMs, perWorkerMs, validityMs]))
+}
+
+function areFinite (values: readonly unknown[]): boolean {
+  return values.every(value => finiteOr(value, undefined) !== undefined)
+}
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -1,11 +1,11 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import type { ClockBounds } from '@citronnotch/base/remoteClock'
+import { Stopwatch } from '@citronnotch/base/stopwatch'
+import type { ConfigInForce, KnownConfig } from './configInForce.js'
 import { CONFIG_WATCH_MS } from './constants.js'
 import type { CellMetrics } from './metrics.js'
-import type { ConfigReading, Directory } from './ports.js'
-import type { CellConfig, Queue } from './types.js'
+import type { Directory } from './ports.js'
 
 /** Initial and maximum retry delay; both are a fraction of the time within which a new version must be in force. */
 const MIN_RETRY_MS = 150
@@ -14,13 +14,20 @@
 const AGE_CHECK_MS = 200
 /** Interval between reports of a configuration that stays old. */
 const OLD_REPORT_MS = 1_000
-/** Fraction of the time within which a version must be in force after which the configuration counts as old. */
+/**
+ * Fractions of the time within which a confirmed version must be in force: from the first on, an unconfirmed
+ * configuration is looked for elsewhere than in the watch; from the second on, it is too old to answer by.
+ */
 const OLD_FRACTION = 0.5
+const TOO_OLD_FRACTION = 0.8
+/** Minimum interval between two refreshes while the configuration stays old. */
+const REFRESH_INTERVAL_MS = 500
 
 export interface ConfigWatchOptions {
+  readonly inForce: ConfigInForce
   readonly directory: Directory
-  /** Bounds of the store's clock at this moment; undefined before the store's first answer. */
-  readonly storeClock: () => ClockBounds | undefined
+  /** Asks some other daemons for their configuration; each answer is undefined if the daemon didn't give one. */
+  readonly askPeers: (version: number) => ReadonlyArray<Promise<KnownConfig | undefined>>
   /** Time for which the store has been unavailable to this daemon, in milliseconds; 0 while it is available. */
   readonly storeUnavailableMs: () => number
   /** Time within which a confirmed version must be in force, in milliseconds. */
@@ -30,13 +37,19 @@
   readonly metrics: CellMetrics
 }
 
-/** Watches the configuration and applies new versions; an older version is never applied. */
+/** `none-newer`: most of the daemons that were asked have answered, and none has confirmed its configuration in time. */
+type FailedRefresh = 'none-newer' | 'unanswered'
+
+/**
+ * Keeps the configuration in force up to date: watches it in the store and, when the watch doesn't confirm it in time,
+ * reads it and asks other daemons. A daemon that the store refuses learns of a new version from those that it answers.
+ */
 export class ConfigWatch {
-  private config: CellConfig | undefined
-  /** Time on the store's clock at which no newer configuration existed. */
-  private asOfMs: number | undefined
-  private queuesByName: ReadonlyMap<string, Queue> = new Map()
-  private queuesByHost: ReadonlyMap<string, readonly Queue[]> = new Map()
+  private isWatching = false
+  private refreshing: Promise<void> | undefined
+  private refreshedAt = -Infinity
+  /** Outcome of the last refresh; undefined once the configuration has been confirmed. */
+  private failedRefresh: FailedRefresh | undefined
 
   private constructor (private readonly options: ConfigWatchOptions) {}
 
@@ -44,101 +57,124 @@
     return new ConfigWatch(options)
   }
 
-  current (): CellConfig | undefined {
-    return this.config
-  }
-
-  /** Time for which the configuration in force is not known to be the latest, in milliseconds; infinite before the first read. */
-  ageMs (): number {
-    const now = this.options.storeClock()
-    return this.asOfMs === undefined || now === undefined ? Infinity : Math.max(0, now.latest - this.asOfMs)
-  }
-
-  queue (name: string): Queue | undefined {
-    return this.queuesByName.get(name)
-  }
-
-  /** Returns the queue of the host with the longest matching path prefix. */
-  match (host: string, path: string): Queue | undefined {
-    return this.queuesByHost.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+  /**
+   * Whether requests may be answered by the configuration in force: it was confirmed in time, or other daemons don't know
+   * a newer one either. Waits for the first refresh of one that is too old, and not for those that follow.
+   */
+  async mayAnswer (): Promise<boolean> {
+    if (!this.isOlderThan(TOO_OLD_FRACTION)) return true
+    if (this.failedRefresh === undefined) await this.refresh()
+    return !this.isOlderThan(TOO_OLD_FRACTION) || this.failedRefresh === 'none-newer'
   }
 
+  /** Watches the configuration in the store. */
   async run (signal: AbortSignal): Promise<void> {
-    const { directory, clock, log } = this.options
+    const { directory, inForce, clock, log } = this.options
     let version: number | undefined
     let retryMs = MIN_RETRY_MS
     while (!signal.aborted) {
+      const sinceRequest = Stopwatch.start(clock)
       if (version === undefined) {
         const read = await directory.readConfig()
         if (read.err) {
-          log.warn('Configuration could not be read.', { verdict: read.val.verdict, reason: read.val.reason, inForce: this.config?.version })
+          log.warn('Configuration could not be read.', { verdict: read.val.verdict, reason: read.val.reason, inForce: inForce.version() })
           await clock.sleep(retryMs, signal)
           retryMs = Math.min(2 * retryMs, MAX_RETRY_MS)
           continue
         }
         retryMs = MIN_RETRY_MS
-        this.observe(read.val, 'read')
+        inForce.observeReading(read.val, sinceRequest, 'read')
         version = read.val.version
+        continue
       }
-      const change = await directory.watchConfig(version, CONFIG_WATCH_MS)
+      this.isWatching = true
+      const change = await directory.watchConfig(version, CONFIG_WATCH_MS).finally(() => { this.isWatching = false })
       // After a failed watch the row itself is read, over another connection.
       if (change.err || change.val === 'history-lost') {
-        log.info('Configuration watch interrupted; reading the configuration again.', { reason: change.err ? change.val.reason : 'history lost', inForce: this.config?.version })
+        log.info('Configuration watch interrupted; reading the configuration again.', { reason: change.err ? change.val.reason : 'history lost', inForce: inForce.version() })
         version = undefined
         await clock.sleep(change.err ? MIN_RETRY_MS : 0, signal)
         continue
       }
-      this.observe(change.val, 'watch')
+      inForce.observeReading(change.val, sinceRequest, 'watch')
       version = change.val.version
     }
   }
 
-  /** Reports the age of the configuration, and what the daemon was doing while it grew old. */
+  /** Refreshes a configuration that the watch doesn't confirm, and reports its age and what the daemon was doing meanwhile. */
   async monitor (signal: AbortSignal): Promise<void> {
-    const { clock, log, metrics, applyWithinMs, storeUnavailableMs } = this.options
+    const { inForce, clock, log, metrics, storeUnavailableMs } = this.options
     let oldSince: number | undefined
     let reportedAt = -Infinity
     let utilization = performance.eventLoopUtilization()
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_MS, signal)
-      const ageMs = this.ageMs()
+      const ageMs = inForce.ageMs()
       if (ageMs < Infinity) metrics.gauge('config_age_ms', Math.round(ageMs))
-      if (ageMs <= OLD_FRACTION * applyWithinMs) {
-        if (oldSince !== undefined) log.info('Configuration is confirmed again.', { version: this.config?.version, oldForMs: Math.round(clock.now() - oldSince) })
+      if (!this.isOlderThan(OLD_FRACTION)) {
+        if (oldSince !== undefined) log.info('Configuration is confirmed again.', { version: inForce.version(), oldForMs: Math.round(clock.now() - oldSince) })
+        this.failedRefresh = undefined
         oldSince = undefined
         reportedAt = -Infinity
         utilization = performance.eventLoopUtilization()
         continue
       }
-      if (this.config === undefined || clock.now() - reportedAt < OLD_REPORT_MS) continue
-      oldSince ??= clock.now()
-      reportedAt = clock.now()
-      const current = performance.eventLoopUtilization()
-      log.warn('Configuration is old.', {
-        version: this.config.version,
-        ageMs: Math.round(ageMs),
-        busyPercent: Math.round(100 * performance.eventLoopUtilization(current, utilization).utilization),
-        storeUnavailableMs: Math.round(storeUnavailableMs())
-      })
-      utilization = current
+      if (inForce.current() !== undefined && clock.now() - reportedAt >= OLD_REPORT_MS) {
+        oldSince ??= clock.now()
+        reportedAt = clock.now()
+        const current = performance.eventLoopUtilization()
+        log.warn('Configuration is old.', {
+          version: inForce.version(),
+          ageMs: Math.round(ageMs),
+          busyPercent: Math.round(100 * performance.eventLoopUtilization(current, utilization).utilization),
+          storeUnavailableMs: Math.round(storeUnavailableMs())
+        })
+        utilization = current
+      }
+      if (clock.now() - this.refreshedAt >= REFRESH_INTERVAL_MS) await this.refresh()
     }
   }
 
-  private observe ({ config, asOfMs }: ConfigReading, source: 'read' | 'watch') {
-    this.apply(config, source)
-    if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
+  private isOlderThan (fraction: number): boolean {
+    return this.options.inForce.ageMs() > fraction * this.options.applyWithinMs
+  }
+
+  /** Resolves when the configuration is confirmed or all that were asked have answered or failed to. */
+  private refresh (): Promise<void> {
+    this.refreshing ??= this.askAll().finally(() => {
+      this.refreshing = undefined
+      this.refreshedAt = this.options.clock.now()
+    })
+    return this.refreshing
+  }
+
+  private async askAll (): Promise<void> {
+    const { inForce, askPeers } = this.options
+    const answers = askPeers(inForce.version())
+    const known = await new Promise<ReadonlyArray<KnownConfig | undefined> | 'confirmed'>((resolve, reject) => {
+      const settleIfConfirmed = () => { if (!this.isOlderThan(OLD_FRACTION)) resolve('confirmed') }
+      const peers = answers.map(async answer => {
+        const peer = await answer
+        if (peer !== undefined) inForce.observePeer(peer)
+        settleIfConfirmed()
+        return peer
+      })
+      // The watch loop reads the store by itself unless it waits for an answer.
+      const read = this.isWatching ? this.readStore().then(settleIfConfirmed) : Promise.resolve()
+      Promise.all([Promise.all(peers), read]).then(([all]) => resolve(all), reject)
+    })
+    this.failedRefresh = known === 'confirmed' ? undefined : hasMajority(known) ? 'none-newer' : 'unanswered'
+    this.options.metrics.count(`config_refreshes_${this.failedRefresh ?? 'confirmed'}`)
   }
 
-  private apply (config: CellConfig | undefined, source: string) {
-    if (config === undefined || config.version <= (this.config?.version ?? -1)) return
-    const ageMs = this.ageMs()
-    this.config = config
-    // Jobs of a removed queue continue under its last settings.
-    this.queuesByName = new Map([...this.queuesByName, ...config.queues.map(queue => [queue.name, queue] as const)])
-    const byHost = new Map<string, Queue[]>()
-    for (const queue of config.queues) byHost.set(queue.host, [...(byHost.get(queue.host) ?? []), queue])
-    for (const queues of byHost.values()) queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
-    this.queuesByHost = byHost
-    this.options.log.info('Configuration in force.', { version: config.version, queues: config.queues.length, source, ...(ageMs < Infinity ? { previousAgeMs: Math.round(ageMs) } : {}) })
+  private async readStore (): Promise<void> {
+    const { directory, inForce, clock } = this.options
+    const sinceRequest = Stopwatch.start(clock)
+    const read = await directory.readConfig()
+    if (read.ok) inForce.observeReading(read.val, sinceRequest, 'read')
   }
 }
+
+function hasMajority (answers: ReadonlyArray<KnownConfig | undefined>): boolean {
+  return answers.length > 0 && 2 * answers.filter(answer => answer !== undefined).length >= answers.length
+}
--- a/packages/cell/src/membership.ts
+++ b/packages/cell/src/membership.ts
@@ -33,6 +33,8 @@
   readonly self: Peer
   readonly store: RowStore
   readonly peerClients: PeerClients
+  /** Random number of at least 0 and less than 1. */
+  readonly random: () => number
   readonly clock: Clock
   readonly log: Log
 }
@@ -54,6 +56,12 @@
     return this.peers
   }
 
+  /** Up to `count` of the other daemons, chosen at random. */
+  sample (count: number): readonly Peer[] {
+    const rest = [...this.peers]
+    return Array.from({ length: Math.min(count, rest.length) }, () => rest.splice(Math.floor(this.options.random() * rest.length), 1)).flat()
+  }
+
   /** Whether another daemon has a much higher leadership weight. */
   hasBetterCandidate (): boolean {
     return this.peers.some(({ leadershipWeight }) => leadershipWeight > this.minBetterWeight())
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -7,6 +7,7 @@
 import type { Result } from '@citronnotch/base/result'
 import { isSocketAddress, parseAddress } from '@citronnotch/base/utils'
 import type { Verdict } from '@citronnotch/base/verdict'
+import type { KnownConfig } from './configInForce.js'
 import type { JobRecord } from './jobRecord.js'
 import type { JobState } from './types.js'
 
@@ -26,6 +27,8 @@
   /** State of a job on the leader; missing when the daemon has no record of the job or doesn't lead. */
   jobState: { readonly req: { readonly jobId: string }, readonly res: { readonly state?: JobState } }
   pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
+  /** Configuration that a daemon has in force, in full unless that is `version`; empty when it has none. */
+  config: { readonly req: { readonly version: number }, readonly res: Partial<KnownConfig> }
   /** Asks a daemon whether it could lead, and in what time it reads the lease; the time is missing when it could not. */
   canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly readTimeMs?: number } }
   /** Asks a daemon to take over from a leader that issues no more commands. */
@@ -40,7 +43,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'canTakeOver', 'takeOver', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'canTakeOver', 'takeOver', 'advise']
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** Ping interval and ping timeout: a dead connection is closed within twice this time. */
 const KEEPALIVE_MS = 1_000
