fix(cell): a leader without a valid lease does not answer its own callers from its memory

What callers saw: a job that has completed is shown as active, and waiting jobs are counted, by a daemon that led until the store refused it, for as long as that lasts; another daemon leads meanwhile. Cause: calls from other daemons check the lease before they are answered from memory, calls from the daemon's own callers did not. Change: one check for both; a final state is still answered, as it never changes.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -25,6 +25,8 @@
 import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
 import type { StoreHealth } from './storeHealth.js'
+import { isFinal } from './types.js'
+import type { JobState } from './types.js'
 
 /** Interval between reads of the list of daemons: on the leader, on other daemons, and until the first peer is found. */
 const PEERS_LEADER_POLL_MS = 2_000
@@ -219,16 +221,26 @@
       submit: async (jobId, record, payload) => fromPeerOutcome(await this.forwardToLeader('submit', { jobId, record, payload })),
       cancel: async jobId => fromPeerOutcome(await this.forwardToLeader('cancel', { jobId })),
       stateOf: async jobId => {
-        if (this.leader !== undefined) return this.leader.stateOf(jobId)
+        if (this.leader !== undefined) return this.localStateOf(jobId)
         return (await this.callLeader('jobState', { jobId }))?.state
       },
       pendingOf: async queue => {
-        if (this.leader !== undefined) return this.leader.pendingOf(queue)
+        if (this.leader !== undefined) return this.localPendingOf(queue)
         return (await this.callLeader('pending', { queue }))?.pending
       }
     }
   }
 
+  /** State of a job as this leader knows it. Without a valid lease another daemon may lead, and only a final state still holds. */
+  private localStateOf (jobId: string): JobState | undefined {
+    const state = this.leader?.stateOf(jobId)
+    return state !== undefined && (this.lease.isValid() || isFinal(state)) ? state : undefined
+  }
+
+  private localPendingOf (queue: string): number | undefined {
+    return this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
+  }
+
   /** Peer address of the leader; undefined if this daemon leads or the leader is unknown. */
   private remoteLeaderAddress (): string | undefined {
     const address = this.lease.leaderAddress()
@@ -282,11 +294,11 @@
         return {}
       },
       jobState: ({ jobId }) => {
-        const state = this.lease.isValid() ? this.leader?.stateOf(jobId) : undefined
+        const state = this.localStateOf(jobId)
         return state === undefined ? {} : { state }
       },
       pending: ({ queue }) => {
-        const pending = this.lease.isValid() ? this.leader?.pendingOf(queue) : undefined
+        const pending = this.localPendingOf(queue)
         return pending === undefined ? {} : { pending }
       },
       config: ({ version }) => this.config.known(version) ?? {},
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -177,6 +177,11 @@
 export type JobOutcome = 'completed' | 'failed' | 'cancelled'
 export type JobState = 'queued' | 'active' | JobOutcome
 
+/** Whether a job in this state never changes again. */
+export function isFinal (state: JobState): state is JobOutcome {
+  return state !== 'queued' && state !== 'active'
+}
+
 const TASK_ID_PATTERN = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/
 
 export function formatTaskId ({ jobId, occurrence, step, index }: TaskId): string {
