test(soak): probe which configuration each daemon answers by, while daemons are cut off and the configuration changes

Change: each version adds a route and removes an earlier one, and all daemons are asked for both every 0.4 s; a daemon must not answer as only an older version allows while another one has been answering by the later one for 2 s.

--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -106,6 +106,22 @@
   configStorm: ({ changeConfig }) => { for (let index = 0; index < 8; index++) setTimeout(changeConfig, 150 * index) }
 }
 
+/** Time between two changes of a series, and duration of the fault that each begins with, in milliseconds. */
+const CHANGE_INTERVAL_MS = 3_500
+const MIN_CUT_MS = 4_000
+const MAX_CUT_MS = 8_000
+const CHANGE_DELAY_MS = 200
+
+/** Changes the configuration again and again while daemons, one after the other, can't reach the store; beside all other faults. */
+export function startChangeSeries (targets: FaultTargets, random: Random, durationMs: number): void {
+  for (let atMs = 0; atMs < durationMs; atMs += CHANGE_INTERVAL_MS) {
+    const link = random.pick(targets.storeLinks)
+    const cutMs = random.between(MIN_CUT_MS, MAX_CUT_MS)
+    setTimeout(() => injectLinkFault(link, random, cutMs), atMs)
+    setTimeout(targets.changeConfig, atMs + CHANGE_DELAY_MS)
+  }
+}
+
 function injectLinkFault (link: TcpProxy, random: Random, durationMs: number) {
   link.fault = random.pick(['delay', 'drop-all', 'drop-responses', 'reset'] as const)
   if (link.fault === 'reset') link.reset()
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -5,8 +5,9 @@
 import { Audit, GangRegistry, MemoryStore, MemoryWorker, createWorkerEntry } from '@citronnotch/cell/testing'
 import { SystemClock } from '@citronnotch/base/clock'
 import { SoakClient, HOST, PATH_PREFIX } from './client.js'
-import { DaemonProcess, Emulator, oneQueueConfig } from '@citronnotch/platform/testing'
-import { FAULTS, MORE_FAULTS } from './faults.js'
+import { ConfigProbe } from './configProbe.js'
+import { DaemonProcess, Emulator } from '@citronnotch/platform/testing'
+import { FAULTS, MORE_FAULTS, startChangeSeries } from './faults.js'
 import type { Fault, FaultTargets } from './faults.js'
 import { TcpProxy } from './proxy.js'
 import { Random } from './random.js'
@@ -37,6 +38,7 @@
 const RECOVERY_MS = 25_000
 const SUBMIT_INTERVAL_MS = 60
 const POLL_INTERVAL_MS = 40
+const PROBE_INTERVAL_MS = 400
 const REGISTER_INTERVAL_MS = 1_500
 const MAX_SEED = 2 ** 30
 
@@ -81,7 +83,6 @@
   const logFolder = mkdtempSync(join(tmpdir(), `citronnotch-soak-${seed}-`))
   const policyAddress = await emulator.servePolicy(() => true)
   const storeAddress = await emulator.serveStore()
-  emulator.putConfig(oneQueueConfig(HOST, PATH_PREFIX))
 
   const gangs = GangRegistry.create()
   const workers: MemoryWorker[] = []
@@ -104,18 +105,22 @@
   const registerTimer = setInterval(() => { for (const worker of workers) emulator.register(worker.entry) }, REGISTER_INTERVAL_MS)
   for (const worker of workers) emulator.register(worker.entry)
 
+  const callerAddresses = Array.from({ length: daemonCount }, (_, index) => `127.0.0.1:${firstPort + 4 * index}`)
+  const configProbe = ConfigProbe.create(callerAddresses, emulator, HOST, PATH_PREFIX, audit, clock)
+  configProbe.change()
+
   const storeLinks: TcpProxy[] = []
   const daemons: DaemonProcess[] = []
-  for (let index = 0; index < daemonCount; index++) {
+  for (const [index, callerAddress] of callerAddresses.entries()) {
     const link = await TcpProxy.create(storeAddress)
     const port = firstPort + 4 * index
     storeLinks.push(link)
     daemons.push(DaemonProcess.create({
-      name: `d${index}`, callerAddress: `127.0.0.1:${port}`, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress
+      name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress
     }, logFolder))
   }
 
-  const client = SoakClient.create(daemons.map(({ settings }) => settings.callerAddress), audit, random)
+  const client = SoakClient.create(callerAddresses, audit, random)
   await sleep(STARTUP_MS)
   const pendingCalls = new Set<Promise<void>>()
   const track = (call: Promise<void>) => {
@@ -124,12 +129,11 @@
   }
   const submitTimer = setInterval(() => track(client.submitOne()), SUBMIT_INTERVAL_MS)
   const pollTimer = setInterval(() => { if (client.jobs.length > 0) track(client.poll(random.pick(client.jobs))) }, POLL_INTERVAL_MS)
+  const probeTimer = setInterval(() => track(configProbe.probe()), PROBE_INTERVAL_MS)
 
   const faults: string[] = []
-  const config = oneQueueConfig(HOST, PATH_PREFIX)
-  let configVersion = 1
-  const changeConfig = () => { emulator.putConfig({ ...config, version: ++configVersion }) }
-  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, changeConfig }
+  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, changeConfig: () => configProbe.change() }
+  if (allFaults) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
   const faultsEndMs = clock.now() + faultPeriodMs
   for (const { name, inject, durationMs, pauseMs, random: choices } of allFaults ? planFaults(seed) : drawFaults(random)) {
     if (clock.now() >= faultsEndMs) break
@@ -140,6 +144,7 @@
   clearInterval(submitTimer)
   await sleep(RECOVERY_MS)
   clearInterval(pollTimer)
+  clearInterval(probeTimer)
   await Promise.all(pendingCalls)
   await Promise.all(client.jobs.map(job => client.poll(job)))
   client.checkFinalStates()
@@ -149,6 +154,6 @@
   clearInterval(registerTimer)
   emulator.close()
   for (const link of [...storeLinks, ...workerLinks]) link.close()
-  await client.close()
+  await Promise.all([client.close(), configProbe.close()])
   return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, logFolder }
 }
