fix(cell): nothing is started by a worker registry that is too old

What callers saw: nothing yet; found by looking for the cause of the late configuration elsewhere. Tasks start on a worker that has begun to drain, and end with it. Cause: the leader starts tasks by the last registry it has read, however old that is; its lease is renewed by other calls, so that it goes on leading while only the reads of the registry fail. Class: a decision taken from state whose age is unknown. Evidence: oldRegistry.test.ts failed before (a task starts on a worker 5 s after it began to drain). Change: no scheduling round runs once the last successful read was sent more than 0.8 of drain_ms ago; the log line says so (mayStart).

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -51,6 +51,8 @@
   /** Maximum lease that a worker grants, in milliseconds. */
   readonly maxTaskLeaseMs: number
   readonly statusRetentionMs: number
+  /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
+  readonly drainMs: number
   /** Time within which a confirmed configuration must be in force, in milliseconds. */
   readonly configApplyMs: number
   readonly store: RowStore
@@ -176,7 +178,7 @@
 
   private startLeading ({ epoch, version, isEarly }: GainedLease) {
     const { store } = this
-    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, maintenance } = this.options
+    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, drainMs, maintenance } = this.options
     this.stopLeading()
     this.leader = Leader.create({
       epoch,
@@ -195,6 +197,7 @@
       taskLeaseMs: Math.min(TASK_LEASE_MS, maxTaskLeaseMs),
       maxTaskLeaseMs,
       statusRetentionMs,
+      drainMs,
       clock,
       logs,
       metrics: this.metrics
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -59,6 +59,8 @@
   readonly maxTaskLeaseMs: number
   /** Time for which the outcome of an ended job must remain available to callers, in milliseconds. */
   readonly statusRetentionMs: number
+  /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
+  readonly drainMs: number
   readonly clock: Clock
   readonly logs: LogFactory
   readonly metrics: CellMetrics
@@ -346,7 +348,7 @@
   }
 
   private runRound () {
-    if (!this.isLoaded || !this.options.mayIssueCommands() || this.stopping.signal.aborted) return
+    if (!this.isLoaded || !this.options.mayIssueCommands() || !this.workers.isRegistryRecent() || this.stopping.signal.aborted) return
     const { clock, metrics } = this.options
     const startedAt = clock.now()
     this.dispatcher.runRound(this.dispatchable())
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -21,6 +21,8 @@
 import { GangRegistry, MemoryWorker, MemoryWorkers } from './memoryWorker.js'
 
 export const SERVICE = 'dispatch'
+/** Time after which no task may start on a worker that is registered as draining. */
+export const DRAIN_MS = 2_500
 const silentLogs = LogFactory.create({ levels: { '*': 'fatal' } })
 
 export function createQueue (fields: Partial<Queue> = {}): Queue {
@@ -168,6 +170,7 @@
           taskLeaseMs: 5_000,
           maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
+          drainMs: DRAIN_MS,
           clock,
           logs: silentLogs,
           metrics
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
+import { Stopwatch } from '@citronnotch/base/stopwatch'
 import { supervise } from '@citronnotch/base/supervise'
 import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
@@ -16,6 +17,9 @@
 /** Time after which the roster records when the leases of an unreachable worker expire; shorter outages are frequent. */
 const UNREACHABLE_MS = 500
 
+/** Fraction of the time within which starts on a draining worker must cease after which the registry is too old to start by. */
+const TOO_OLD_FRACTION = 0.8
+
 /** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
 const MAX_UNUSABLE_LOGGED = 1_000
 
@@ -27,6 +31,8 @@
   readonly taskLeaseMs: number
   /** Longest lease that a worker grants, in milliseconds. */
   readonly maxTaskLeaseMs: number
+  /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
+  readonly drainMs: number
   /** Time for which the previous leader may still extend leases on workers that are not adopted, in milliseconds. */
   readonly predecessorActiveMs: number
   /** Version of the epoch row of the roster's partition. */
@@ -48,6 +54,8 @@
   /** Highest fencing tokens of dropped workers, by worker id: a worker may start again under the same id. */
   private readonly lastTokens = new Map<string, number>()
   private readonly roster: Roster
+  /** Started when the last successful read of the registry was sent. */
+  private sinceRegistryRead: Stopwatch | undefined
   /** Ids of the workers that could not be used, each of which is logged once. */
   private readonly unusable = new Set<string>()
   /** Monotonic time after which every lease of earlier leaders has expired. */
@@ -88,6 +96,11 @@
     return this.roster.mayStartOn(worker.entry) && !this.health.isSuspended(worker.id, now)
   }
 
+  /** Whether tasks may be started by the registry as it was read last: it says which workers drain, and what room they have. */
+  isRegistryRecent (): boolean {
+    return this.sinceRegistryRead !== undefined && this.sinceRegistryRead.elapsedMs() <= TOO_OLD_FRACTION * this.options.drainMs
+  }
+
   rosterSize (): number {
     return this.roster.size()
   }
@@ -126,9 +139,14 @@
   async run (signal: AbortSignal): Promise<void> {
     const { clock, directory, mayIssueCommands, jobsLoaded, log } = this.options
     while (!signal.aborted) {
+      const sinceRequest = Stopwatch.start(clock)
       const res = await directory.listWorkers()
-      if (res.err) log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
-      else this.applyRegistry(res.val, signal)
+      if (res.err) {
+        log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason, mayStart: this.isRegistryRecent() })
+      } else {
+        this.sinceRegistryRead = sinceRequest
+        this.applyRegistry(res.val, signal)
+      }
       if (!await jobsLoaded) return
       if (mayIssueCommands()) await this.updateRoster()
       await clock.sleep(res.err ? WORKER_RETRY_MS : REGISTRY_POLL_MS, signal)
