fix(cell): a task that crashes its workers is given up, and what ran beside it is not

Cause: a loss with a worker was not counted at all, as a crashed worker lists no ends; what was lost together was placed together again. Class: a failure whose witness is gone is not counted. Change: crashes are recorded for the runs that were there, stored before the task starts again, and told from workers that leave by plan or were cut off. Why it works: a sound neighbour of two crashes ends well when it is alone, while a guilty one convicts itself there; the bound of five holds in any case within one leader, and across leaders as the record is stored first.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { AdviceCache } from './advice.js'
-import type { AvoidedWorkers } from './avoidedWorkers.js'
 import type { Job, Run, Step, Task } from './jobs.js'
 import { latenessOf } from './lateness.js'
 import type { Lateness } from './lateness.js'
@@ -30,6 +29,8 @@
   readonly step: Step
   readonly queue: Queue
   readonly waitingTasks: readonly Task[]
+  /** Tasks that wait for a worker without other work, because workers have crashed under them. */
+  readonly aloneTasks: readonly Task[]
   readonly lateness: Lateness
 }
 
@@ -40,6 +41,19 @@
 const MAX_RESERVING_GANGS = 2
 /** Score of one penalty point; outweighs any amount of free processor time in the choice of a worker. */
 const PENALTY_WEIGHT = 1e9
+/** Penalty for running beside a task that may have crashed a worker, or for starting such a task beside others. */
+const SUSPECT_PENALTY = 3
+/** Time for which a task that must run alone waits for a worker without other work, in milliseconds; then it runs beside others. */
+const ALONE_PATIENCE_MS = 10_000
+/** The same while less than half of the processor time is in use: no job may wait for 3 s beside so much room. */
+const ALONE_PATIENCE_WITH_ROOM_MS = 2_000
+/** Maximum fraction of the workers, and minimum number, that are kept free for tasks that must run alone. */
+const ALONE_FRACTION = 0.1
+const MIN_ALONE_WORKERS = 1
+/** Priority of a reservation for a task that must run alone: above that of every queue. */
+const RESERVED_FOR_ALONE = -1
+/** Weight of a lasting run in the choice of a worker to keep free: it may never end. */
+const LASTING_RUN_WEIGHT = 1_000
 /** Offset between the first workers of two consecutive advice calls. */
 const ROTATION_STEP = 7
 
@@ -57,6 +71,8 @@
   private rotation = 0
   /** Monotonic time of the current round in milliseconds; read once, because a round tries many tasks. */
   private now = 0
+  /** Time for which tasks wait for a worker without other work; depends on how full the workers were in the last round. */
+  private alonePatienceMs = ALONE_PATIENCE_WITH_ROOM_MS
 
   private constructor (private readonly options: DispatcherOptions) {}
 
@@ -69,10 +85,12 @@
     this.now = this.options.clock.now()
     const candidates = this.findCandidates(jobs)
     if (candidates.length === 0) return
-    const usable = [...this.options.workers()].filter(worker => worker.canStart(this.now) && this.options.isUsable(worker, this.now))
+    const usable = [...this.options.workers()].filter(worker => worker.canStart(this.now) && !worker.hasExclusiveRun() && this.options.isUsable(worker, this.now))
     const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: new Map() }
+    this.placeAlone(candidates, usable, round)
     let reservingGangs = 0
     for (const candidate of candidates) {
+      if (candidate.waitingTasks.length === 0) continue
       const { spec, job } = candidate.step
       if (job.payload === undefined) {
         this.options.requestPayload(job)
@@ -104,13 +122,64 @@
       for (const step of job.liveSteps()) {
         if (!step.hasWaitingTasks() || step.notBefore > this.now || !step.isReady()) continue
         if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
-        candidates.push({ step, queue, waitingTasks: step.tasks.filter(task => task.isWaiting()), lateness: latenessOf(job, queue, unixMs) })
+        const waitingTasks = step.tasks.filter(task => task.isWaiting() && !task.isHeld)
+        if (waitingTasks.length === 0 || (step.spec.gang && waitingTasks.length < step.tasks.length)) continue
+        const aloneTasks = step.spec.gang ? [] : waitingTasks.filter(task => this.waitsAlone(task))
+        candidates.push({
+          step,
+          queue,
+          waitingTasks: aloneTasks.length === 0 ? waitingTasks : waitingTasks.filter(task => !aloneTasks.includes(task)),
+          aloneTasks,
+          lateness: latenessOf(job, queue, unixMs)
+        })
       }
     }
     return candidates.sort((a, b) =>
       a.lateness - b.lateness || a.queue.priority - b.queue.priority || a.step.job.record.admittedAtMs - b.step.job.record.admittedAtMs)
   }
 
+  /** Whether a task has to wait for a worker without other work. */
+  private waitsAlone (task: Task): boolean {
+    if (!task.crashes().mustRunAlone()) return false
+    task.waitsAloneSince ??= this.now
+    return this.now - task.waitsAloneSince < this.alonePatienceMs
+  }
+
+  /** Starts tasks that must run alone on workers without other work, and keeps some workers free for those that wait. */
+  private placeAlone (candidates: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
+    if (!candidates.some(needsWorkersAlone)) return
+    const workers = [...this.options.workers()]
+    this.alonePatienceMs = isHalfEmpty(workers) ? ALONE_PATIENCE_WITH_ROOM_MS : ALONE_PATIENCE_MS
+    let places = Math.max(MIN_ALONE_WORKERS, Math.floor(ALONE_FRACTION * workers.length)) - workers.filter(worker => worker.hasExclusiveRun()).length
+    for (const candidate of candidates) {
+      if (candidate.step.job.payload === undefined) continue
+      const started: Run[] = []
+      for (const task of candidate.aloneTasks) {
+        if (places-- <= 0) break
+        const worker = this.findEmptyWorker(candidate, task, usable, round)
+        if (worker === undefined) continue
+        round.reservedFor.set(worker, RESERVED_FOR_ALONE)
+        started.push(this.start(candidate, task, candidate.step.nextRunNumber(this.options.epoch), worker, round, task.lastRunNumber))
+      }
+      if (started.length > 0) this.options.onStart(candidate.step, started)
+    }
+  }
+
+  /** Returns a worker without other work on which the task can start now; if there is none, keeps one free for it. */
+  private findEmptyWorker (candidate: Candidate, task: Task, usable: readonly WorkerLink[], round: SchedulingRound): WorkerLink | undefined {
+    const { advice } = this.options
+    const { step, queue } = candidate
+    const eligible = usable.filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker))
+    const empty = eligible.filter(worker => worker.runs.size === 0)
+    const startable = queue.advice === undefined ? empty : empty.filter(worker => advice.ticket(step, worker, this.now) !== undefined)
+    const worker = this.bestWorker(step, startable, candidateWorker => round.capacity.freeOn(candidateWorker), task)
+    if (worker !== undefined) return worker
+    if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty)
+    const emptiest = minBy(eligible, ({ runs }) => runs.size + (hasLastingRun(runs.values()) ? LASTING_RUN_WEIGHT : 0))
+    if (emptiest !== undefined) round.reservedFor.set(emptiest, RESERVED_FOR_ALONE)
+    return undefined
+  }
+
   private isEligible ({ step, queue }: Candidate, worker: WorkerLink, { reservedFor }: SchedulingRound): boolean {
     const { requiredLabel } = step.spec
     return worker.entry.service === queue.service &&
@@ -162,7 +231,7 @@
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
     const started: Run[] = []
     for (const task of waitingTasks) {
-      const worker = this.bestWorker(step, workers, freeOn, task.avoidedWorkers)
+      const worker = this.bestWorker(step, workers, freeOn, task)
       if (worker === undefined) break
       started.push(this.start(candidate, task, step.nextRunNumber(this.options.epoch), worker, round, task.lastRunNumber))
     }
@@ -172,7 +241,9 @@
 
   private placeGang (candidate: Candidate, round: SchedulingRound): boolean {
     const { step } = candidate
-    const workers = this.allowedWorkers(candidate, round)
+    const [firstTask] = step.tasks
+    const mustBeAlone = firstTask !== undefined && this.waitsAlone(firstTask)
+    const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || worker.runs.size === 0)
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
     if (slotsOn(step, workers, freeOn) < step.tasks.length) return false
     const placements = step.spec.rackLocal
@@ -203,7 +274,8 @@
     const plannedCounts = new Map<WorkerLink, number>()
     const placements: WorkerLink[] = []
     for (let member = 0; member < step.tasks.length; member++) {
-      const worker = this.bestWorker(step, workers, remainingOn, step.avoidedWorkers, plannedCounts)
+      const task = step.tasks[member]
+      const worker = task === undefined ? undefined : this.bestWorker(step, workers, remainingOn, task, plannedCounts)
       if (worker === undefined) return undefined
       remainingCapacity.set(worker, subtract(remainingOn(worker) ?? NO_RESOURCES, step.need))
       plannedCounts.set(worker, (plannedCounts.get(worker) ?? 0) + 1)
@@ -213,9 +285,11 @@
   }
 
   /** Picks the worker with the least free processor time on which a task fits, preferably on the affinity rack. */
-  private bestWorker (step: Step, workers: readonly WorkerLink[], freeOn: FreeOn, avoided: AvoidedWorkers, plannedCounts?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
+  private bestWorker (step: Step, workers: readonly WorkerLink[], freeOn: FreeOn, task: Task, plannedCounts?: ReadonlyMap<WorkerLink, number>): WorkerLink | undefined {
     const { affinityRack, usesIdleCapacity } = step.spec
     const { need } = step
+    const avoided = step.spec.gang ? step.avoidedWorkers : task.avoidedWorkers
+    const isSuspect = task.crashes().isSuspect()
     const isAvoided = (worker: WorkerLink) => avoided.isAvoided(worker.id, this.now)
     // If all are avoided, there is no other worker to wait for.
     const avoidsSome = !avoided.isEmpty() && !workers.every(isAvoided)
@@ -228,7 +302,8 @@
       if (usesIdleCapacity && (available.milliCores <= 0 || hostsStep(worker, other => other.hasLatencyTarget()))) continue
       const isOffAffinityRack = affinityRack !== '' && !worker.entry.labels.includes(affinityRack)
       const hasIdleCapacityTasks = step.hasLatencyTarget() && hostsStep(worker, other => other.spec.usesIdleCapacity)
-      const penalty = (step.avoidedWorkers.has(worker.id) || this.options.isSuspect(worker, this.now) ? 2 : 0) + (isOffAffinityRack ? 1 : 0) + (hasIdleCapacityTasks ? 1 : 0)
+      const penalty = (step.avoidedWorkers.has(worker.id) || this.options.isSuspect(worker, this.now) ? 2 : 0) + (isOffAffinityRack ? 1 : 0) + (hasIdleCapacityTasks ? 1 : 0) +
+        (worker.hasSuspectRun() || (isSuspect && worker.runs.size > 0) ? SUSPECT_PENALTY : 0)
       // Tasks on idle capacity go to the worker with the most free processor time.
       const score = penalty * PENALTY_WEIGHT + (usesIdleCapacity ? -available.milliCores : available.milliCores - need.milliCores)
       if (score < bestScore) {
@@ -243,6 +318,7 @@
     const { advice } = this.options
     const ticket = queue.advice === undefined ? '' : advice.ticket(step, worker, this.now) ?? ''
     step.job.hasStarted = true
+    task.waitsAloneSince = undefined
     // Tasks on idle capacity would slow down a task with a latency target, so those on this worker are stopped and resume elsewhere.
     if (step.hasLatencyTarget()) for (const other of [...worker.runs.values()]) if (other.task?.step.spec.usesIdleCapacity === true) worker.stop(other)
     const startedRun = worker.start(task, Math.max(runNumber, lastRunNumber + 1), step.job.payload ?? '', ticket)
@@ -284,6 +360,32 @@
   return false
 }
 
+function needsWorkersAlone ({ step, aloneTasks }: Candidate): boolean {
+  return aloneTasks.length > 0 || (step.spec.gang && step.tasks[0]?.crashes().mustRunAlone() === true)
+}
+
+function isHalfEmpty (workers: readonly WorkerLink[]): boolean {
+  const sumOf = (milliCoresOf: (worker: WorkerLink) => number) => workers.reduce((sum, worker) => sum + milliCoresOf(worker), 0)
+  return 2 * sumOf(worker => worker.freeCapacity().milliCores) > sumOf(worker => worker.entry.capacity.milliCores)
+}
+
+function hasLastingRun (runs: Iterable<Run>): boolean {
+  for (const { task } of runs) if (task?.step.spec.longRunning === true) return true
+  return false
+}
+
+function minBy<T> (items: readonly T[], valueOf: (item: T) => number): T | undefined {
+  let best: T | undefined
+  let bestValue = Infinity
+  for (const item of items) {
+    const value = valueOf(item)
+    if (value >= bestValue) continue
+    best = item
+    bestValue = value
+  }
+  return best
+}
+
 function rackOf (worker: WorkerLink): string {
   return worker.entry.labels.slice(1).join('/')
 }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,4 +1,5 @@
 import { AvoidedWorkers } from './avoidedWorkers.js'
+import { CrashRecord } from './crashRecord.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
 import type { JobProgress, StepProgress } from './storedProgress.js'
@@ -71,12 +72,20 @@
   ) {
     this.progressAt = startedAt
     this.checkpoint = task?.checkpoint ?? ''
+    const crashes = task?.crashes()
+    this.isSuspect = crashes?.isSuspect() === true
+    this.mustRunAlone = crashes?.mustRunAlone() === true
   }
 
   static create (fields: Pick<Run, 'id' | 'number' | 'worker' | 'task' | 'fencingToken' | 'startedAt'>): Run {
     return new Run(fields.id, fields.number, fields.worker, fields.task, fields.fencingToken, fields.startedAt)
   }
 
+  /** Whether the task may have crashed a worker before this run. */
+  readonly isSuspect: boolean
+  /** Whether nothing else may start beside the run. */
+  readonly mustRunAlone: boolean
+
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
   mayOutliveIncarnation (): boolean {
     return !this.isListed || this.unansweredStarts > 0
@@ -105,6 +114,12 @@
   checkpoint = ''
   /** Numbers of the failed runs. */
   readonly failedRuns = new Set<number>()
+  /** Crashes under runs of this task; of a gang, those of its first task count for all. */
+  readonly ownCrashes = CrashRecord.create()
+  /** True while a crash under this task isn't stored: a start before that might not be counted by a later leader. */
+  isHeld = false
+  /** Monotonic time in milliseconds since which the task has waited for a worker without other work; undefined while it doesn't. */
+  waitsAloneSince: number | undefined
   /** Workers on which a run of this task has failed or stalled. */
   readonly avoidedWorkers = AvoidedWorkers.create()
   private readonly activeRuns: Run[] = []
@@ -126,6 +141,10 @@
     return { jobId: job.id, occurrence, step: index, index: this.index }
   }
 
+  crashes (): CrashRecord {
+    return this.step.countedTask(this).ownCrashes
+  }
+
   isWaiting (): boolean {
     return !this.hasEnded && this.activeRuns.length === 0
   }
@@ -221,9 +240,14 @@
     task.avoidedWorkers.add(workerId, now)
   }
 
-  /** Records a failed run and returns the number of failures so far. The members of a gang fail together and share one count. */
+  /** The task that holds the counts of a task: the members of a gang fail together and share one count. */
+  countedTask (task: Task): Task {
+    return this.spec.gang ? this.tasks[0] ?? task : task
+  }
+
+  /** Records a failed run and returns the number of failures so far. */
   recordFailure (task: Task, runNumber: number): number {
-    const countedTask = this.spec.gang ? this.tasks[0] ?? task : task
+    const countedTask = this.countedTask(task)
     countedTask.failedRuns.add(runNumber)
     return countedTask.failedRuns.size
   }
@@ -338,10 +362,13 @@
 
 function stepProgress (step: Step): StepProgress {
   const tasksWithFailures = step.tasks.filter(task => task.failedRuns.size > 0)
+  const tasksWithCrashes = step.tasks.filter(task => !task.isDone && task.ownCrashes.isSuspect())
   const tasksWithCheckpoint = step.tasks.filter(task => !task.isDone && task.checkpoint !== '')
   return {
     done: step.tasks.map(task => task.isDone ? '1' : '0').join(''),
     ...(tasksWithFailures.length === 0 ? {} : { failed: Object.fromEntries(tasksWithFailures.map(task => [task.index, [...task.failedRuns]])) }),
+    ...(tasksWithCrashes.length === 0 ? {} : { crashed: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().all])) }),
+    ...(tasksWithCrashes.length === 0 ? {} : { crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone])) }),
     ...(tasksWithCheckpoint.length === 0 ? {} : { checkpoints: Object.fromEntries(tasksWithCheckpoint.map(task => [task.index, task.checkpoint])) })
   }
 }
@@ -353,7 +380,9 @@
       step.remainingTasks--
     }
     for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
+    const crashedRuns = stored.crashed?.[index] ?? []
+    for (const run of crashedRuns) task.ownCrashes.add(run, stored.crashedAlone?.[index]?.includes(run) === true)
     task.checkpoint = stored.checkpoints?.[index] ?? ''
-    task.lastRunNumber = Math.max(0, ...task.failedRuns)
+    task.lastRunNumber = Math.max(0, ...task.failedRuns, ...crashedRuns)
   })
 }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -12,7 +12,7 @@
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
-import type { Job, Run, Step } from './jobs.js'
+import type { Job, Run, Step, Task } from './jobs.js'
 import type { JobRecord } from './jobRecord.js'
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
@@ -32,6 +32,8 @@
 const STEP_BACKOFF_MS = 60
 /** Time without new starts on a worker that reported a lack of capacity or bad health. */
 const WORKER_BACKOFF_MS = 500
+/** Time for which a run has to work before a crash to clear its task of earlier ones, in milliseconds. */
+const CLEARED_AFTER_MS = 30_000
 
 export interface LeaderOptions {
   readonly epoch: number
@@ -235,6 +237,22 @@
     this.scheduleRound()
   }
 
+  workerCrashed (link: WorkerLink, runs: readonly Run[]): void {
+    if (this.maintenance?.isDraining(link.id) === true) return
+    const { clock, metrics } = this.options
+    const isAlone = new Set(runs.map(run => run.task?.step)).size === 1
+    this.log.warn('Worker has crashed.', { worker: link.id, born: link.entry.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone })
+    metrics.count('workers_crashed')
+    for (const { task, number, startedAt } of runs) {
+      if (task === undefined || task.isDone || task.step.job.outcome !== undefined) continue
+      const crashes = task.crashes()
+      if (clock.now() - startedAt > CLEARED_AFTER_MS) crashes.clear()
+      crashes.add(number, isAlone)
+      if (crashes.isGivenUp()) this.giveUp(task)
+      else this.holdUntilStored(task)
+    }
+  }
+
   startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void {
     const { clock, metrics } = this.options
     metrics.count(`starts_refused_${reason}`)
@@ -297,6 +315,23 @@
     this.endJob(job, 'failed')
   }
 
+  private giveUp (task: Task) {
+    const { job, index } = task.step
+    const crashes = task.crashes()
+    this.log.warn('Job is given up, because workers crash under one of its tasks.', { job: job.id, step: index, task: task.index, crashes: crashes.count(), alone: crashes.aloneCount(), runs: crashes.runs().all })
+    this.options.metrics.count('jobs_given_up')
+    this.endJob(job, 'failed')
+  }
+
+  /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
+  private holdUntilStored (task: Task) {
+    task.isHeld = true
+    this.stage(task.step.job).then(() => {
+      task.isHeld = false
+      this.scheduleRound()
+    }).catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
+  }
+
   /** A gang can't work while one of its tasks is missing: stops its other runs before they time out waiting for that task. */
   private stopGang (run: Run) {
     const step = run.task?.step
--- a/packages/cell/src/storedProgress.ts
+++ b/packages/cell/src/storedProgress.ts
@@ -7,6 +7,9 @@
   readonly done: string
   /** Numbers of the failed runs of each task. */
   readonly failed?: Readonly<Record<string, readonly number[]>>
+  /** Numbers of the runs of each task under which a worker has crashed, and of those that were alone on it. */
+  readonly crashed?: Readonly<Record<string, readonly number[]>>
+  readonly crashedAlone?: Readonly<Record<string, readonly number[]>>
   /** Latest checkpoint of each unfinished task, from runs whose finish has been acknowledged. */
   readonly checkpoints?: Readonly<Record<string, string>>
 }
@@ -48,8 +51,8 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, checkpoints } = recordOf(value)
-  return isString(done) && isRecordOf(failed, runs => isListOf(runs, isCount)) && isRecordOf(checkpoints, isString)
+  const { done, failed, crashed, crashedAlone, checkpoints } = recordOf(value)
+  return isString(done) && [failed, crashed, crashedAlone].every(runs => isRecordOf(runs, numbers => isListOf(numbers, isCount))) && isRecordOf(checkpoints, isString)
 }
 
 function isRecordOf (value: unknown, isElement: (element: unknown) => boolean): boolean {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -38,6 +38,8 @@
   runFinished (link: WorkerLink, finishedRun: FinishedRun): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
   runLost (link: WorkerLink, run: Run, reason: LossReason): void
+  /** The worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
+  workerCrashed (link: WorkerLink, runs: readonly Run[]): void
   /** The worker refused a start, or the start was never sent. */
   startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void
   /** The worker lists a run that this leader didn't start. Returns undefined if the run must be stopped. */
@@ -101,6 +103,12 @@
   /** Monotonic time in milliseconds before which no run is started here, because the worker lacked free capacity or was unhealthy. */
   notBefore = 0
 
+  /** Whether this incarnation has announced that it leaves. */
+  private hasAnnouncedLeave = false
+  /** Runs that were given up when their lease expired; this incarnation may have crashed under them. */
+  private expiredRuns: readonly Run[] = []
+  private suspectRuns = 0
+  private exclusiveRuns = 0
   private usedCapacity: ResourceVector = NO_RESOURCES
   private runsWithUnknownNeed = 0
   private token: number
@@ -183,7 +191,23 @@
     return this.lastReportAt
   }
 
+  /** Whether a run of a task that may have crashed a worker is here. */
+  hasSuspectRun (): boolean {
+    return this.suspectRuns > 0
+  }
+
+  /** Whether a run is here beside which nothing else may start. */
+  hasExclusiveRun (): boolean {
+    return this.exclusiveRuns > 0
+  }
+
+  /** Marks a worker that is missing from the registry, so that it gets no new work. */
+  markUnlisted (): void {
+    this.entry = { ...this.entry, state: 'draining' }
+  }
+
   updateEntry (entry: WorkerEntry): void {
+    if (entry.state === 'draining') this.hasAnnouncedLeave = true
     if (entry.leavesInMs === undefined) this.leavesAt = undefined
     else if (entry.leavesInMs !== this.entry.leavesInMs || this.leavesAt === undefined) this.leavesAt = this.options.clock.now() + entry.leavesInMs
     this.entry = entry
@@ -232,6 +256,7 @@
   declareDead (): void {
     if (this.isDead) return
     this.markDead()
+    this.reportCrash()
     this.reportLost('worker-restarted', () => true)
   }
 
@@ -246,13 +271,34 @@
     this.markDead()
     this.unreachableSince ??= clock.now()
     this.leasesExpireAt = Math.max(this.leasesExpireAt, clock.now() + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs))
+    this.reportCrash()
     this.reportLost('worker-restarted', run => !run.mayOutliveIncarnation())
     if (this.runs.size > 0) log.info('Starts are kept until the next incarnation of the worker is adopted.', { worker: this.id, runs: [...this.runs.keys()] })
   }
 
+  /** Closes a link without runs to a worker that has left. */
+  declareGone (): void {
+    if (!this.isDead) this.markDead()
+    this.reportLost('worker-restarted', () => true)
+  }
+
+  /** Reports that this incarnation has ended under the runs that it may have had, unless it has announced that it leaves. */
+  reportCrash (): void {
+    const runs = [...this.runs.values(), ...this.expiredRuns]
+    this.expiredRuns = []
+    if (runs.length > 0 && !this.hasAnnouncedLeave) this.options.events.workerCrashed(this, runs)
+  }
+
+  /** Whether runs were lost here whose incarnation may have crashed. */
+  hasExpiredRuns (): boolean {
+    return this.expiredRuns.length > 0
+  }
+
   /** Reports the runs as lost if the worker is unreachable and their leases have expired. */
   reportExpired (): void {
-    if (!this.isAdopted && this.runs.size > 0 && this.options.clock.now() > this.leasesExpireAt) this.reportLost('lease-lapsed', () => true)
+    if (this.isAdopted || this.runs.size === 0 || this.options.clock.now() <= this.leasesExpireAt) return
+    if (!this.isDead) this.expiredRuns = [...this.expiredRuns, ...this.runs.values()]
+    this.reportLost('lease-lapsed', () => true)
   }
 
   /** Reserves capacity for a run and tells the worker to start it. */
@@ -415,6 +461,8 @@
     if (!this.isAdopted && token === this.token) {
       this.isAdopted = true
       this.hasReported = true
+      // It was cut off and has not crashed.
+      this.expiredRuns = []
       this.unreachableSince = undefined
       log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
     }
@@ -521,6 +569,8 @@
 
   private addRun (run: Run) {
     this.runs.set(runKeyOf(run.id, run.number), run)
+    this.suspectRuns += Number(run.isSuspect)
+    this.exclusiveRuns += Number(run.mustRunAlone)
     const need = run.need()
     if (need === undefined) this.runsWithUnknownNeed++
     else this.usedCapacity = add(this.usedCapacity, need)
@@ -528,6 +578,8 @@
 
   private removeRun (run: Run) {
     if (!this.runs.delete(runKeyOf(run.id, run.number))) return
+    this.suspectRuns -= Number(run.isSuspect)
+    this.exclusiveRuns -= Number(run.mustRunAlone)
     const need = run.need()
     if (need === undefined) this.runsWithUnknownNeed--
     else this.usedCapacity = subtract(this.usedCapacity, need)
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -22,6 +22,8 @@
 
 /** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
 const MAX_UNUSABLE_LOGGED = 1_000
+/** Maximum number of vanished workers that are remembered. */
+const MAX_GONE_LINKS = 1_000
 
 export interface WorkerPoolOptions {
   readonly epoch: number
@@ -66,6 +68,8 @@
   private earlierLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
   private readonly leaseExpiries = new Map<WorkerLink, number>()
+  /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
+  private readonly goneLinks = new Map<string, WorkerLink>()
   /** Jobs that may have runs on each worker that gets no more work, as recorded in the roster. */
   private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
@@ -201,10 +205,12 @@
     // A worker with another id refuses what was sent to this one.
     if (isReplaced) link.declareDead()
     // A worker that is missing gets no new work; its runs stay tracked until they have finished or are lost.
-    link.updateEntry({ ...link.entry, state: 'draining' })
+    link.markUnlisted()
     if (link.isDead && entry !== undefined) return this.connect(entry, signal, link)
     if (link.isDead) link.reportExpired()
-    if (link.runs.size === 0 && !link.isAdopted) this.drop(link, isReplaced ? 'replaced' : 'gone')
+    if (link.runs.size > 0 || link.isAdopted) return
+    if (link.hasExpiredRuns() && this.goneLinks.size < MAX_GONE_LINKS) this.goneLinks.set(link.entry.address, link)
+    this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
   private connect (entry: WorkerEntry, signal: AbortSignal, previous?: WorkerLink) {
@@ -214,12 +220,16 @@
       entry, clients, firstToken, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log
     }, previous)
     if (previous !== undefined) this.drop(previous, 'restarted')
+    const gone = this.goneLinks.get(entry.address)
+    this.goneLinks.delete(entry.address)
+    // A later worker at the address of one that vanished: that one has not been cut off.
+    if (gone !== undefined && entry.born > gone.entry.born) gone.reportCrash()
     this.links.set(entry.id, link)
     supervise(() => link.run(signal), { part: `worker ${link.id}`, signal, clock, log })
   }
 
   private drop (link: WorkerLink, reason: string) {
-    link.declareDead()
+    link.declareGone()
     this.leaseExpiries.delete(link)
     this.remainingJobs.delete(link)
     this.links.delete(link.id)
