perf(cell): scheduling rounds pass over the crash records of steps without crashes

Cause: with the records, each round asked for that of each waiting task. Change: a step knows whether any crash is recorded under it.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -124,7 +124,7 @@
         if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
         const waitingTasks = step.tasks.filter(task => task.isWaiting() && !task.isHeld)
         if (waitingTasks.length === 0 || (step.spec.gang && waitingTasks.length < step.tasks.length)) continue
-        const aloneTasks = step.spec.gang ? [] : waitingTasks.filter(task => this.waitsAlone(task))
+        const aloneTasks = step.spec.gang || !step.hasSuspects ? [] : waitingTasks.filter(task => this.waitsAlone(task))
         candidates.push({
           step,
           queue,
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -179,6 +179,8 @@
   remainingTasks: number
   /** Number of tasks that aren't done and have no run; kept by the tasks, since each scheduling round asks for it. */
   waitingTasks: number
+  /** Whether workers have crashed under tasks of this step; lets scheduling rounds pass over the records of all others. */
+  hasSuspects = false
   /** Monotonic time in milliseconds before which no task is started, because a worker refused a start or could not be reached. */
   notBefore = 0
   /** Workers on which a run of this step has failed or stalled. */
@@ -245,6 +247,12 @@
     return this.spec.gang ? this.tasks[0] ?? task : task
   }
 
+  /** Records that a worker has crashed under a run of a task. */
+  recordCrash (task: Task, runNumber: number, isAlone: boolean): void {
+    this.hasSuspects = true
+    this.countedTask(task).ownCrashes.add(runNumber, isAlone)
+  }
+
   /** Records a failed run and returns the number of failures so far. */
   recordFailure (task: Task, runNumber: number): number {
     const countedTask = this.countedTask(task)
@@ -381,7 +389,7 @@
     }
     for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
     const crashedRuns = stored.crashed?.[index] ?? []
-    for (const run of crashedRuns) task.ownCrashes.add(run, stored.crashedAlone?.[index]?.includes(run) === true)
+    for (const run of crashedRuns) step.recordCrash(task, run, stored.crashedAlone?.[index]?.includes(run) === true)
     task.checkpoint = stored.checkpoints?.[index] ?? ''
     task.lastRunNumber = Math.max(0, ...task.failedRuns, ...crashedRuns)
   })
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -247,7 +247,7 @@
       if (task === undefined || task.isDone || task.step.job.outcome !== undefined) continue
       const crashes = task.crashes()
       if (clock.now() - startedAt > CLEARED_AFTER_MS) crashes.clear()
-      crashes.add(number, isAlone)
+      task.step.recordCrash(task, number, isAlone)
       if (crashes.isGivenUp()) this.giveUp(task)
       else this.holdUntilStored(task)
     }
