test(soak): a probe is not judged by a version that was written while it waited

Trace: version 4 adds a route that version 6 removes; the probe was sent when version 5 was the latest, d2 was suspended until 34.02 s, and answered 404 by version 13, as versions 6 to 13 had been written from 32.96 s on. The answer is right. Change: whether a later version has removed the route is looked at again when the answers are there.

--- a/soak/src/configProbe.ts
+++ b/soak/src/configProbe.ts
@@ -50,9 +50,10 @@
   async probe (): Promise<void> {
     const sentAt = this.clock.now()
     const due = [...this.versions].reverse().find(({ writtenAt }) => sentAt - writtenAt > APPLY_WITHIN_MS)
-    const latest = this.versions[this.versions.length - 1]
-    if (due === undefined || latest === undefined || latest.number >= due.number + ROUTE_LIFETIME) return
+    if (due === undefined || this.isOutdated(due)) return
     const answers = await Promise.all(this.addresses.map(async address => ({ address, isUpToDate: await this.isUpToDate(address, due.number) })))
+    // A daemon that was suspended may answer by a version that was written after the probe was sent.
+    if (this.isOutdated(due)) return
     const isKnown = [...this.upToDateSince.values()].some(({ version, since }) => version === due.number && sentAt - since >= KNOWN_FOR_MS)
     for (const { address, isUpToDate } of answers) {
       if (isUpToDate === false && isKnown) this.audit.violations.push(`${address} answers by a version before ${due.number}, written ${Math.round(sentAt - due.writtenAt)} ms before`)
@@ -66,6 +67,11 @@
     return this.agent.destroy()
   }
 
+  /** Whether a later version has removed the route that this one adds. */
+  private isOutdated (version: Version): boolean {
+    return (this.versions[this.versions.length - 1]?.number ?? 0) >= version.number + ROUTE_LIFETIME
+  }
+
   /** Undefined if the daemon gave no answer, or refused to give one. */
   private async isUpToDate (address: string, version: number): Promise<boolean | undefined> {
     const [added, removed] = await Promise.all([this.statusOf(address, version), this.statusOf(address, version - ROUTE_LIFETIME)])
