fix(cell): a held task is released and a worker's announcement is taken back, whatever happens

Cause: found by reading the change: a task whose crash could not be stored for an unforeseen reason stayed held for good; a worker that was ready again after it had drained could crash unnoticed; vanished workers were remembered up to a limit, and later ones not at all. Change: the hold ends in any case, the announcement follows the registry, the oldest vanished worker is forgotten first. A function that claims a worker no longer says that it only finds one.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -156,7 +156,7 @@
       const started: Run[] = []
       for (const task of candidate.aloneTasks) {
         if (places-- <= 0) break
-        const worker = this.findEmptyWorker(candidate, task, usable, round)
+        const worker = this.claimEmptyWorker(candidate, task, usable, round)
         if (worker === undefined) continue
         round.reservedFor.set(worker, RESERVED_FOR_ALONE)
         started.push(this.start(candidate, task, candidate.step.nextRunNumber(this.options.epoch), worker, round, task.lastRunNumber))
@@ -165,8 +165,8 @@
     }
   }
 
-  /** Returns a worker without other work on which the task can start now; if there is none, keeps one free for it. */
-  private findEmptyWorker (candidate: Candidate, task: Task, usable: readonly WorkerLink[], round: SchedulingRound): WorkerLink | undefined {
+  /** Returns a worker without other work on which the task can start now. If there is none, asks for a ticket and keeps a worker free. */
+  private claimEmptyWorker (candidate: Candidate, task: Task, usable: readonly WorkerLink[], round: SchedulingRound): WorkerLink | undefined {
     const { advice } = this.options
     const { step, queue } = candidate
     const eligible = usable.filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker))
@@ -241,8 +241,7 @@
 
   private placeGang (candidate: Candidate, round: SchedulingRound): boolean {
     const { step } = candidate
-    const [firstTask] = step.tasks
-    const mustBeAlone = firstTask !== undefined && this.waitsAlone(firstTask)
+    const mustBeAlone = step.hasSuspects && step.tasks.some(task => this.waitsAlone(task))
     const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || worker.runs.size === 0)
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
     if (slotsOn(step, workers, freeOn) < step.tasks.length) return false
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -326,10 +326,12 @@
   /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
   private holdUntilStored (task: Task) {
     task.isHeld = true
-    this.stage(task.step.job).then(() => {
-      task.isHeld = false
-      this.scheduleRound()
-    }).catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
+    this.stage(task.step.job)
+      .catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
+      .finally(() => {
+        task.isHeld = false
+        this.scheduleRound()
+      })
   }
 
   /** A gang can't work while one of its tasks is missing: stops its other runs before they time out waiting for that task. */
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -207,7 +207,7 @@
   }
 
   updateEntry (entry: WorkerEntry): void {
-    if (entry.state === 'draining') this.hasAnnouncedLeave = true
+    this.hasAnnouncedLeave = entry.state === 'draining'
     if (entry.leavesInMs === undefined) this.leavesAt = undefined
     else if (entry.leavesInMs !== this.entry.leavesInMs || this.leavesAt === undefined) this.leavesAt = this.options.clock.now() + entry.leavesInMs
     this.entry = entry
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -23,7 +23,7 @@
 /** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
 const MAX_UNUSABLE_LOGGED = 1_000
 /** Maximum number of vanished workers that are remembered. */
-const MAX_GONE_LINKS = 1_000
+const MAX_GONE_LINKS = 200
 
 export interface WorkerPoolOptions {
   readonly epoch: number
@@ -209,10 +209,16 @@
     if (link.isDead && entry !== undefined) return this.connect(entry, signal, link)
     if (link.isDead) link.reportExpired()
     if (link.runs.size > 0 || link.isAdopted) return
-    if (link.hasExpiredRuns() && this.goneLinks.size < MAX_GONE_LINKS) this.goneLinks.set(link.entry.address, link)
+    if (link.hasExpiredRuns()) this.rememberGone(link)
     this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
+  private rememberGone (link: WorkerLink) {
+    const [oldest] = this.goneLinks.keys()
+    if (oldest !== undefined && this.goneLinks.size >= MAX_GONE_LINKS) this.goneLinks.delete(oldest)
+    this.goneLinks.set(link.entry.address, link)
+  }
+
   private connect (entry: WorkerEntry, signal: AbortSignal, previous?: WorkerLink) {
     const { clients, epoch, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, mayIssueCommands, jobsLoaded, clock, log } = this.options
     const firstToken = (previous?.lastToken() ?? this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
