refactor(cell): one bound for what is too old to act on, and a report of the configuration's age of its own

TOO_OLD_FRACTION stood twice with one meaning; ConfigWatch.monitor both refreshed and reported. A daemon also sent its whole configuration to one that has a later version, which passes over it: now only to one that has an earlier version, with a test that fails without it.

--- a/packages/cell/src/__tests__/configWatch.test.ts
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -89,6 +89,19 @@
   t.false(await cell.watch.mayAnswer())
 })
 
+// Guards against wasted bytes: a large configuration must not travel to a daemon that has no use for it.
+test('only a daemon that has an earlier version is sent the configuration', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
+  await cell.clock.advance(100)
+  const version = cell.inForce.version()
+  t.is(cell.inForce.known(version - 1)?.config?.version, version)
+  for (const theirVersion of [version, version + 1]) {
+    t.is(cell.inForce.known(theirVersion)?.version, version)
+    t.is(cell.inForce.known(theirVersion)?.config, undefined)
+  }
+  cell.stop()
+})
+
 // Guards against processes that end by themselves, and against CONFIG by a configuration that is not whole.
 test('no odd value of another daemon is taken for its configuration', t => {
   const queue = { ...createQueue(), advice: { decisionMs: 1, perWorkerMs: 1, validityMs: 1 } }
--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -11,7 +11,7 @@
   readonly version: number
   /** Time on the store's monotonic clock at which there was no later version, in milliseconds. */
   readonly asOfMs: number
-  /** Missing when the other daemon has this version already. */
+  /** Missing when the other daemon has this version, or a later one, already. */
   readonly config?: CellConfig
 }
 
@@ -69,7 +69,7 @@
   known (theirVersion: number): KnownConfig | undefined {
     if (this.config === undefined || this.asOfMs === undefined) return undefined
     const { version } = this.config
-    return { version, asOfMs: this.asOfMs, ...(version === theirVersion ? {} : { config: this.config }) }
+    return { version, asOfMs: this.asOfMs, ...(version > theirVersion ? { config: this.config } : {}) }
   }
 
   // Commands
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -3,7 +3,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import type { ConfigInForce, KnownConfig } from './configInForce.js'
-import { CONFIG_WATCH_MS } from './constants.js'
+import { CONFIG_WATCH_MS, TOO_OLD_FRACTION } from './constants.js'
 import type { CellMetrics } from './metrics.js'
 import type { Directory } from './ports.js'
 
@@ -14,12 +14,8 @@
 const AGE_CHECK_MS = 200
 /** Interval between reports of a configuration that stays old. */
 const OLD_REPORT_MS = 1_000
-/**
- * Fractions of the time within which a confirmed version must be in force: from the first on, an unconfirmed
- * configuration is looked for elsewhere than in the watch; from the second on, it is too old to answer by.
- */
+/** Fraction of the time within which a confirmed version must be in force, after which it is looked for elsewhere than in the watch. */
 const OLD_FRACTION = 0.5
-const TOO_OLD_FRACTION = 0.8
 /** Minimum interval between two refreshes while the configuration stays old. */
 const REFRESH_INTERVAL_MS = 500
 
@@ -101,36 +97,20 @@
     }
   }
 
-  /** Refreshes a configuration that the watch doesn't confirm, and reports its age and what the daemon was doing meanwhile. */
+  /** Refreshes a configuration that the watch doesn't confirm, and reports its age. */
   async monitor (signal: AbortSignal): Promise<void> {
-    const { inForce, clock, log, metrics, storeUnavailableMs } = this.options
-    let oldSince: number | undefined
-    let reportedAt = -Infinity
-    let utilization = performance.eventLoopUtilization()
+    const { inForce, clock, metrics } = this.options
+    const report = AgeReport.create(this.options)
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_MS, signal)
       const ageMs = inForce.ageMs()
       if (ageMs < Infinity) metrics.gauge('config_age_ms', Math.round(ageMs))
       if (!this.isOlderThan(OLD_FRACTION)) {
-        if (oldSince !== undefined) log.info('Configuration is confirmed again.', { version: inForce.version(), oldForMs: Math.round(clock.now() - oldSince) })
         this.failedRefresh = undefined
-        oldSince = undefined
-        reportedAt = -Infinity
-        utilization = performance.eventLoopUtilization()
+        report.confirmed()
         continue
       }
-      if (inForce.current() !== undefined && clock.now() - reportedAt >= OLD_REPORT_MS) {
-        oldSince ??= clock.now()
-        reportedAt = clock.now()
-        const current = performance.eventLoopUtilization()
-        log.warn('Configuration is old.', {
-          version: inForce.version(),
-          ageMs: Math.round(ageMs),
-          busyPercent: Math.round(100 * performance.eventLoopUtilization(current, utilization).utilization),
-          storeUnavailableMs: Math.round(storeUnavailableMs())
-        })
-        utilization = current
-      }
+      if (inForce.current() !== undefined) report.old(ageMs)
       if (clock.now() - this.refreshedAt >= REFRESH_INTERVAL_MS) await this.refresh()
     }
   }
@@ -175,6 +155,45 @@
   }
 }
 
+/** Logs when the configuration is old, what the daemon was doing meanwhile, and when it is confirmed again. */
+class AgeReport {
+  /** Undefined while the configuration is confirmed in time. */
+  private oldSince: number | undefined
+  private reportedAt = -Infinity
+  private utilization = performance.eventLoopUtilization()
+
+  private constructor (private readonly options: ConfigWatchOptions) {}
+
+  static create (options: ConfigWatchOptions): AgeReport {
+    return new AgeReport(options)
+  }
+
+  old (ageMs: number): void {
+    const { inForce, clock, log, storeUnavailableMs } = this.options
+    const now = clock.now()
+    this.oldSince ??= now
+    if (now - this.reportedAt < OLD_REPORT_MS) return
+    this.reportedAt = now
+    const current = performance.eventLoopUtilization()
+    log.warn('Configuration is old.', {
+      version: inForce.version(),
+      ageMs: Math.round(ageMs),
+      busyPercent: Math.round(100 * performance.eventLoopUtilization(current, this.utilization).utilization),
+      storeUnavailableMs: Math.round(storeUnavailableMs())
+    })
+    this.utilization = current
+  }
+
+  confirmed (): void {
+    this.utilization = performance.eventLoopUtilization()
+    if (this.oldSince === undefined) return
+    const { inForce, clock, log } = this.options
+    log.info('Configuration is confirmed again.', { version: inForce.version(), oldForMs: Math.round(clock.now() - this.oldSince) })
+    this.oldSince = undefined
+    this.reportedAt = -Infinity
+  }
+}
+
 function hasMajority (answers: ReadonlyArray<KnownConfig | undefined>): boolean {
   return answers.length > 0 && 2 * answers.filter(answer => answer !== undefined).length >= answers.length
 }
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -106,3 +106,9 @@
 export const SCHEDULING_INTERVAL_MS = 200
 /** Time for which the outcome of an ended job is kept beyond the retention promised to callers. */
 export const ENDED_RETENTION_MARGIN_MS = 60_000
+
+/**
+ * Fraction of the time within which a change must take effect: what has not been read again for that long is too old to
+ * act on. The rest is left for a change that is being read.
+ */
+export const TOO_OLD_FRACTION = 0.8
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import { supervise } from '@citronnotch/base/supervise'
-import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
+import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
 import type { RosterMember } from './roster.js'
@@ -17,9 +17,6 @@
 /** Time after which the roster records when the leases of an unreachable worker expire; shorter outages are frequent. */
 const UNREACHABLE_MS = 500
 
-/** Fraction of the time within which starts on a draining worker must cease after which the registry is too old to start by. */
-const TOO_OLD_FRACTION = 0.8
-
 /** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
 const MAX_UNUSABLE_LOGGED = 1_000
 /** Maximum number of vanished workers that are remembered. */
