fix(cell): jobs of a dropped queue go on under daemons that have never seen the queue

Cause: the settings of a queue that the configuration drops were kept in each daemon's memory only; the dispatcher passes over a job whose queue it does not know. Class: what must outlive every process kept only in processes.

The row of a job now holds the terms of its queue at the admission (priority, attempts, slack, target, times of the advice policy): four or seven numbers, so that there is no moment at which a removal is not yet stored. The configuration goes first while it has the queue. Odd terms are left out and the job goes on without them.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -5,13 +5,14 @@
 import type { Lateness } from './lateness.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { RoundCapacity } from './roundCapacity.js'
-import type { Queue, ResourceVector } from './types.js'
+import type { JobQueue, ResourceVector } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
 export interface DispatcherOptions {
   readonly epoch: number
   readonly workers: () => Iterable<WorkerLink>
-  readonly queue: (name: string) => Queue | undefined
+  /** The queue of a job; undefined if nothing is known of it. */
+  readonly queue: (job: Job) => JobQueue | undefined
   readonly advice: AdviceCache
   /** Whether new tasks may be started on a worker now. */
   readonly isUsable: (worker: WorkerLink, now: number) => boolean
@@ -27,7 +28,7 @@
 /** A step with tasks to start, and the data that determines its urgency. */
 interface Candidate {
   readonly step: Step
-  readonly queue: Queue
+  readonly queue: JobQueue
   readonly waitingTasks: readonly Task[]
   /** Tasks that wait for a worker without other work, because workers have crashed under them. */
   readonly aloneTasks: readonly Task[]
@@ -117,7 +118,7 @@
     const candidates: Candidate[] = []
     for (const job of jobs) {
       if (job.outcome !== undefined) continue
-      const queue = queueOf(job.record.queue)
+      const queue = queueOf(job)
       if (queue === undefined) continue
       for (const step of job.liveSteps()) {
         if (!step.hasWaitingTasks() || step.notBefore > this.now || !step.isReady()) continue
--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -1,11 +1,13 @@
 import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import { MAX_TASKS_PER_STEP } from './types.js'
-import type { JobSpec, Schedule, StepSpec } from './types.js'
+import type { JobSpec, Queue, QueueTerms, Schedule, StepSpec } from './types.js'
 
 /** An admitted job without its payload, which scheduling decisions don't need. */
 export interface JobRecord {
   readonly queue: string
   readonly service: string
+  /** Terms of the queue at the admission, for when the configuration no longer has the queue; missing in rows of earlier versions. */
+  readonly terms?: QueueTerms
   readonly spec: Omit<JobSpec, 'payload'>
   /** Unix time of the admission, in milliseconds. */
   readonly admittedAtMs: number
@@ -15,11 +17,15 @@
 export interface StoredJob {
   readonly queue: string
   readonly service: string
+  readonly terms?: StoredTerms
   readonly steps: ReadonlyArray<Partial<StepSpec>>
   readonly schedule?: Schedule
   readonly admittedAtMs: number
 }
 
+/** Priority, maximum attempts, slack factor, target latency in milliseconds and, if the queue has an advice policy, its three times. */
+type StoredTerms = readonly number[]
+
 /** Default values of the step fields that may be omitted. */
 export const STEP_DEFAULTS: Omit<StepSpec, 'count' | 'need'> = {
   estimateMs: 0,
@@ -37,18 +43,39 @@
   maxUnavailable: 0
 }
 
-export function encodeJob ({ queue, service, spec, admittedAtMs }: JobRecord): StoredJob {
+export function encodeJob ({ queue, service, terms, spec, admittedAtMs }: JobRecord): StoredJob {
   const { steps, schedule } = spec
-  return { queue, service, steps: steps.map(withoutDefaults), ...(schedule === undefined ? {} : { schedule }), admittedAtMs }
+  return { queue, service, ...(terms === undefined ? {} : { terms: encodeTerms(terms) }), steps: steps.map(withoutDefaults), ...(schedule === undefined ? {} : { schedule }), admittedAtMs }
 }
 
 /** Returns undefined if the value isn't that of a live job. */
 export function decodeJob (value: unknown): JobRecord | undefined {
-  const { queue, service, steps, schedule, admittedAtMs } = recordOf(value)
+  const { queue, service, terms: storedTerms, steps, schedule, admittedAtMs } = recordOf(value)
   if (!isString(queue) || !isString(service) || finiteOr(admittedAtMs, undefined) === undefined || !Array.isArray(steps)) return undefined
   const completeSteps = steps.map(step => ({ ...STEP_DEFAULTS, ...recordOf(step) }))
   if (!isListOf(completeSteps, isStep) || !(schedule === undefined || isSchedule(schedule))) return undefined
-  return { queue, service, spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs: admittedAtMs as number }
+  const terms = decodeTerms(storedTerms)
+  return { queue, service, ...(terms === undefined ? {} : { terms }), spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs: admittedAtMs as number }
+}
+
+export function termsOf ({ priority, maxAttempts, slackFactor, targetLatencyMs, advice }: Queue): QueueTerms {
+  return { priority, maxAttempts, slackFactor, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
+}
+
+function encodeTerms ({ priority, maxAttempts, slackFactor, targetLatencyMs, advice }: QueueTerms): StoredTerms {
+  return [priority, maxAttempts, slackFactor, targetLatencyMs, ...(advice === undefined ? [] : [advice.decisionMs, advice.perWorkerMs, advice.validityMs])]
+}
+
+function decodeTerms (value: unknown): QueueTerms | undefined {
+  if (!isListOf(value, isFiniteNumber)) return undefined
+  const [priority, maxAttempts, slackFactor, targetLatencyMs, decisionMs, perWorkerMs, validityMs] = value as StoredTerms
+  if (priority === undefined || maxAttempts === undefined || slackFactor === undefined || targetLatencyMs === undefined) return undefined
+  const advice = decisionMs === undefined || perWorkerMs === undefined || validityMs === undefined ? undefined : { decisionMs, perWorkerMs, validityMs }
+  return { priority, maxAttempts, slackFactor, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
+}
+
+function isFiniteNumber (value: unknown): value is number {
+  return finiteOr(value, undefined) !== undefined
 }
 
 function isStep (value: unknown): value is StepSpec {
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -5,7 +5,7 @@
 import type { Result } from '@citronnotch/base/result'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
-import { encodeJob } from './jobRecord.js'
+import { encodeJob, termsOf } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
@@ -70,7 +70,7 @@
   async submit (jobId: string, queue: Queue, spec: JobSpec, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
     const { clock, storeHealth, leader } = this.options
     const { payload, ...specWithoutPayload } = spec
-    const record: JobRecord = { queue: queue.name, service: queue.service, spec: specWithoutPayload, admittedAtMs: clock.date().getTime() }
+    const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: specWithoutPayload, admittedAtMs: clock.date().getTime() }
     const startedAt = clock.now()
     const result = storeHealth.isUnavailable() ? this.storeUnavailable() : await this.admitInStore(jobId, record, payload, budgetMs)
     if (result.ok || result.val.verdict !== 'not-run') return result
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -3,7 +3,7 @@
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
 import type { JobProgress, StepProgress } from './storedProgress.js'
-import type { JobOutcome, ResourceVector, StepSpec, TaskId } from './types.js'
+import type { JobOutcome, JobQueue, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
 export type RunState = 'starting' | 'running' | 'stopping'
@@ -273,13 +273,18 @@
   progressVersion = 0
   /** Input of the tasks. Undefined until read from the store if this leader wasn't notified of the admission. */
   payload: string | undefined
+  /** The queue as it was when the job was admitted; undefined if the job's row doesn't say it. */
+  readonly admissionQueue: JobQueue | undefined
 
   private constructor (
     readonly id: string,
     readonly record: JobRecord,
     /** Version of the row that admitted the job. */
     readonly version: number
-  ) {}
+  ) {
+    const { queue: name, service, terms } = record
+    this.admissionQueue = terms === undefined ? undefined : { ...terms, name, service }
+  }
 
   static create (id: string, record: JobRecord, version: number): Job {
     const job = new Job(id, record, version)
--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -1,5 +1,5 @@
 import type { Job } from './jobs.js'
-import type { Queue } from './types.js'
+import type { JobQueue } from './types.js'
 
 /** Multiple of the objective up to which a late job still counts. */
 const LATE_OBJECTIVE_FACTOR = 3
@@ -13,7 +13,7 @@
 
 /** Estimated critical path of a job and objective for its completion under one queue configuration, in milliseconds. */
 interface Objective {
-  readonly queue: Queue
+  readonly queue: JobQueue
   readonly criticalPathMs: number
   readonly objectiveMs: number
 }
@@ -22,7 +22,7 @@
 const objectiveCache = new WeakMap<Job, Objective>()
 
 /** Rates a job by its age and its remaining work. Jobs that can't be on time any more yield to others. */
-export function latenessOf (job: Job, queue: Queue, unixMs: number): Lateness {
+export function latenessOf (job: Job, queue: JobQueue, unixMs: number): Lateness {
   if (!isTimed(job)) return 0
   const { criticalPathMs, objectiveMs } = objectiveOf(job, queue)
   const ageMs = unixMs - job.record.admittedAtMs
@@ -33,7 +33,7 @@
 }
 
 /** Time from its admission within which a job should complete, in milliseconds; undefined for scheduled and long-running jobs. */
-export function objectiveMsOf (job: Job, queue: Queue): number | undefined {
+export function objectiveMsOf (job: Job, queue: JobQueue): number | undefined {
   return isTimed(job) ? objectiveOf(job, queue).objectiveMs : undefined
 }
 
@@ -42,7 +42,7 @@
   return spec.schedule === undefined && !spec.steps.some(({ longRunning }) => longRunning)
 }
 
-function objectiveOf (job: Job, queue: Queue): Objective {
+function objectiveOf (job: Job, queue: JobQueue): Objective {
   const cached = objectiveCache.get(job)
   if (cached?.queue === queue) return cached
   const { steps } = job.record.spec
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -24,7 +24,7 @@
 import { RoundPacer } from './roundPacer.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
 import { formatStepId, formatTaskId } from './types.js'
-import type { FinishedRun, JobOutcome, JobState, Queue, RunningTask } from './types.js'
+import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask } from './types.js'
 import type { LossReason, WorkerEvents, WorkerLink } from './workerLink.js'
 import { WorkerPool } from './workerPool.js'
 
@@ -130,7 +130,7 @@
     this.dispatcher = Dispatcher.create({
       epoch,
       workers: () => this.workers.all(),
-      queue: options.queue,
+      queue: job => this.queueOf(job),
       advice: this.advice,
       isUsable: (worker, now) => this.workers.isUsable(worker, now) && this.maintenance?.isDraining(worker.id) !== true,
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
@@ -309,7 +309,7 @@
     this.workers.health.recordFailure(link.id, job.id)
     step.avoidWorker(task, link.id, this.options.clock.now())
     const failures = step.recordFailure(task, run)
-    const queue = this.options.queue(job.record.queue)
+    const queue = this.queueOf(job)
     if (step.spec.longRunning || queue === undefined || failures < queue.maxAttempts) return
     this.log.info('Job has failed.', { job: job.id, step: step.index, task: task.index, failures, maxAttempts: queue.maxAttempts })
     this.endJob(job, 'failed')
@@ -354,7 +354,7 @@
   private endJob (job: Job, outcome: JobOutcome) {
     const { clock, metrics } = this.options
     const decidedAt = clock.now()
-    const queue = this.options.queue(job.record.queue)
+    const queue = this.queueOf(job)
     job.outcome = outcome
     metrics.count(`jobs_${outcome}`)
     metrics.observe('admission_to_end_ms', clock.date().getTime() - job.record.admittedAtMs)
@@ -366,6 +366,11 @@
     })
   }
 
+  /** The queue of a job as configured now or, once the configuration has dropped it, as it was when the job was admitted. */
+  private queueOf (job: Job): JobQueue | undefined {
+    return this.options.queue(job.record.queue) ?? job.admissionQueue
+  }
+
   /** Resolves when the current state of the job is stored. */
   private async stage (job: Job): Promise<void> {
     await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job)
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -83,6 +83,8 @@
   readonly daemons: TestDaemon[] = []
   /** Maintenance waves that the operator requests. */
   maintenanceWaves: readonly MaintenanceWave[] = []
+  /** Queues in the configuration of the daemons that start from now on. */
+  queues: readonly Queue[]
   /** Wave states published to the operator, each as `<wave> <state>`. */
   readonly publishedWaveStates: string[] = []
   /** Called before each read of the worker registry; returns a failure to inject, or throws. */
@@ -95,6 +97,7 @@
   private constructor (private readonly options: TestCellOptions) {
     this.clock = options.clock ?? ManualClock.create()
     this.store = MemoryStore.create({ clock: this.clock })
+    this.queues = options.queues ?? [createQueue()]
     this.registry = options.workers ?? [createWorkerEntry('w1'), createWorkerEntry('w2')]
     for (const entry of this.registry) {
       this.workers.add(MemoryWorker.create({
@@ -127,7 +130,7 @@
     const unhedgedStore = linkBytesPerSecond === undefined ? this.store : BandwidthLimitedStore.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond })
     const store = HedgedStore.create(unhedgedStore, clock)
     const metrics = MemoryMetrics.create()
-    const queues = new Map((options.queues ?? [createQueue()]).map(queue => [queue.name, queue]))
+    const queues = new Map(this.queues.map(queue => [queue.name, queue]))
     const directory: Directory = {
       readConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
       watchConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
--- a/packages/cell/src/types.ts
+++ b/packages/cell/src/types.ts
@@ -66,13 +66,8 @@
   readonly validityMs: number
 }
 
-/** A job queue as defined in the configuration. */
-export interface Queue {
-  readonly name: string
-  readonly host: string
-  readonly pathPrefix: string
-  /** Service whose workers run the queue's tasks. */
-  readonly service: string
+/** Terms under which a queue's jobs run. */
+export interface QueueTerms {
   /** 0 is the highest priority. */
   readonly priority: number
   /** Number of failed runs of a task, or of a gang, after which the job fails. */
@@ -84,6 +79,19 @@
   readonly advice?: AdvicePolicy
 }
 
+/** A queue without the requests that it is for. */
+export interface JobQueue extends QueueTerms {
+  readonly name: string
+  /** Service whose workers run the queue's tasks. */
+  readonly service: string
+}
+
+/** A job queue as defined in the configuration. */
+export interface Queue extends JobQueue {
+  readonly host: string
+  readonly pathPrefix: string
+}
+
 /** Limits of the listener for callers. */
 export interface IngressLimits {
   readonly maxBodyBytes: number
