fix(cell): the stored progress of a lasting job does not grow with its failed runs

Cause: each failed run's number was kept and stored for as long as the job lived. The count decides on the end of a job, but a lasting one never ends by it. Its progress row outgrew the largest row that the store takes. Class: state that grows with time, not with the work at hand.

Of a lasting task only the number of its latest run is kept now, after which a later leader numbers the next one; also of runs that end done or stopped, whose numbers were not stored at all.

--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -112,7 +112,7 @@
   private hasEnded = false
   lastRunNumber = 0
   checkpoint = ''
-  /** Numbers of the failed runs. */
+  /** Numbers of the failed runs; of a lasting task, the number of its latest run only. */
   readonly failedRuns = new Set<number>()
   /** Crashes under runs of this task; of a gang, those of its first task count for all. */
   readonly ownCrashes = CrashRecord.create()
@@ -253,6 +253,17 @@
     this.countedTask(task).ownCrashes.add(runNumber, isAlone)
   }
 
+  /**
+   * Records the latest run of a lasting task, after which a later leader numbers the next one. Earlier runs are dropped, as
+   * there may be any number of them.
+   */
+  recordLatestRun (task: Task, runNumber: number): void {
+    const { failedRuns } = this.countedTask(task)
+    const latest = Math.max(runNumber, ...failedRuns)
+    failedRuns.clear()
+    failedRuns.add(latest)
+  }
+
   /** Records a failed run and returns the number of failures so far. */
   recordFailure (task: Task, runNumber: number): number {
     const countedTask = this.countedTask(task)
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -225,6 +225,7 @@
     if (status !== 'done') this.log.info('Run ended.', { task: formatTaskId(id), run, worker: link.id, end: status })
     // A finished run of an ended job may be acknowledged only once the outcome of the job is stored.
     if (job.outcome !== undefined) return job.isOutcomeStored ? undefined : this.stage(job)
+    if (task.step.spec.longRunning) task.step.recordLatestRun(task, run)
     if (status === 'done') this.taskDone(link, job, task.step, task, run)
     else if (status === 'failed') this.taskFailed(link, job, task.step, task, run)
     await this.stage(job)
@@ -308,9 +309,10 @@
   private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
     this.workers.health.recordFailure(link.id, job.id)
     step.avoidWorker(task, link.id, this.options.clock.now())
+    if (step.spec.longRunning) return
     const failures = step.recordFailure(task, run)
     const queue = this.queueOf(job)
-    if (step.spec.longRunning || queue === undefined || failures < queue.maxAttempts) return
+    if (queue === undefined || failures < queue.maxAttempts) return
     this.log.info('Job has failed.', { job: job.id, step: step.index, task: task.index, failures, maxAttempts: queue.maxAttempts })
     this.endJob(job, 'failed')
   }
--- a/packages/cell/src/storedProgress.ts
+++ b/packages/cell/src/storedProgress.ts
@@ -5,7 +5,7 @@
 export interface StepProgress {
   /** One character per task: `1` if it is done, otherwise `0`. */
   readonly done: string
-  /** Numbers of the failed runs of each task. */
+  /** Numbers of the failed runs of each task; of a lasting task, the number of its latest run only. */
   readonly failed?: Readonly<Record<string, readonly number[]>>
   /** Numbers of the runs of each task under which a worker has crashed, and of those that were alone on it. */
   readonly crashed?: Readonly<Record<string, readonly number[]>>
