fix(cell): a job whose progress the store rejects does not hold up the others

A caller whose job does not fit into a row got 504 and sent it again and again; the daemon took the store for unavailable meanwhile.

Cause: a refusal because of what a transaction contains was taken for a passing fault, and the same batch sent again for ever. Class: a batch that one bad row holds up, and a conclusion (the store is away) from a proxy.

CommitQueue splits a rejected batch until the job is alone and stores that one again after 5 s; the others go on.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -53,6 +53,22 @@
   stop()
 })
 
+// Guards against LOST: a job whose progress the store can't take kept the progress of all other jobs from being stored.
+test('a job whose progress the store rejects does not keep the others from being stored, and is stored once it is accepted', async t => {
+  const { clock, store, commits, job, stored, stop } = createCommitQueue()
+  const others = Array.from({ length: 60 }, (_, index) => Job.create(`00000000000001${(16 + index).toString(16)}`, job.record, 1))
+  const areStored: string[] = []
+  store.writeFault = tx => tx.puts.some(({ key }) => key === job.id) ? { kind: 'rejected' } : undefined
+  for (const staged of [...others.slice(0, 20), job, ...others.slice(20)]) commits.stage(staged).then(() => areStored.push(staged.id)).catch(() => {})
+  await clock.advance(2_000)
+  t.deepEqual([...areStored].sort(), others.map(({ id }) => id))
+  t.is(stored(), undefined)
+  store.writeFault = () => undefined
+  await clock.advance(6_000)
+  t.true(areStored.includes(job.id))
+  stop()
+})
+
 test('a deposed leader stores nothing', async t => {
   const { clock, store, commits, job, finish, stored, isDeposed, stop } = createCommitQueue()
   store.put('leader', PARTITION, 'epoch', { epoch: 2 })
--- a/packages/cell/src/__tests__/jobService.test.ts
+++ b/packages/cell/src/__tests__/jobService.test.ts
@@ -43,6 +43,22 @@
   t.is(lost.err && lost.val.verdict, 'may-have-run')
 })
 
+// Guards against a submission that is sent again and again although the store can never take it.
+test('a submission that the store rejects fails at once, with the verdict not-run', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  let sent = 0
+  cell.store.writeFault = tx => {
+    if (!tx.puts.some(({ table }) => table === 'jobs')) return undefined
+    sent++
+    return { kind: 'rejected' }
+  }
+  const rejected = await cell.advanceUntilSettled(daemon.jobs.submit(cell.newJobId(), createQueue(), spec, 3_000))
+  t.is(rejected.err && rejected.val.code, 'store-rejected')
+  t.is(rejected.err && rejected.val.verdict, 'not-run')
+  t.is(sent, 1)
+})
+
 test('a job that was never submitted is unknown and cannot be cancelled', async t => {
   const cell = TestCell.create()
   const daemon = cell.startDaemon('d1')
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,11 +1,13 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { COMMIT_BATCH_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { COMMIT_BATCH_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
 import type { Job } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
 import { decodeProgress } from './storedProgress.js'
 import type { StoredProgress } from './storedProgress.js'
 
+/** Pause before a job whose progress the store has rejected is stored again, in milliseconds. */
+const REJECTED_RETRY_MS = 5_000
 /** Each job needs one expected version and one write. */
 const ENTRIES_PER_JOB = 2
 
@@ -23,6 +25,9 @@
   readonly log: Log
 }
 
+/** `failed`: to be sent again as it is; `rejected`: the store can't take what it contains. */
+type CommitOutcome = 'stored' | 'failed' | 'rejected'
+
 interface StagedJob {
   readonly job: Job
   readonly waiters: Array<() => void>
@@ -58,22 +63,45 @@
   }
 
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, mayIssueCommands } = this.options
+    const { clock } = this.options
     signal.addEventListener('abort', () => this.wakeUp?.(), { once: true })
     while (!signal.aborted) {
       if (this.staged.size === 0) await new Promise<void>(resolve => { this.wakeUp = resolve })
       if (signal.aborted) return
       await this.delayBatch(signal)
-      const batch = this.dequeueBatch()
-      let isCommitted = false
-      try {
-        isCommitted = mayIssueCommands() && await this.commit(batch)
-      } finally {
-        if (!isCommitted) for (const entry of batch) this.restage(entry)
-      }
-      if (isCommitted) for (const { waiters } of batch) for (const resolve of waiters) resolve()
-      else await clock.sleep(COMMIT_RETRY_MS, signal)
+      if (!await this.store(this.dequeueBatch())) await clock.sleep(COMMIT_RETRY_MS, signal)
+    }
+  }
+
+  /**
+   * Stores a batch or stages it again, and resolves with whether to go on at once. A batch that the store rejects is split,
+   * so that a job whose progress the store can't take doesn't keep the others from being stored.
+   */
+  private async store (batch: readonly StagedJob[]): Promise<boolean> {
+    let outcome: CommitOutcome = 'failed'
+    try {
+      if (this.options.mayIssueCommands()) outcome = await this.commit(batch)
+    } finally {
+      if (outcome === 'failed') for (const entry of batch) this.restage(entry)
+    }
+    if (outcome === 'stored') for (const { waiters } of batch) for (const resolve of waiters) resolve()
+    if (outcome !== 'rejected') return outcome === 'stored'
+    if (batch.length === 1) {
+      this.setAside(batch)
+      return true
     }
+    const middle = Math.ceil(batch.length / 2)
+    const areStored = [await this.store(batch.slice(0, middle)), await this.store(batch.slice(middle))]
+    return areStored.every(isStored => isStored)
+  }
+
+  /** Stages jobs again only after a while. */
+  private setAside (batch: readonly StagedJob[]) {
+    this.options.log.error('The store rejects the progress of a job; the others are stored without it.', { jobs: batch.map(({ job }) => job.id) })
+    this.options.clock.after(REJECTED_RETRY_MS, () => {
+      for (const entry of batch) this.restage(entry)
+      this.wakeUp?.()
+    })
   }
 
   /**
@@ -115,7 +143,7 @@
     else this.staged.set(entry.job, entry)
   }
 
-  private async commit (batch: readonly StagedJob[]): Promise<boolean> {
+  private async commit (batch: readonly StagedJob[]): Promise<CommitOutcome> {
     const { store, partition, log, onDeposed } = this.options
     const epochVersion = this.options.epochVersion()
     // The values are captured here; a job that changes later is staged again.
@@ -127,26 +155,27 @@
       removes: []
     }
     const res = await store.transact(tx, STORE_TIMEOUT_MS)
+    if (res.err && res.val.code === TRANSACTION_REJECTED) return 'rejected'
     if (res.err) {
       log.warn('Storing job progress failed; retrying.', { jobs: batch.length, verdict: res.val.verdict, reason: res.val.reason })
       if (res.val.verdict === 'not-run') this.options.onRefused()
-      return false
+      return 'failed'
     }
     if (res.val.committed) {
       for (const { job } of writes) job.progressVersion = res.val.version
-      return true
+      return 'stored'
     }
     const currentRows = new Map(res.val.current.map(row => [`${row.table}/${row.key}`, row]))
     if (currentVersionOf(currentRows, { table: TABLES.leader, key: 'epoch' }) !== epochVersion) {
       onDeposed()
-      return false
+      return 'failed'
     }
     // An earlier transaction whose answer was lost has been applied, possibly with the same values as this one.
     for (const { job, key } of writes) job.progressVersion = currentVersionOf(currentRows, key)
     const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(decodeProgress(currentRows.get(`${key.table}/${key.key}`)?.value)) === JSON.stringify(value))
-    if (isAlreadyStored) return true
+    if (isAlreadyStored) return 'stored'
     log.info('Versions of progress rows refreshed after a conflict.', { jobs: batch.length })
-    return false
+    return 'failed'
   }
 }
 
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -56,6 +56,8 @@
 /** The same delay while no outcome is waiting. */
 export const COMMIT_PROGRESS_DELAY_MS = 100
 export const COMMIT_RETRY_MS = 150
+/** Code of the failure of a transaction that the store can't take, whenever it is sent. */
+export const TRANSACTION_REJECTED = 'store-rejected'
 /** Maximum number of entries that the store allows in one transaction, less one for the epoch row. */
 export const MAX_TRANSACTION_ENTRIES = 99
 
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -3,7 +3,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
-import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
+import { STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
 import { encodeJob, termsOf } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
@@ -73,7 +73,7 @@
     const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: specWithoutPayload, admittedAtMs: clock.date().getTime() }
     const startedAt = clock.now()
     const result = storeHealth.isUnavailable() ? this.storeUnavailable() : await this.admitInStore(jobId, record, payload, budgetMs)
-    if (result.ok || result.val.verdict !== 'not-run') return result
+    if (result.ok || result.val.verdict !== 'not-run' || result.val.code === TRANSACTION_REJECTED) return result
     if (clock.now() - startedAt > budgetMs / 2) return result
     this.options.metrics.count('submitted_by_leader')
     return leader.submit(jobId, record, payload)
@@ -178,7 +178,7 @@
       }
       const sentAt = clock.now()
       const res = await call()
-      if (res.ok) return res
+      if (res.ok || res.val.code === TRANSACTION_REJECTED) return res
       if (res.val.verdict !== 'not-run') mayHaveRun = true
       log.info('Call to the store failed.', { job: jobId, operation, attempt, verdict: res.val.verdict, reason: res.val.reason })
       if (!mayHaveRun && attempt >= 2) return res
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -60,6 +60,7 @@
  * effect. After `may-have-run`, a transaction may still be applied later if its expected versions match then.
  */
 export interface RowStore {
+  /** A transaction that the store can't take, such as one with too large a row, fails with the code `TRANSACTION_REJECTED`. */
   transact (tx: Transaction, timeoutMs: number): Promise<Result<TransactionOutcome, Failure>>
   range (query: RangeQuery, timeoutMs: number): Promise<Result<RangePage, Failure>>
   /** Returns the changes of the table after `version`; waits up to `waitMs` for the first one. */
--- a/packages/cell/src/testing/memoryStore.ts
+++ b/packages/cell/src/testing/memoryStore.ts
@@ -2,6 +2,7 @@
 import { Failure } from '@citronnotch/base/errors'
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
+import { TRANSACTION_REJECTED } from '../constants.js'
 import type { ChangesOutcome, RangePage, RangeQuery, RowStore, StoredRow, Transaction, TransactionOutcome } from '../ports.js'
 
 /** Fault injected into a transaction. */
@@ -12,6 +13,8 @@
   | { readonly kind: 'applied-late', readonly afterMs: number }
   /** The transaction is refused without effect. */
   | { readonly kind: 'refused' }
+  /** The transaction is refused because of what it contains. */
+  | { readonly kind: 'rejected' }
 
 export interface MemoryStoreOptions {
   readonly clock: Clock
@@ -50,6 +53,7 @@
     if (this.isUnavailable) return this.failAfterTimeout(timeoutMs)
     const fault = this.writeFault(tx)
     if (fault?.kind === 'refused') return Err(Failure.notRun('store-unavailable', 'The store is unavailable.'))
+    if (fault?.kind === 'rejected') return Err(Failure.notRun(TRANSACTION_REJECTED, 'The store rejects the transaction.'))
     if (fault?.kind === 'applied-late') {
       this.clock.sleep(fault.afterMs).then(() => this.apply(tx)).catch(() => {})
       return this.failAfterTimeout(timeoutMs)
