test(soak): accepted jobs may take the time that their work needs, and are all asked for at the end

Traced by the leaders' logs, second by second: the callers submit 16 jobs/s and the six workers, all full, complete 10 to 17; some 300 jobs are waiting when the faults end, that is 25 s of work on all processors, and starts go on to the last second. With time for that work 42 and 78 were still reported, though by the logs all 1,250 and 1,319 accepted jobs had ended: the last look at 1,300 jobs went through four connections at once, and most requests used up their 3 s waiting for one. Both are the soak's own.

The recovery now lasts 25 s and the time that the tasks not done need on all workers, by the workers' own record of what is done; without a backlog it is as short as before. The last look asks as many at a time as there are connections. Each job must have ended by then and each look has its 3 s, as before.

--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { JobSpec } from '@citronnotch/cell'
+import { isFinal } from '@citronnotch/cell'
+import type { JobSpec, JobState } from '@citronnotch/cell'
 import type { Audit } from '@citronnotch/cell/testing'
 import { decodeJob } from '@citronnotch/platform/testing'
 import { Agent, request } from 'undici'
@@ -8,22 +9,25 @@
 export const HOST = 'soak.example'
 export const PATH_PREFIX = '/jobs/'
 const REQUEST_TIMEOUT_MS = 3_000
+/** Number of connections to each daemon. */
+const CONNECTIONS = 4
 const SUBMIT_ATTEMPTS = 5
 const RETRY_DELAY_MS = 250
 
 interface SubmittedJob {
   readonly id: string
+  readonly spec: JobSpec
   readonly statuses: number[]
   isAccepted: boolean
   isCancelled: boolean
   /** Last state that was reported; a final state is kept. */
-  lastState?: string
+  lastState?: JobState
 }
 
 /** Simulates callers: submits, cancels and polls jobs through random daemons over persistent connections. */
 export class SoakClient {
   readonly jobs: SubmittedJob[] = []
-  private readonly agent = new Agent({ connections: 4, pipelining: 1 })
+  private readonly agent = new Agent({ connections: CONNECTIONS, pipelining: 1 })
   private nextJobNumber = 1
 
   private constructor (private readonly addresses: readonly string[], private readonly audit: Audit, private readonly random: Random) {}
@@ -35,9 +39,10 @@
   async submitOne (): Promise<void> {
     const id = (this.nextJobNumber++).toString(16).padStart(16, '0')
     const steps = this.randomSteps()
-    const job: SubmittedJob = { id, statuses: [], isAccepted: false, isCancelled: false }
+    const spec = decodeSpec({ spec: id, steps })
+    const job: SubmittedJob = { id, spec, statuses: [], isAccepted: false, isCancelled: false }
     this.jobs.push(job)
-    this.audit.expectJob(id, decodeSpec({ spec: id, steps }))
+    this.audit.expectJob(id, spec)
     for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
       const status = await this.sendForStatus('POST', id, { spec: id, steps })
       job.statuses.push(status)
@@ -55,16 +60,32 @@
     const { status, state } = await this.send('GET', job.id)
     if (status === 410 && isAccepted) this.audit.violations.push(`${job.id} was accepted, but is reported as unknown`)
     if (state === undefined) return
-    if (isFinal(lastState) && state !== lastState) this.audit.violations.push(`${job.id} was reported as ${lastState} and later as ${state}`)
+    if (hasEnded(lastState) && state !== lastState) this.audit.violations.push(`${job.id} was reported as ${lastState} and later as ${state}`)
     if (state === 'failed') this.audit.violations.push(`${job.id} is reported as failed, but no run has failed`)
     if (state === 'completed' && !this.audit.isDone({ jobId: job.id, occurrence: 0, step: 0, index: 0 })) this.audit.violations.push(`${job.id} is reported as completed, but its first task is not done`)
-    if (!isFinal(job.lastState)) job.lastState = state
+    if (!hasEnded(job.lastState)) job.lastState = state
+  }
+
+  /** Reads every job once, as many at a time as there are connections: a request that waits for one would use up its time. */
+  async pollAll (): Promise<void> {
+    for (let first = 0; first < this.jobs.length; first += CONNECTIONS) await Promise.all(this.jobs.slice(first, first + CONNECTIONS).map(job => this.poll(job)))
+  }
+
+  /** Work of the tasks of accepted jobs that aren't done, in thousandths of a core times milliseconds. */
+  remainingWork (durationMsOf: (jobId: string) => number): number {
+    let work = 0
+    for (const { id, spec } of this.jobs.filter(({ isAccepted, isCancelled }) => isAccepted && !isCancelled)) {
+      spec.steps.forEach(({ count, need }, step) => {
+        for (let index = 0; index < count; index++) if (!this.audit.isDone({ jobId: id, occurrence: 0, step, index })) work += need.milliCores * durationMsOf(id)
+      })
+    }
+    return work
   }
 
   /** Checks the final states after the recovery time: accepted jobs have ended, refused ones never started. */
   checkFinalStates (): void {
     for (const { id, statuses, isAccepted, lastState } of this.jobs) {
-      if (isAccepted && !isFinal(lastState)) this.audit.violations.push(`${id} was accepted, but has not ended; its last reported state is ${lastState ?? 'none'}`)
+      if (isAccepted && !hasEnded(lastState)) this.audit.violations.push(`${id} was accepted, but has not ended; its last reported state is ${lastState ?? 'none'}`)
       const isAlwaysRefused = statuses.every(status => status === 503 || status === 429)
       if (isAlwaysRefused && this.audit.hasStarted(id)) this.audit.violations.push(`${id} was refused by every answer, but has started`)
     }
@@ -85,7 +106,7 @@
   }
 
   /** Returns status 0 if there was no complete answer. */
-  private async send (method: 'GET' | 'POST' | 'DELETE', id: string, body?: unknown): Promise<{ readonly status: number, readonly state?: string | undefined }> {
+  private async send (method: 'GET' | 'POST' | 'DELETE', id: string, body?: unknown): Promise<{ readonly status: number, readonly state?: JobState | undefined }> {
     try {
       const res = await request(`http://${this.random.pick(this.addresses)}${PATH_PREFIX}${id}`, {
         method,
@@ -95,7 +116,7 @@
         ...(body === undefined ? {} : { body: JSON.stringify(body) })
       })
       const text = await res.body.text()
-      const state = res.statusCode === 200 && method === 'GET' ? (JSON.parse(text) as { readonly state?: string }).state : undefined
+      const state = res.statusCode === 200 && method === 'GET' ? (JSON.parse(text) as { readonly state?: JobState }).state : undefined
       return { status: res.statusCode, state }
     } catch {
       return { status: 0 }
@@ -109,6 +130,6 @@
   return spec
 }
 
-function isFinal (state: string | undefined): boolean {
-  return state === 'completed' || state === 'cancelled' || state === 'failed'
+function hasEnded (state: JobState | undefined): boolean {
+  return state !== undefined && isFinal(state)
 }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -36,7 +36,7 @@
 
 /** Time before the first fault. */
 const STARTUP_MS = 3_000
-/** Time without new jobs or faults at the end, within which all accepted jobs must end. */
+/** Time without new jobs or faults at the end, within which all accepted jobs must end; beside the time that their work needs on all workers. */
 const RECOVERY_MS = 25_000
 const SUBMIT_INTERVAL_MS = 60
 const POLL_INTERVAL_MS = 40
@@ -73,6 +73,11 @@
   }
 }
 
+/** Run time of each task of a job, in milliseconds. */
+function durationMsOf (jobId: string): number {
+  return 100 + Number.parseInt(jobId.slice(-3), 16) % 1_500
+}
+
 function noFault () {}
 
 /** Runs one seed: starts daemons as processes and the platform's emulator behind proxies, and injects random faults. */
@@ -94,7 +99,7 @@
       entry: createWorkerEntry(`w${index}`),
       clock,
       audit,
-      behaviour: task => ({ durationMs: 100 + Number.parseInt(task.jobId.slice(-3), 16) % 1_500, end: 'done' }),
+      behaviour: task => ({ durationMs: durationMsOf(task.jobId), end: 'done' }),
       needOf: task => audit.needOf(task),
       gangSizeOf: task => audit.gangSizeOf(task),
       gangs
@@ -144,11 +149,12 @@
     await sleep(pauseMs())
   }
   clearInterval(submitTimer)
-  await sleep(RECOVERY_MS)
+  const capacity = workers.reduce((sum, { entry }) => sum + entry.capacity.milliCores, 0)
+  await sleep(RECOVERY_MS + client.remainingWork(durationMsOf) / capacity)
   clearInterval(pollTimer)
   clearInterval(probeTimer)
   await Promise.all(pendingCalls)
-  await Promise.all(client.jobs.map(job => client.poll(job)))
+  await client.pollAll()
   client.checkFinalStates()
 
   const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits())]
