test(cell): the stand-in of a worker carries out nothing while it has no power

The leaders' log shows a sound order: crash seen, run 1001 kept until the next incarnation, adopted with nothing running under a higher token, run 1002 started. What w1 had carried out is in no log; the stand-in explains it: a command that was held back was carried out between the crash and the restart ("after a crash, the worker runs nothing"), and as the crash had broken the run's gang, the run ended before the audit had noted its start, and stayed noted for ever.

--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -102,6 +102,8 @@
   private highestToken = 0
   private leaseUntilMs = 0
   private bootedAt: number
+  /** True from a crash to the restart: nothing is carried out. */
+  private hasNoPower = false
   /** Number of crashes so far: a call that was waiting during one gets no answer. */
   private crashes = 0
 
@@ -126,6 +128,7 @@
   /** Loses power: nothing runs any more, and commands have no effect and get no answer until `restart`. */
   crash (): void {
     this.isCutOff = true
+    this.hasNoPower = true
     this.crashes++
     for (const activeRun of this.activeRuns.values()) {
       if (this.isGangMember(activeRun.task)) this.options.gangs?.markBroken(activeRun.task, activeRun.run)
@@ -140,6 +143,7 @@
   restart (born: number): void {
     this.crash()
     this.isCutOff = false
+    this.hasNoPower = false
     this.highestFinishedRun.clear()
     this.lastSequence = 0
     this.highestToken = 0
@@ -170,8 +174,8 @@
     if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
     if (fault?.kind === 'answer-lost') await execute()
     if (fault?.kind === 'applied-late') {
-      const { bootedAt } = this
-      clock.sleep(fault.afterMs).then(() => fault.isQueued === true && this.bootedAt !== bootedAt ? undefined : execute()).catch(() => {})
+      const isLost = () => fault.isQueued === true ? this.crashes !== crashes : this.hasNoPower
+      clock.sleep(fault.afterMs).then(() => isLost() ? undefined : execute()).catch(() => {})
     }
     await clock.sleep(timeoutMs)
     return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
@@ -216,9 +220,10 @@
     if (this.activeRuns.has(taskName) || run <= (this.highestFinishedRun.get(taskName) ?? 0)) return refuse('stale-run')
     if (leaseUntilMs <= this.clockMs()) return refuse('lease-passed')
     this.extendLease(leaseUntilMs)
+    // Recorded first: a member of a broken gang ends as soon as it is among the active runs.
+    audit.recordStart(this.entry.id, task, run, payload)
     this.activeRuns.set(taskName, { task, run, startedAt: this.clockMs(), checkpoint, ...behaviour(task, run), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
     if (this.isGangMember(task)) this.options.gangs?.join(task, run, this.options.gangSizeOf?.(task) ?? 0, this.options.clock.now())
-    audit.recordStart(this.entry.id, task, run, payload)
     const used = [...this.activeRuns.values()].reduce((sum, activeRun) => add(sum, needOf(activeRun.task)), NO_RESOURCES)
     if (!fits(used, this.entry.capacity)) audit.recordOverCapacity(this.entry.id, task)
     return { accepted: true, clockMs: this.clockMs() }
