fix(cell): starts resume as soon as the registry can be read again

A read that was sent while the store was silent was waited for until its timeout of 900 ms, and the next one followed 300 ms later: by the logs of both builds the lease was valid again at 22.26 s, one started tasks at once and the other had to wait for the read of 23.3 s.

While the registry is too old to start by, the next read is sent after 200 ms, as renewals of a lapsed lease are; the latest reading counts, whatever the order of the answers. A new leader's first read, and reads from a slow store within the bound, are not repeated.

--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -63,6 +63,8 @@
 
 /** Interval between reads of the worker registry; half of the time within which starts on a draining worker must cease. */
 export const REGISTRY_POLL_MS = 700
+/** Interval between reads of the worker registry while it is too old to start tasks by, so that starts resume soon after the store answers again. */
+export const REGISTRY_RETRY_OLD_MS = 200
 export const CONFIG_WATCH_MS = 1_000
 
 /** Duration of the lease on all runs of a worker, unless the worker allows less. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -88,7 +88,7 @@
   /** Wave states published to the operator, each as `<wave> <state>`. */
   readonly publishedWaveStates: string[] = []
   /** Called before each read of the worker registry; returns a failure to inject, or throws. */
-  beforeRegistryRead: () => Result<never, Failure> | undefined = () => undefined
+  beforeRegistryRead: () => Result<never, Failure> | undefined | Promise<Result<never, Failure>> = () => undefined
   /** Whether connections to a peer address are refused; tests set it. */
   refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
@@ -134,7 +134,7 @@
     const directory: Directory = {
       readConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
       watchConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
-      listWorkers: async () => this.beforeRegistryRead() ?? Ok(this.registry),
+      listWorkers: async () => await this.beforeRegistryRead() ?? Ok(this.registry),
       listWaves: async () => Ok(this.maintenanceWaves),
       publishWave: async (wave, state) => {
         this.publishedWaveStates.push(`${wave} ${state}`)
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import { supervise } from '@citronnotch/base/supervise'
-import { READY_PERCENT, REGISTRY_POLL_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
+import { READY_PERCENT, REGISTRY_POLL_MS, REGISTRY_RETRY_OLD_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import { Roster } from './roster.js'
 import type { RosterMember } from './roster.js'
@@ -138,20 +138,42 @@
    * jobs are loaded, so that the workers are connected and fenced meanwhile.
    */
   async run (signal: AbortSignal): Promise<void> {
-    const { clock, directory, mayIssueCommands, jobsLoaded, log } = this.options
+    const { clock, mayIssueCommands, jobsLoaded } = this.options
     while (!signal.aborted) {
-      const sinceRequest = Stopwatch.start(clock)
-      const res = await directory.listWorkers()
-      if (res.err) {
-        log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason, mayStart: this.isRegistryRecent() })
-      } else {
-        this.sinceRegistryRead = sinceRequest
-        this.applyRegistry(res.val, signal)
-      }
+      const pauseMs = await this.readRegistryOrTimeout(signal)
       if (!await jobsLoaded) return
       if (mayIssueCommands()) await this.updateRoster()
-      await clock.sleep(res.err ? WORKER_RETRY_MS : REGISTRY_POLL_MS, signal)
+      await clock.sleep(pauseMs, signal)
+    }
+  }
+
+  /**
+   * Reads the registry and resolves with the pause before the next read. While the last reading is too old to start tasks
+   * by, a read is not waited for until it times out: the store may answer the next one.
+   */
+  private async readRegistryOrTimeout (signal: AbortSignal): Promise<number> {
+    const { clock, log } = this.options
+    const mustHurry = this.sinceRegistryRead !== undefined && !this.isRegistryRecent()
+    const read = this.readRegistry(signal)
+    if (!mustHurry) return read
+    read.catch((err: unknown) => log.error('Worker registry could not be read.', { err }))
+    return Promise.race([read, clock.sleep(REGISTRY_RETRY_OLD_MS, signal).then(() => 0)])
+  }
+
+  private async readRegistry (signal: AbortSignal): Promise<number> {
+    const { clock, directory, log } = this.options
+    const sinceRequest = Stopwatch.start(clock)
+    const res = await directory.listWorkers()
+    if (res.err) {
+      log.warn('Worker registry could not be read.', { verdict: res.val.verdict, reason: res.val.reason, mayStart: this.isRegistryRecent() })
+      return WORKER_RETRY_MS
+    }
+    const isLatest = this.sinceRegistryRead === undefined || sinceRequest.elapsedMs() <= this.sinceRegistryRead.elapsedMs()
+    if (isLatest && !signal.aborted) {
+      this.sinceRegistryRead = sinceRequest
+      this.applyRegistry(res.val, signal)
     }
+    return REGISTRY_POLL_MS
   }
 
   /** Stops the runs that make no progress, so that their tasks resume on other workers. */
