--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -69,7 +69,7 @@
       if (this.staged.size === 0) await new Promise<void>(resolve => { this.wakeUp = resolve })
       if (signal.aborted) return
       await this.delayBatch(signal)
-      if (!await this.store(this.dequeueBatch())) await clock.sleep(COMMIT_RETRY_MS, signal)
+      if (!await this.storeBatch(this.dequeueBatch())) await clock.sleep(COMMIT_RETRY_MS, signal)
     }
   }
 
@@ -77,7 +77,7 @@
    * Stores a batch or stages it again, and resolves with whether to go on at once. A batch that the store rejects is split,
    * so that a job whose progress the store can't take doesn't keep the others from being stored.
    */
-  private async store (batch: readonly StagedJob[]): Promise<boolean> {
+  private async storeBatch (batch: readonly StagedJob[]): Promise<boolean> {
     let outcome: CommitOutcome = 'failed'
     try {
       if (this.options.mayIssueCommands()) outcome = await this.commit(batch)
@@ -91,7 +91,7 @@
       return true
     }
     const middle = Math.ceil(batch.length / 2)
-    const areStored = [await this.store(batch.slice(0, middle)), await this.store(batch.slice(middle))]
+    const areStored = [await this.storeBatch(batch.slice(0, middle)), await this.storeBatch(batch.slice(middle))]
     return areStored.every(isStored => isStored)
   }
 
