--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -86,7 +86,7 @@
     }
     if (outcome === 'stored') for (const { waiters } of batch) for (const resolve of waiters) resolve()
     if (outcome !== 'rejected') return outcome === 'stored'
-    if (batch.length === 1) {
+    if (batch.length <= 1) {
       this.setAside(batch)
       return true
     }
