refactor(cell): one check for finite numbers, one read of the configuration, one look for hosted steps

Found on reading the whole change; behaviour is as before.

- isFiniteNumber in base/untrusted replaces a copy in jobRecord, a list variant in configInForce and the same comparison with finiteOr in five places.
- ConfigWatch.run reads the configuration by readStore, as a refresh does.
- The dispatcher's hasLastingRun was hostsStep again.
- The crashes of a step are stored under one condition instead of two; the fields of Run stand together.

--- a/packages/base/src/untrusted.ts
+++ b/packages/base/src/untrusted.ts
@@ -13,7 +13,11 @@
 }
 
 export function finiteOr<T> (value: unknown, fallback: T): number | T {
-  return typeof value === 'number' && Number.isFinite(value) ? value : fallback
+  return isFiniteNumber(value) ? value : fallback
+}
+
+export function isFiniteNumber (value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value)
 }
 
 /** Whether the value is a whole number of at least 0 that is exact. */
--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
 import type { ClockBounds } from '@citronnotch/base/remoteClock'
-import { finiteOr, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import { isFiniteNumber, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import type { Stopwatch } from '@citronnotch/base/stopwatch'
 import type { ConfigReading } from './ports.js'
 import type { CellConfig, Queue } from './types.js'
@@ -112,25 +112,20 @@
 /** Returns undefined if the value isn't what a daemon tells of its configuration. */
 export function decodeKnownConfig (value: unknown): KnownConfig | undefined {
   const { version, asOfMs, config } = recordOf(value)
-  const known = { version: finiteOr(version, undefined), asOfMs: finiteOr(asOfMs, undefined) }
-  if (known.version === undefined || known.asOfMs === undefined) return undefined
-  if (config === undefined) return { version: known.version, asOfMs: known.asOfMs }
-  return isConfig(config) && config.version === known.version ? { version: known.version, asOfMs: known.asOfMs, config } : undefined
+  if (!isFiniteNumber(version) || !isFiniteNumber(asOfMs)) return undefined
+  if (config === undefined) return { version, asOfMs }
+  return isConfig(config) && config.version === version ? { version, asOfMs, config } : undefined
 }
 
 function isConfig (value: unknown): value is CellConfig {
   const { version, queues, limits } = recordOf(value)
-  return finiteOr(version, undefined) !== undefined && isListOf(queues, isQueue) && finiteOr(recordOf(limits).maxBodyBytes, undefined) !== undefined
+  return isFiniteNumber(version) && isListOf(queues, isQueue) && isFiniteNumber(recordOf(limits).maxBodyBytes)
 }
 
 function isQueue (value: unknown): value is Queue {
   const { name, host, pathPrefix, service, advice, ...numbers } = recordOf(value)
   const { decisionMs, perWorkerMs, validityMs } = recordOf(advice)
   return [name, host, pathPrefix, service].every(isString) &&
-    areFinite([numbers.priority, numbers.maxAttempts, numbers.slackFactor, numbers.targetLatencyMs]) &&
-    (advice === undefined || areFinite([decisionMs, perWorkerMs, validityMs]))
-}
-
-function areFinite (values: readonly unknown[]): boolean {
-  return values.every(value => finiteOr(value, undefined) !== undefined)
+    [numbers.priority, numbers.maxAttempts, numbers.slackFactor, numbers.targetLatencyMs].every(isFiniteNumber) &&
+    (advice === undefined || [decisionMs, perWorkerMs, validityMs].every(isFiniteNumber))
 }
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -69,9 +69,8 @@
     let version: number | undefined
     let retryMs = MIN_RETRY_MS
     while (!signal.aborted) {
-      const sinceRequest = Stopwatch.start(clock)
       if (version === undefined) {
-        const read = await directory.readConfig()
+        const read = await this.readStore()
         if (read.err) {
           log.warn('Configuration could not be read.', { verdict: read.val.verdict, reason: read.val.reason, inForce: inForce.version() })
           await clock.sleep(retryMs, signal)
@@ -79,10 +78,10 @@
           continue
         }
         retryMs = MIN_RETRY_MS
-        inForce.observeReading(read.val, sinceRequest, 'read')
         version = read.val.version
         continue
       }
+      const sinceRequest = Stopwatch.start(clock)
       this.isWatching = true
       const change = await directory.watchConfig(version, CONFIG_WATCH_MS).finally(() => { this.isWatching = false })
       // After a failed watch the row itself is read, over another connection.
@@ -147,11 +146,12 @@
     this.options.metrics.count(`config_refreshes_${this.failedRefresh ?? 'confirmed'}`)
   }
 
-  private async readStore (): Promise<void> {
+  private async readStore (): ReturnType<Directory['readConfig']> {
     const { directory, inForce, clock } = this.options
     const sinceRequest = Stopwatch.start(clock)
     const read = await directory.readConfig()
     if (read.ok) inForce.observeReading(read.val, sinceRequest, 'read')
+    return read
   }
 }
 
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -176,7 +176,7 @@
     const worker = this.bestWorker(step, startable, candidateWorker => round.capacity.freeOn(candidateWorker), task)
     if (worker !== undefined) return worker
     if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty)
-    const emptiest = minBy(eligible, ({ runs }) => runs.size + (hasLastingRun(runs.values()) ? LASTING_RUN_WEIGHT : 0))
+    const emptiest = minBy(eligible, worker => worker.runs.size + (hostsStep(worker, step => step.spec.longRunning) ? LASTING_RUN_WEIGHT : 0))
     if (emptiest !== undefined) round.reservedFor.set(emptiest, RESERVED_FOR_ALONE)
     return undefined
   }
@@ -369,11 +369,6 @@
   return 2 * sumOf(worker => worker.freeCapacity().milliCores) > sumOf(worker => worker.entry.capacity.milliCores)
 }
 
-function hasLastingRun (runs: Iterable<Run>): boolean {
-  for (const { task } of runs) if (task?.step.spec.longRunning === true) return true
-  return false
-}
-
 function minBy<T> (items: readonly T[], valueOf: (item: T) => number): T | undefined {
   let best: T | undefined
   let bestValue = Infinity
--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -1,4 +1,4 @@
-import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import { isCount, isFiniteNumber, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import { MAX_TASKS_PER_STEP } from './types.js'
 import type { JobSpec, Queue, QueueTerms, Schedule, StepSpec } from './types.js'
 
@@ -51,11 +51,11 @@
 /** Returns undefined if the value isn't that of a live job. */
 export function decodeJob (value: unknown): JobRecord | undefined {
   const { queue, service, terms: storedTerms, steps, schedule, admittedAtMs } = recordOf(value)
-  if (!isString(queue) || !isString(service) || finiteOr(admittedAtMs, undefined) === undefined || !Array.isArray(steps)) return undefined
+  if (!isString(queue) || !isString(service) || !isFiniteNumber(admittedAtMs) || !Array.isArray(steps)) return undefined
   const completeSteps = steps.map(step => ({ ...STEP_DEFAULTS, ...recordOf(step) }))
   if (!isListOf(completeSteps, isStep) || !(schedule === undefined || isSchedule(schedule))) return undefined
   const terms = decodeTerms(storedTerms)
-  return { queue, service, ...(terms === undefined ? {} : { terms }), spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs: admittedAtMs as number }
+  return { queue, service, ...(terms === undefined ? {} : { terms }), spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs }
 }
 
 export function termsOf ({ priority, maxAttempts, slackFactor, targetLatencyMs, advice }: Queue): QueueTerms {
@@ -68,16 +68,12 @@
 
 function decodeTerms (value: unknown): QueueTerms | undefined {
   if (!isListOf(value, isFiniteNumber)) return undefined
-  const [priority, maxAttempts, slackFactor, targetLatencyMs, decisionMs, perWorkerMs, validityMs] = value as StoredTerms
+  const [priority, maxAttempts, slackFactor, targetLatencyMs, decisionMs, perWorkerMs, validityMs] = value
   if (priority === undefined || maxAttempts === undefined || slackFactor === undefined || targetLatencyMs === undefined) return undefined
   const advice = decisionMs === undefined || perWorkerMs === undefined || validityMs === undefined ? undefined : { decisionMs, perWorkerMs, validityMs }
   return { priority, maxAttempts, slackFactor, targetLatencyMs, ...(advice === undefined ? {} : { advice }) }
 }
 
-function isFiniteNumber (value: unknown): value is number {
-  return finiteOr(value, undefined) !== undefined
-}
-
 function isStep (value: unknown): value is StepSpec {
   const step = recordOf(value)
   const { count, need } = step
@@ -88,12 +84,12 @@
 
 function hasTypeOf (value: unknown, example: unknown): boolean {
   if (Array.isArray(example)) return isListOf(value, isCount)
-  return typeof example === 'number' ? finiteOr(value, undefined) !== undefined : typeof value === typeof example
+  return typeof example === 'number' ? isFiniteNumber(value) : typeof value === typeof example
 }
 
 function isSchedule (value: unknown): value is Schedule {
   const { firstRunMs, intervalMs, repetitions } = recordOf(value)
-  return isCount(repetitions) && [firstRunMs, intervalMs].every(ms => finiteOr(ms, undefined) !== undefined)
+  return isCount(repetitions) && [firstRunMs, intervalMs].every(isFiniteNumber)
 }
 
 function withoutDefaults (step: StepSpec): Partial<StepSpec> {
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -60,6 +60,10 @@
   /** Monotonic time in milliseconds of the start, the last progress, or the first report after a gap in the worker's reports. */
   progressAt: number
   checkpoint: string
+  /** Whether the task may have crashed a worker before this run. */
+  readonly isSuspect: boolean
+  /** Whether nothing else may start beside the run. */
+  readonly mustRunAlone: boolean
 
   private constructor (
     readonly id: TaskId,
@@ -81,11 +85,6 @@
     return new Run(fields.id, fields.number, fields.worker, fields.task, fields.fencingToken, fields.startedAt)
   }
 
-  /** Whether the task may have crashed a worker before this run. */
-  readonly isSuspect: boolean
-  /** Whether nothing else may start beside the run. */
-  readonly mustRunAlone: boolean
-
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
   mayOutliveIncarnation (): boolean {
     return !this.isListed || this.unansweredStarts > 0
@@ -391,8 +390,12 @@
   return {
     done: step.tasks.map(task => task.isDone ? '1' : '0').join(''),
     ...(tasksWithFailures.length === 0 ? {} : { failed: Object.fromEntries(tasksWithFailures.map(task => [task.index, [...task.failedRuns]])) }),
-    ...(tasksWithCrashes.length === 0 ? {} : { crashed: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().all])) }),
-    ...(tasksWithCrashes.length === 0 ? {} : { crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone])) }),
+    ...(tasksWithCrashes.length === 0
+      ? {}
+      : {
+          crashed: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().all])),
+          crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone]))
+        }),
     ...(tasksWithCheckpoint.length === 0 ? {} : { checkpoints: Object.fromEntries(tasksWithCheckpoint.map(task => [task.index, task.checkpoint])) })
   }
 }
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -1,5 +1,5 @@
 import type { Log } from '@citronnotch/base/logger'
-import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import { isCount, isFiniteNumber, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import { STORE_TIMEOUT_MS, TABLES } from './constants.js'
 import { leaderPartitionName } from './jobs.js'
 import type { RowStore } from './ports.js'
@@ -132,7 +132,7 @@
 
 function isMember (value: unknown): value is RosterMember {
   const { id, born, lapsesAtMs, jobs } = recordOf(value)
-  return isString(id) && isCount(born) && (lapsesAtMs === undefined || finiteOr(lapsesAtMs, undefined) !== undefined) && (jobs === undefined || isListOf(jobs, isString))
+  return isString(id) && isCount(born) && (lapsesAtMs === undefined || isFiniteNumber(lapsesAtMs)) && (jobs === undefined || isListOf(jobs, isString))
 }
 
 function byId (members: readonly RosterMember[]): ReadonlyMap<string, RosterMember> {
