test(soak): tasks that crash their workers while leaders die

Change: `--crashing-tasks TROUBLE` plays two deadly jobs (`--gangs`: gangs of two) that crash each worker 0.3 s after the start, beside sound jobs; workers are back 3 s later in a new incarnation. The holder of the stored lease is killed beside the crashes. It fails if more than two starts follow a task's third crash, if a deadly job isn't given up or a sound one doesn't complete. `--program` runs the bundle of another build beside the same stand-ins.

--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -20,6 +20,8 @@
   readonly statuses: number[]
   isAccepted: boolean
   isCancelled: boolean
+  /** Whether its tasks crash their workers, so that it has to be given up. */
+  readonly isDeadly: boolean
   /** Last state that was reported; a final state is kept. */
   lastState?: JobState
 }
@@ -36,11 +38,17 @@
     return new SoakClient(addresses, audit, random)
   }
 
-  async submitOne (): Promise<void> {
-    const id = (this.nextJobNumber++).toString(16).padStart(16, '0')
-    const steps = this.randomSteps()
+  submitOne (): Promise<void> {
+    return this.submit(this.newJobId(), this.randomSteps())
+  }
+
+  newJobId (): string {
+    return (this.nextJobNumber++).toString(16).padStart(16, '0')
+  }
+
+  async submit (id: string, steps: readonly object[], isDeadly = false): Promise<void> {
     const spec = decodeSpec({ spec: id, steps })
-    const job: SubmittedJob = { id, spec, statuses: [], isAccepted: false, isCancelled: false }
+    const job: SubmittedJob = { id, spec, statuses: [], isAccepted: false, isCancelled: false, isDeadly }
     this.jobs.push(job)
     this.audit.expectJob(id, spec)
     for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
@@ -50,7 +58,7 @@
       if (status === 200) break
       await sleep(RETRY_DELAY_MS)
     }
-    if (job.isAccepted && this.random.chance(0.1)) job.isCancelled = [200, 410].includes(await this.sendForStatus('DELETE', id))
+    if (job.isAccepted && !isDeadly && this.random.chance(0.1)) job.isCancelled = [200, 410].includes(await this.sendForStatus('DELETE', id))
   }
 
   /** Reads a job and checks the answer: a final state never changes, and an accepted job is never unknown. */
@@ -61,7 +69,7 @@
     if (status === 410 && isAccepted) this.audit.violations.push(`${job.id} was accepted, but is reported as unknown`)
     if (state === undefined) return
     if (hasEnded(lastState) && state !== lastState) this.audit.violations.push(`${job.id} was reported as ${lastState} and later as ${state}`)
-    if (state === 'failed') this.audit.violations.push(`${job.id} is reported as failed, but no run has failed`)
+    if (state === 'failed' && !job.isDeadly) this.audit.violations.push(`${job.id} is reported as failed, but no run has failed`)
     if (state === 'completed' && !this.audit.isDone({ jobId: job.id, occurrence: 0, step: 0, index: 0 })) this.audit.violations.push(`${job.id} is reported as completed, but its first task is not done`)
     if (!hasEnded(job.lastState)) job.lastState = state
   }
@@ -84,8 +92,8 @@
 
   /** Checks the final states after the recovery time: accepted jobs have ended, refused ones never started. */
   checkFinalStates (): void {
-    for (const { id, statuses, isAccepted, lastState } of this.jobs) {
-      if (isAccepted && !hasEnded(lastState)) this.audit.violations.push(`${id} was accepted, but has not ended; its last reported state is ${lastState ?? 'none'}`)
+    for (const { id, statuses, isAccepted, isDeadly, lastState } of this.jobs) {
+      if (isAccepted && !isDeadly && !hasEnded(lastState)) this.audit.violations.push(`${id} was accepted, but has not ended; its last reported state is ${lastState ?? 'none'}`)
       const isAlwaysRefused = statuses.every(status => status === 503 || status === 429)
       if (isAlwaysRefused && this.audit.hasStarted(id)) this.audit.violations.push(`${id} was refused by every answer, but has started`)
     }
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -16,6 +16,18 @@
   readonly changeConfig: () => void
 }
 
+/** Ends all that runs on a worker, which returns under its id after `downMs` with nothing. */
+export function crashWorker ({ workers, workerLinks, emulator }: Pick<FaultTargets, 'workers' | 'workerLinks' | 'emulator'>, index: number, downMs: number): void {
+  const [worker, link] = [workers[index], workerLinks[index]]
+  if (worker === undefined || worker.isCutOff) return
+  worker.crash()
+  setTimeout(() => {
+    link?.reset()
+    worker.restart(Date.now())
+    emulator.register(worker.entry)
+  }, downMs)
+}
+
 export type Fault = (targets: FaultTargets, random: Random, durationMs: number) => void
 
 /** Faults by name; each one ends by itself. A seed picks faults by their position in this list. */
@@ -78,15 +90,8 @@
 export const MORE_FAULTS: Readonly<Record<string, Fault>> = {
   workerRestarts: ({ workers, workerLinks, emulator }, random) => {
     const index = random.between(0, workers.length - 1)
-    const [worker, link] = [workers[index], workerLinks[index]]
     const downMs = random.between(MIN_DOWN_MS, MAX_DOWN_MS)
-    if (worker === undefined || worker.isCutOff) return
-    worker.crash()
-    setTimeout(() => {
-      link?.reset()
-      worker.restart(Date.now())
-      emulator.register(worker.entry)
-    }, downMs)
+    crashWorker({ workers, workerLinks, emulator }, index, downMs)
   },
   oddEntry: ({ emulator }, random, durationMs) => {
     const id = `odd-${random.between(0, 99)}`
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,4 +1,6 @@
 import { cac } from 'cac'
+import { LEADER_TROUBLES } from './crashRun.js'
+import type { LeaderTrouble } from './crashRun.js'
 import { runSeed } from './run.js'
 
 /** Seeds that failed before, with the cause of each failure; run with `--regressions`. */
@@ -24,18 +26,33 @@
   .option('--workers <count>', 'Number of workers', { default: DEFAULTS.workers })
   .option('--port <port>', 'First port of the daemons, on 127.0.0.1', { default: DEFAULTS.port })
   .option('--all-faults', 'Inject all kinds of faults, also those that came after the seeds of --regressions')
+  .option('--crashing-tasks <trouble>', `Play two tasks that crash their workers, in place of random faults, with trouble of the leader: ${LEADER_TROUBLES.join(', ')}`)
+  .option('--gangs', 'Let each of the crashing tasks be a gang of two')
+  .option('--program <path>', 'Daemon to run, e.g. the bundle of another build (default: the bundle of this build)')
   .option('--regressions', 'Run the seeds that failed before')
-  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, allFaults?: boolean, regressions?: boolean }) => {
+  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, allFaults?: boolean, regressions?: boolean, crashingTasks?: LeaderTrouble, gangs?: boolean, program?: string }) => {
+    const { crashingTasks: trouble, program } = options
+    if (trouble !== undefined && !LEADER_TROUBLES.includes(trouble)) throw new Error(`--crashing-tasks: unknown trouble ${String(trouble)}`)
     const first = options.seed ?? Date.now() % 1_000_000
     const seeds = options.regressions === true ? REGRESSION_SEEDS : Array.from({ length: options.seeds }, (_, index) => first + index)
     let failedSeeds = 0
     for (const seed of seeds) {
-      const { jobs, accepted, faults, violations, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true, firstPort: options.port })
+      const { jobs, accepted, faults, violations, knownFailures, logFolder, crashReport } = await runSeed({
+        seed,
+        faultPeriodMs: options.seconds * 1_000,
+        daemons: options.daemons,
+        workers: options.workers,
+        allFaults: options.allFaults === true,
+        firstPort: options.port,
+        ...(trouble === undefined ? {} : { crashes: { trouble, isGang: options.gangs === true } }),
+        ...(program === undefined ? {} : { program })
+      })
       console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
+      for (const line of crashReport) console.log(`  ${line}`)
+      if (trouble !== undefined || violations.length > 0) console.log(`  faults: ${trouble ?? faults.join(' ')}\n  logs: ${logFolder}`)
       if (violations.length === 0) continue
       failedSeeds++
-      console.log(`  faults: ${faults.join(' ')}\n  logs: ${logFolder}`)
       for (const violation of violations.slice(0, 20)) console.log(`  ${violation}`)
     }
     console.log(`${seeds.length - failedSeeds} passed, ${failedSeeds} failed`)
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -5,6 +5,8 @@
 import { Audit, GangRegistry, MemoryStore, MemoryWorker, createWorkerEntry } from '@citronnotch/cell/testing'
 import { SystemClock } from '@citronnotch/base/clock'
 import { SoakClient, HOST, PATH_PREFIX } from './client.js'
+import { CRASH_RUN, CrashRun } from './crashRun.js'
+import type { CrashRunOptions } from './crashRun.js'
 import { ConfigProbe } from './configProbe.js'
 import { DaemonProcess, Emulator } from '@citronnotch/platform/testing'
 import { FAULTS, MORE_FAULTS, startChangeSeries } from './faults.js'
@@ -22,6 +24,10 @@
   readonly allFaults: boolean
   /** First of the ports that the daemons listen on; each daemon takes four. */
   readonly firstPort: number
+  /** Tasks that crash their workers, in place of the random faults. */
+  readonly crashes?: CrashRunOptions
+  /** Path of the daemons' program, if it isn't the bundle of this build. */
+  readonly program?: string
 }
 
 export interface SoakResult {
@@ -32,6 +38,8 @@
   /** Exits by a signal that arrived before Node.js had started; see KNOWN-RED.txt. */
   readonly knownFailures: readonly string[]
   readonly logFolder: string
+  /** What was seen of the tasks that crash their workers, one line each. */
+  readonly crashReport: readonly string[]
 }
 
 /** Time before the first fault. */
@@ -81,7 +89,7 @@
 function noFault () {}
 
 /** Runs one seed: starts daemons as processes and the platform's emulator behind proxies, and injects random faults. */
-export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, firstPort }: SoakOptions): Promise<SoakResult> {
+export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, firstPort, crashes, program }: SoakOptions): Promise<SoakResult> {
   const random = Random.create(seed)
   const clock = SystemClock.create()
   const audit = Audit.create()
@@ -94,12 +102,13 @@
   const gangs = GangRegistry.create()
   const workers: MemoryWorker[] = []
   const workerLinks: TcpProxy[] = []
+  const crashRun = crashes === undefined ? undefined : CrashRun.create(crashes)
   for (let index = 0; index < workerCount; index++) {
-    const worker = MemoryWorker.create({
+    const worker: MemoryWorker = MemoryWorker.create({
       entry: createWorkerEntry(`w${index}`),
       clock,
       audit,
-      behaviour: task => ({ durationMs: durationMsOf(task.jobId), end: 'done' }),
+      behaviour: task => ({ durationMs: crashRun?.started(worker, task) ?? durationMsOf(task.jobId), end: 'done' }),
       needOf: task => audit.needOf(task),
       gangSizeOf: task => audit.gangSizeOf(task),
       gangs
@@ -124,7 +133,7 @@
     storeLinks.push(link)
     daemons.push(DaemonProcess.create({
       name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress
-    }, logFolder))
+    }, logFolder, program))
   }
 
   const client = SoakClient.create(callerAddresses, audit, random)
@@ -134,7 +143,7 @@
     pendingCalls.add(call)
     call.finally(() => pendingCalls.delete(call)).catch(() => {})
   }
-  const submitTimer = setInterval(() => track(client.submitOne()), SUBMIT_INTERVAL_MS)
+  const submitTimer = setInterval(() => track(client.submitOne()), crashRun === undefined ? SUBMIT_INTERVAL_MS : CRASH_RUN.submitIntervalMs)
   const pollTimer = setInterval(() => { if (client.jobs.length > 0) track(client.poll(random.pick(client.jobs))) }, POLL_INTERVAL_MS)
   const probeTimer = setInterval(() => track(configProbe.probe()), PROBE_INTERVAL_MS)
 
@@ -142,27 +151,35 @@
   const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, changeConfig: () => configProbe.change() }
   if (allFaults) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
   const faultsEndMs = clock.now() + faultPeriodMs
+  if (crashRun !== undefined) {
+    await crashRun.start(targets, client)
+    await sleep(faultsEndMs - clock.now())
+  }
   for (const { name, inject, durationMs, pauseMs, random: choices } of allFaults ? planFaults(seed) : drawFaults(random)) {
-    if (clock.now() >= faultsEndMs) break
+    if (crashRun !== undefined || clock.now() >= faultsEndMs) break
     faults.push(name)
     inject(targets, choices, durationMs())
     await sleep(pauseMs())
   }
   clearInterval(submitTimer)
   const capacity = workers.reduce((sum, { entry }) => sum + entry.capacity.milliCores, 0)
-  await sleep(RECOVERY_MS + client.remainingWork(durationMsOf) / capacity)
+  await sleep(crashRun === undefined ? RECOVERY_MS + client.remainingWork(durationMsOf) / capacity : CRASH_RUN.recoveryMs)
+  if (crashRun !== undefined) {
+    crashRun.stop()
+    await sleep(CRASH_RUN.calmMs)
+  }
   clearInterval(pollTimer)
   clearInterval(probeTimer)
   await Promise.all(pendingCalls)
   await client.pollAll()
   client.checkFinalStates()
 
-  const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits())]
+  const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits()), ...crashRun?.violations() ?? []]
   const knownFailures = daemons.flatMap(daemon => daemon.exitsByEarlySignal())
   for (const daemon of daemons) daemon.stop()
   clearInterval(registerTimer)
   emulator.close()
   for (const link of [...storeLinks, ...workerLinks]) link.close()
   await Promise.all([client.close(), configProbe.close()])
-  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, knownFailures, logFolder }
+  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, knownFailures, logFolder, crashReport: crashRun?.report() ?? [] }
 }
