test(cell): tasks that crash their workers while leaders are killed near the crashes

Cause: users saw a task started three times or more after its third crash. A crash is counted only once the worker is back and the leader that sent the run has stored it; a leader that dies before leaves nothing of it.

--- a/packages/cell/src/testing/crashPlan.ts
+++ b/packages/cell/src/testing/crashPlan.ts
@@ -8,6 +8,9 @@
   readonly crashAfterMs?: number
   /** Time until the worker is back under its id, in milliseconds. */
   readonly backAfterMs?: number
+  /** Called before each crash under such a task: `aheadMs` before it, or in the same moment. */
+  readonly beforeCrash?: () => void
+  readonly aheadMs?: number
 }
 
 const STEP_MS = 50
@@ -17,6 +20,8 @@
   /** Number of crashes by task, counting only the deadly ones. */
   readonly crashes = new Map<string, number>()
   private readonly startedAt = new Map<string, number>()
+  /** Runs before whose crash `beforeCrash` has been called. */
+  private readonly announced = new Set<string>()
   private readonly backAt = new Map<string, number>()
 
   private constructor (private readonly options: CrashPlanOptions) {}
@@ -46,7 +51,7 @@
   }
 
   private crashAndRestart () {
-    const { cell, isDeadly, crashAfterMs = 300 } = this.options
+    const { cell, isDeadly, crashAfterMs = 300, aheadMs = 0, beforeCrash = () => {} } = this.options
     const now = cell.clock.now()
     for (const worker of cell.workers.all()) {
       const { id, born } = worker.entry
@@ -59,6 +64,10 @@
         const key = `${name} ${id} ${born}`
         const startedAt = this.startedAt.get(key) ?? now
         this.startedAt.set(key, startedAt)
+        if (now - startedAt >= crashAfterMs - aheadMs && !this.announced.has(key)) {
+          this.announced.add(key)
+          beforeCrash()
+        }
         if (now - startedAt < crashAfterMs) continue
         this.crashes.set(name, (this.crashes.get(name) ?? 0) + 1)
         this.crash(id)
