fix(cell): a crash that no leader saw counts against its task

Cause: a run that a leader has sent was known to that leader alone until its end was stored, and a crash is seen only once the worker is back. A leader that died in between left no witness, so that each epoch began with a fresh count. Class: what is decided by a count was counted by something that the counter's end takes with it. Ruled out: a count that is seen and lost (the task is held until its row is stored; stage() does not resolve before). Change: a job's progress row holds its open runs (run, worker, incarnation, start). A successor gives them to the link of that incarnation: a report of it settles them, a later incarnation convicts them. Under a task with a crash, each start is stored before it is sent, and counts as a crash until an end or a report says otherwise; after the third, two more starts are allowed, however they end. Ends by the task itself, stops, cuts and announced leaves convict nobody. A link that begins with an entry that drains knows that it leaves. The count of stored rows in jobService.test looked for the key in all tables; the progress row has the same key and is now stored at the start too, so it looks at admissions alone, which is what it guards. A start whose row is not stored yet (within 0.1 s of a first start) is known to its leader alone as before.

--- a/packages/cell/src/__tests__/jobService.test.ts
+++ b/packages/cell/src/__tests__/jobService.test.ts
@@ -12,7 +12,7 @@
   const res = await cell.advanceUntilSettled(first.jobs.submit(jobId, createQueue(), spec, 3_000))
   t.true(res.ok)
   t.is((await cell.advanceUntilSettled(second.jobs.submit(jobId, createQueue(), spec, 3_000))).unwrap(), 'known')
-  t.is(cell.store.committedTransactions.filter(tx => tx.puts.some(({ key }) => key === jobId)).length, 1)
+  t.is(cell.store.committedTransactions.filter(tx => tx.puts.some(({ table, key }) => table === 'jobs' && key === jobId)).length, 1)
 })
 
 test('a submission that the store applies after the job has ended does not start the job again', async t => {
--- a/packages/cell/src/__tests__/roundCost.test.ts
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -65,7 +65,7 @@
       taskLeaseMs: 5_000,
       maxTaskLeaseMs: 6_000,
       predecessorActiveMs: 0,
-      events: {} as never,
+      events: { startPlanned: () => undefined } as never,
       mayIssueCommands: () => true,
       jobsLoaded: Promise.resolve(true),
       mayExtendLeases: () => true,
@@ -87,7 +87,7 @@
   }, looks))
   const advice = AdviceCache.create({ agents: () => agents, onAnswer: () => {}, clock, log: silentLog })
   const dispatcher = Dispatcher.create({
-    epoch: 1, workers: () => links, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, clock, onStart: () => {}
+    epoch: 1, workers: () => links, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, clock, onExhausted: () => {}, onStart: () => {}
   })
   // Long calls keep all agents busy except those that stay free.
   for (let busy = 0; busy < AGENTS - freeAgents; busy++) {
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -30,6 +30,8 @@
 
 interface StagedJob {
   readonly job: Job
+  /** Whether a start waits for the job to be stored. */
+  isUrgent: boolean
   readonly waiters: Array<() => void>
 }
 
@@ -49,11 +51,12 @@
   }
 
   /** Queues the job to be stored. Resolves when its current state or a newer one is stored. */
-  stage (job: Job): Promise<void> {
-    const entry = this.staged.get(job) ?? { job, waiters: [] }
+  stage (job: Job, isUrgent = false): Promise<void> {
+    const entry = this.staged.get(job) ?? { job, isUrgent, waiters: [] }
+    entry.isUrgent ||= isUrgent
     this.staged.set(job, entry)
     this.wakeUp?.()
-    if (job.outcome !== undefined) this.endDelay?.()
+    if (isUrgentEntry(entry)) this.endDelay?.()
     return new Promise(resolve => { entry.waiters.push(resolve) })
   }
 
@@ -105,13 +108,13 @@
   }
 
   /**
-   * Waits for further changes that can join the transaction. Callers wait for outcomes; the other changes are needed
-   * only by a successor, which can also get them from the workers.
+   * Waits for further changes that can join the transaction. Callers wait for outcomes, and some starts for their record;
+   * the other changes are needed only by a successor.
    */
   private async delayBatch (signal: AbortSignal) {
     const { clock } = this.options
-    const hasOutcome = () => [...this.staged.keys()].some(job => job.outcome !== undefined)
-    if (!hasOutcome()) {
+    const isUrgent = () => [...this.staged.values()].some(isUrgentEntry)
+    if (!isUrgent()) {
       await new Promise<void>(resolve => {
         const cancel = clock.after(COMMIT_PROGRESS_DELAY_MS, resolve)
         this.endDelay = () => {
@@ -120,7 +123,7 @@
         }
       })
       this.endDelay = undefined
-      if (!hasOutcome()) return
+      if (!isUrgent()) return
     }
     await clock.sleep(COMMIT_BATCH_DELAY_MS, signal)
   }
@@ -139,8 +142,12 @@
 
   private restage (entry: StagedJob) {
     const newer = this.staged.get(entry.job)
-    if (newer !== undefined) newer.waiters.push(...entry.waiters)
-    else this.staged.set(entry.job, entry)
+    if (newer === undefined) {
+      this.staged.set(entry.job, entry)
+      return
+    }
+    newer.waiters.push(...entry.waiters)
+    newer.isUrgent ||= entry.isUrgent
   }
 
   private async commit (batch: readonly StagedJob[]): Promise<CommitOutcome> {
@@ -179,6 +186,10 @@
   }
 }
 
+function isUrgentEntry ({ job, isUrgent }: StagedJob): boolean {
+  return isUrgent || job.outcome !== undefined
+}
+
 function storedProgressOf (job: Job, clock: Clock): StoredProgress {
   return job.outcome === undefined
     ? { occurrences: job.progress() }
--- a/packages/cell/src/crashRecord.ts
+++ b/packages/cell/src/crashRecord.ts
@@ -8,10 +8,33 @@
 const ALONE_AT_LEAST = 2
 /** A task is given up after so many crashes in any case: no more than two starts may follow the third. */
 const GIVEN_UP_AT_LATEST = 5
+/** Crashes after which the starts of a task are limited, and how many may follow, however they end. */
+const LIMITED_FROM = 3
+const MAX_FURTHER_STARTS = 2
+/** Seen crashes without which a task is never given up. */
+const MIN_SEEN_CRASHES = 2
+/** Maximum number of runs without a seen crash that are kept; a lasting task may have any number of them. */
+const MAX_OTHER_RUNS = 16
 
-/** Crashes of workers under the runs of one task, or of one gang; at most one for each run. */
+/**
+ * What is known of a run of a task under which a worker has crashed before: `open` until an end or a report of the worker
+ * says that the worker has not crashed under it, then `ended`.
+ */
+type RunFate = 'open' | 'ended' | 'crashed' | 'crashed-alone'
+
+/** Numbers of runs by what is known of them. */
+export interface CrashedRuns {
+  /** Runs under which a worker has crashed, and those of them that were alone on it. */
+  readonly all: readonly number[]
+  readonly alone: readonly number[]
+  /** Later runs under which no crash was seen, as far as they have ended otherwise or not. */
+  readonly ended: readonly number[]
+  readonly open: readonly number[]
+}
+
+/** Crashes of workers under the runs of one task, or of one gang, at most one for each run, and the starts after the first of them. */
 export class CrashRecord {
-  private readonly aloneByRun = new Map<number, boolean>()
+  private readonly fates = new Map<number, RunFate>()
 
   private constructor () {}
 
@@ -22,17 +45,17 @@
   // Queries
 
   count (): number {
-    return this.aloneByRun.size
+    return this.runsWith('crashed').length + this.aloneCount()
   }
 
   /** Number of crashes at which no other work ran on the worker. */
   aloneCount (): number {
-    return [...this.aloneByRun.values()].filter(isAlone => isAlone).length
+    return this.runsWith('crashed-alone').length
   }
 
   /** Whether the task may have crashed a worker. */
   isSuspect (): boolean {
-    return this.aloneByRun.size > 0
+    return this.fates.size > 0
   }
 
   mustRunAlone (): boolean {
@@ -43,20 +66,68 @@
     return this.count() >= GIVEN_UP_AT_LATEST || (this.count() >= GIVEN_UP_AFTER && this.aloneCount() >= ALONE_AT_LEAST)
   }
 
-  /** Numbers of the runs, and of those that were alone. */
-  runs (): { readonly all: readonly number[], readonly alone: readonly number[] } {
-    const all = [...this.aloneByRun.keys()]
-    return { all, alone: all.filter(run => this.aloneByRun.get(run)) }
+  /**
+   * Whether the task may not be started again. A run of which no end is known counts as a crash here: its worker may not
+   * be back yet, or have crashed while nobody led.
+   */
+  isExhausted (): boolean {
+    if (this.count() < MIN_SEEN_CRASHES) return false
+    const crashes = [...this.fates].filter(([, fate]) => fate !== 'ended').map(([run]) => run).sort((a, b) => a - b)
+    const limitedAfter = crashes[LIMITED_FROM - 1]
+    return limitedAfter !== undefined && [...this.fates.keys()].filter(run => run > limitedAfter).length >= MAX_FURTHER_STARTS
+  }
+
+  runs (): CrashedRuns {
+    const alone = this.runsWith('crashed-alone')
+    return { all: [...this.runsWith('crashed'), ...alone].sort((a, b) => a - b), alone, ended: this.runsWith('ended'), open: this.runsWith('open') }
   }
 
   // Commands
 
   add (run: number, isAlone: boolean): void {
-    this.aloneByRun.set(run, isAlone || this.aloneByRun.get(run) === true)
+    this.fates.set(run, isAlone || this.fates.get(run) === 'crashed-alone' ? 'crashed-alone' : 'crashed')
+  }
+
+  /** Records a start of the task. Before its first crash, starts are of no interest. */
+  addStart (run: number): void {
+    if (!this.isSuspect() || this.fates.has(run)) return
+    this.fates.set(run, 'open')
+    this.prune()
+  }
+
+  /** Records that a run has ended, or was lost, without a crash of its worker. */
+  addEnd (run: number): void {
+    if (this.fates.get(run) !== 'open') return
+    this.fates.set(run, 'ended')
+    this.prune()
+  }
+
+  /** Forgets a run that was never started, or that ended by itself. */
+  withdrawStart (run: number): void {
+    if (this.fates.get(run) === 'open') this.fates.delete(run)
+  }
+
+  restore ({ all, alone, ended, open }: CrashedRuns): void {
+    for (const run of all) this.add(run, alone.includes(run))
+    for (const run of ended) this.fates.set(run, 'ended')
+    for (const run of open) this.fates.set(run, 'open')
   }
 
   /** Forgets all crashes, because a run has worked for long without one. */
   clear (): void {
-    this.aloneByRun.clear()
+    this.fates.clear()
+  }
+
+  /** Drops the runs that have ended before any that may still be the crash from which on starts are limited, and the oldest beyond the maximum. */
+  private prune () {
+    const { all, ended, open } = this.runs()
+    const firstOpen = Math.min(Infinity, ...open)
+    if (all.length < LIMITED_FROM) for (const run of ended) if (run < firstOpen) this.fates.delete(run)
+    const others = [...this.runsWith('ended'), ...open].sort((a, b) => a - b)
+    for (const run of others.slice(0, Math.max(0, others.length - MAX_OTHER_RUNS))) this.fates.delete(run)
+  }
+
+  private runsWith (fate: RunFate): readonly number[] {
+    return [...this.fates].filter(([, other]) => other === fate).map(([run]) => run)
   }
 }
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -21,6 +21,8 @@
   /** Requests the payload of a job that hasn't been loaded yet. */
   readonly requestPayload: (job: Job) => void
   readonly clock: Clock
+  /** Called for a task that may not be started again, as too many workers have crashed under it. */
+  readonly onExhausted: (task: Task) => void
   /** Called with the runs of one step that were started together. */
   readonly onStart: (step: Step, runs: readonly Run[]) => void
 }
@@ -125,6 +127,11 @@
         if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
         const waitingTasks = step.tasks.filter(task => task.isWaiting() && !task.isHeld)
         if (waitingTasks.length === 0 || (step.spec.gang && waitingTasks.length < step.tasks.length)) continue
+        const exhausted = step.hasSuspects ? waitingTasks.find(task => task.crashes().isExhausted()) : undefined
+        if (exhausted !== undefined) {
+          this.options.onExhausted(exhausted)
+          break
+        }
         const aloneTasks = step.spec.gang || !step.hasSuspects ? [] : waitingTasks.filter(task => this.waitsAlone(task))
         candidates.push({
           step,
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -2,10 +2,15 @@
 import { CrashRecord } from './crashRecord.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
-import type { JobProgress, StepProgress } from './storedProgress.js'
+import type { JobProgress, StepProgress, StoredOpenRun } from './storedProgress.js'
 import type { JobOutcome, JobQueue, ResourceVector, StepSpec, TaskId } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
+/** Maximum number of runs of one task whose end isn't known; more can only be of workers that have gone for good. */
+const MAX_OPEN_RUNS_PER_TASK = 8
+/** Maximum number of such runs that are stored with one job, so that its row keeps well below the limit of the store. */
+const MAX_STORED_OPEN_RUNS = 256
+
 export type RunState = 'starting' | 'running' | 'stopping'
 
 const JOB_ID_PATTERN = /^[0-9a-f]{16}$/i
@@ -107,6 +112,16 @@
   }
 }
 
+/** A run that was started and of which no end is known: its worker may crash, or have crashed, under it. */
+export interface OpenRun {
+  readonly number: number
+  readonly workerId: string
+  /** Incarnation of the worker, as in its registry entry. */
+  readonly born: number
+  /** Unix time of the start, in milliseconds. */
+  readonly startedAtMs: number
+}
+
 export class Task {
   private hasEnded = false
   lastRunNumber = 0
@@ -122,6 +137,7 @@
   /** Workers on which a run of this task has failed or stalled. */
   readonly avoidedWorkers = AvoidedWorkers.create()
   private readonly activeRuns: Run[] = []
+  private readonly openRunsByNumber = new Map<number, OpenRun>()
 
   constructor (readonly step: Step, readonly index: number) {}
 
@@ -144,6 +160,11 @@
     return this.step.countedTask(this).ownCrashes
   }
 
+  /** Runs of which no end is known, in the order of their starts: those of this leader, and others that an earlier one has stored. */
+  openRuns (): readonly OpenRun[] {
+    return [...this.openRunsByNumber.values()]
+  }
+
   isWaiting (): boolean {
     return !this.hasEnded && this.activeRuns.length === 0
   }
@@ -158,6 +179,17 @@
     this.update(() => this.activeRuns.splice(this.activeRuns.indexOf(run), 1))
   }
 
+  addOpenRun (run: OpenRun): void {
+    this.openRunsByNumber.delete(run.number)
+    this.openRunsByNumber.set(run.number, run)
+    const [oldest] = this.openRunsByNumber.keys()
+    if (oldest !== undefined && this.openRunsByNumber.size > MAX_OPEN_RUNS_PER_TASK) this.openRunsByNumber.delete(oldest)
+  }
+
+  closeRun (number: number): void {
+    this.openRunsByNumber.delete(number)
+  }
+
   markDone (): void {
     this.update(() => { this.hasEnded = true })
   }
@@ -248,10 +280,31 @@
 
   /** Records that a worker has crashed under a run of a task. */
   recordCrash (task: Task, runNumber: number, isAlone: boolean): void {
+    task.closeRun(runNumber)
     this.hasSuspects = true
     this.countedTask(task).ownCrashes.add(runNumber, isAlone)
   }
 
+  /** Records that a run of a task is sent to a worker. */
+  recordStart (task: Task, run: OpenRun): void {
+    task.addOpenRun(run)
+    this.countedTask(task).ownCrashes.addStart(run.number)
+  }
+
+  /** Records that a run of a task has ended, or is certainly not running any more, without a crash of its worker. */
+  recordEnd (task: Task, runNumber: number): void {
+    task.closeRun(runNumber)
+    // The worker of another member of the gang may have crashed.
+    if (this.spec.gang && this.tasks.some(member => member.openRuns().some(run => run.number === runNumber))) return
+    this.countedTask(task).ownCrashes.addEnd(runNumber)
+  }
+
+  /** Records that a run of a task was not started after all, or ended by itself: neither is held against the task. */
+  withdrawStart (task: Task, runNumber: number): void {
+    task.closeRun(runNumber)
+    if (!this.spec.gang) this.countedTask(task).ownCrashes.withdrawStart(runNumber)
+  }
+
   /**
    * Records the latest run of a lasting task, after which a later leader numbers the next one. Earlier runs are dropped, as
    * there may be any number of them.
@@ -347,6 +400,13 @@
     }
   }
 
+  /** Runs of tasks that aren't done and of which no end is known. */
+  * openRuns (): Iterable<{ readonly task: Task, readonly run: OpenRun }> {
+    for (const step of this.liveSteps()) {
+      for (const task of step.tasks) if (!task.isDone) for (const run of task.openRuns()) yield { task, run }
+    }
+  }
+
   /** Drops the steps of the occurrence if all are done and no run is left. Returns whether the whole job is done. */
   compactOccurrence (occurrence: number): boolean {
     const steps = this.occurrences.get(occurrence)
@@ -359,9 +419,15 @@
   }
 
   progress (): JobProgress {
+    const openRuns = new Map<Task, StoredOpenRun[]>()
+    let storedRuns = 0
+    for (const { task, run: { number, workerId, born, startedAtMs } } of this.openRuns()) {
+      if (storedRuns++ >= MAX_STORED_OPEN_RUNS) break
+      openRuns.set(task, [...openRuns.get(task) ?? [], [number, workerId, born, startedAtMs]])
+    }
     return Object.fromEntries([...this.occurrences].map(([occurrence, steps]) => [
       String(occurrence),
-      steps === 'done' ? 'done' : steps.map(stepProgress)
+      steps === 'done' ? 'done' : steps.map(step => stepProgress(step, openRuns))
     ]))
   }
 
@@ -383,9 +449,10 @@
   }
 }
 
-function stepProgress (step: Step): StepProgress {
+function stepProgress (step: Step, openRuns: ReadonlyMap<Task, readonly StoredOpenRun[]>): StepProgress {
   const tasksWithFailures = step.tasks.filter(task => task.failedRuns.size > 0)
   const tasksWithCrashes = step.tasks.filter(task => !task.isDone && task.ownCrashes.isSuspect())
+  const tasksWithOpenRuns = step.tasks.filter(task => openRuns.has(task))
   const tasksWithCheckpoint = step.tasks.filter(task => !task.isDone && task.checkpoint !== '')
   return {
     done: step.tasks.map(task => task.isDone ? '1' : '0').join(''),
@@ -394,8 +461,11 @@
       ? {}
       : {
           crashed: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().all])),
-          crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone]))
+          crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone])),
+          endedAfterCrash: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().ended])),
+          openAfterCrash: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().open]))
         }),
+    ...(tasksWithOpenRuns.length === 0 ? {} : { open: Object.fromEntries(tasksWithOpenRuns.map(task => [task.index, openRuns.get(task) ?? []])) }),
     ...(tasksWithCheckpoint.length === 0 ? {} : { checkpoints: Object.fromEntries(tasksWithCheckpoint.map(task => [task.index, task.checkpoint])) })
   }
 }
@@ -407,9 +477,11 @@
       step.remainingTasks--
     }
     for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
-    const crashedRuns = stored.crashed?.[index] ?? []
-    for (const run of crashedRuns) step.recordCrash(task, run, stored.crashedAlone?.[index]?.includes(run) === true)
+    const crashes = { all: stored.crashed?.[index] ?? [], alone: stored.crashedAlone?.[index] ?? [], ended: stored.endedAfterCrash?.[index] ?? [], open: stored.openAfterCrash?.[index] ?? [] }
+    task.ownCrashes.restore(crashes)
+    step.hasSuspects ||= task.ownCrashes.isSuspect()
+    for (const [number, workerId, born, startedAtMs] of stored.open?.[index] ?? []) task.addOpenRun({ number, workerId, born, startedAtMs })
     task.checkpoint = stored.checkpoints?.[index] ?? ''
-    task.lastRunNumber = Math.max(0, ...task.failedRuns, ...crashedRuns)
+    task.lastRunNumber = Math.max(0, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
   })
 }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -24,9 +24,10 @@
 import { RoundPacer } from './roundPacer.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
 import { formatStepId, formatTaskId } from './types.js'
-import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask } from './types.js'
-import type { LossReason, WorkerEvents, WorkerLink } from './workerLink.js'
+import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
+import type { LossReason, UnsettledRun, WorkerEvents, WorkerLink } from './workerLink.js'
 import { WorkerPool } from './workerPool.js'
+import type { EarlierRun } from './workerPool.js'
 
 /** Delay before a step whose start was refused is tried again; prevents a tight loop of refusals. */
 const STEP_BACKOFF_MS = 60
@@ -136,6 +137,7 @@
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
       requestPayload: job => this.payloads.request(job),
       clock,
+      onExhausted: task => this.giveUp(task),
       onStart: (step, runs) => this.recordStarted(step, runs)
     })
     this.loadReport = LoadReport.create({
@@ -226,6 +228,9 @@
     // A finished run of an ended job may be acknowledged only once the outcome of the job is stored.
     if (job.outcome !== undefined) return job.isOutcomeStored ? undefined : this.stage(job)
     if (task.step.spec.longRunning) task.step.recordLatestRun(task, run)
+    // A task that ends by itself has not crashed its worker; only a lasting one is started again after that.
+    if (status === 'done' || status === 'failed') task.step.withdrawStart(task, run)
+    else task.step.recordEnd(task, run)
     if (status === 'done') this.taskDone(link, job, task.step, task, run)
     else if (status === 'failed') this.taskFailed(link, job, task.step, task, run)
     await this.stage(job)
@@ -234,15 +239,29 @@
   runLost (link: WorkerLink, run: Run, reason: LossReason): void {
     this.log.info('Run lost.', { task: formatTaskId(run.id), run: run.number, worker: link.id, reason })
     this.options.metrics.count('runs_lost')
+    if (run.task !== undefined) RECORD_LOSS[reason](run.task, run.number)
     this.stopGang(run)
     this.scheduleRound()
   }
 
-  workerCrashed (link: WorkerLink, runs: readonly Run[]): void {
-    if (this.maintenance?.isDraining(link.id) === true) return
+  startPlanned (link: WorkerLink, { task, number }: Run): Promise<void> | undefined {
+    if (task === undefined) return undefined
+    const { id: workerId, born } = link.entry
+    task.step.recordStart(task, { number, workerId, born, startedAtMs: this.options.clock.date().getTime() })
+    const isSuspect = task.crashes().isSuspect()
+    const stored = this.stage(task.step.job, isSuspect)
+    return isSuspect ? stored : undefined
+  }
+
+  runsSettled (runs: readonly UnsettledRun[]): void {
+    for (const { task, number } of runs) if (task !== undefined) task.step.recordEnd(task, number)
+  }
+
+  workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void {
+    if (this.maintenance?.isDraining(worker.id) === true) return
     const { clock, metrics } = this.options
     const isAlone = new Set(runs.map(run => run.task?.step)).size === 1
-    this.log.warn('Worker has crashed.', { worker: link.id, born: link.entry.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone })
+    this.log.warn('Worker has crashed.', { worker: worker.id, born: worker.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone })
     metrics.count('workers_crashed')
     for (const { task, number, startedAt } of runs) {
       if (task === undefined || task.isDone || task.step.job.outcome !== undefined) continue
@@ -257,8 +276,10 @@
   startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void {
     const { clock, metrics } = this.options
     metrics.count(`starts_refused_${reason}`)
-    const step = run.task?.step
-    if (step !== undefined) {
+    const { task } = run
+    const step = task?.step
+    if (task !== undefined && step !== undefined) {
+      step.withdrawStart(task, run.number)
       step.notBefore = clock.now() + STEP_BACKOFF_MS
       if (reason === 'ticket-invalid') this.advice.invalidateTicket(step, link)
     }
@@ -274,7 +295,10 @@
     const isSpeculative = task.step.spec.speculative
     if (task.runs.length > 0 && !isSpeculative) return undefined
     job.hasStarted = true
-    return link.addListedRun(listed, task)
+    const run = link.addListedRun(listed, task)
+    const startedAtMs = task.openRuns().find(({ number }) => number === run.number)?.startedAtMs ?? this.options.clock.date().getTime()
+    task.addOpenRun({ number: run.number, workerId: link.id, born: link.entry.born, startedAtMs })
+    return run
   }
 
   workerChanged (): void {
@@ -328,7 +352,7 @@
   /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
   private holdUntilStored (task: Task) {
     task.isHeld = true
-    this.stage(task.step.job)
+    this.stage(task.step.job, true)
       .catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
       .finally(() => {
         task.isHeld = false
@@ -374,8 +398,8 @@
   }
 
   /** Resolves when the current state of the job is stored. */
-  private async stage (job: Job): Promise<void> {
-    await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job)
+  private async stage (job: Job, isUrgent = false): Promise<void> {
+    await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job, isUrgent)
   }
 
   private commitsWaiting (): number {
@@ -423,11 +447,21 @@
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
     if (signal.aborted) return
+    this.workers.addEarlierRuns([...this.earlierRuns()])
     this.isLoaded = true
     for (const apply of this.deferredNotifications.splice(0)) apply()
     this.log.info('State loaded.', { jobs: this.jobs.size(), version: this.changesVersion, rosterWorkers: this.workers.rosterSize(), tookMs: Math.round(clock.now() - startedAt) })
   }
 
+  private * earlierRuns (): Iterable<EarlierRun> {
+    const { clock } = this.options
+    for (const job of this.jobs.live()) {
+      for (const { task, run: { number, workerId, born, startedAtMs } } of job.openRuns()) {
+        yield { id: task.id(), task, number, workerId, born, startedAt: clock.now() - Math.max(0, clock.date().getTime() - startedAtMs) }
+      }
+    }
+  }
+
   private async fence (): Promise<boolean> {
     const versions = await this.loader.fence(this.options.epoch)
     if (versions === 'deposed') this.options.onDeposed()
@@ -502,6 +536,16 @@
   }
 }
 
+/** What a run that its worker did not list as finished means for the crashes of its task. */
+const RECORD_LOSS: Readonly<Record<LossReason, (task: Task, run: number) => void>> = {
+  // The crash is recorded apart; a worker that has announced that it leaves has ended the run.
+  'worker-restarted': (task, run) => task.closeRun(run),
+  // The worker may have crashed: that is known when it is back.
+  'lease-lapsed': () => {},
+  'not-listed': (task, run) => task.step.recordEnd(task, run),
+  'not-started': (task, run) => task.step.withdrawStart(task, run)
+}
+
 function sizeOf (jobIds: ReadonlySet<string> | 'all'): number {
   return jobIds === 'all' ? Infinity : jobIds.size
 }
--- a/packages/cell/src/storedProgress.ts
+++ b/packages/cell/src/storedProgress.ts
@@ -10,10 +10,18 @@
   /** Numbers of the runs of each task under which a worker has crashed, and of those that were alone on it. */
   readonly crashed?: Readonly<Record<string, readonly number[]>>
   readonly crashedAlone?: Readonly<Record<string, readonly number[]>>
+  /** Numbers of the later runs of such a task under which no crash was seen: those that have ended, and those of which no end is known. */
+  readonly endedAfterCrash?: Readonly<Record<string, readonly number[]>>
+  readonly openAfterCrash?: Readonly<Record<string, readonly number[]>>
+  /** Runs of each task that were started and of which no end is known; a successor counts the crashes of their workers that nobody has seen. */
+  readonly open?: Readonly<Record<string, readonly StoredOpenRun[]>>
   /** Latest checkpoint of each unfinished task, from runs whose finish has been acknowledged. */
   readonly checkpoints?: Readonly<Record<string, string>>
 }
 
+/** Number of the run, id of its worker, incarnation of the worker, and Unix time of the start in milliseconds. */
+export type StoredOpenRun = readonly [number, string, number, number]
+
 /** Stored progress of a job by occurrence number: `done`, or the progress of each step. */
 export type JobProgress = Readonly<Record<string, 'done' | readonly StepProgress[]>>
 
@@ -51,8 +59,15 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, crashed, crashedAlone, checkpoints } = recordOf(value)
-  return isString(done) && [failed, crashed, crashedAlone].every(runs => isRecordOf(runs, numbers => isListOf(numbers, isCount))) && isRecordOf(checkpoints, isString)
+  const { done, failed, crashed, crashedAlone, endedAfterCrash, openAfterCrash, open, checkpoints } = recordOf(value)
+  return isString(done) && [failed, crashed, crashedAlone, endedAfterCrash, openAfterCrash].every(runs => isRecordOf(runs, numbers => isListOf(numbers, isCount))) &&
+    isRecordOf(open, runs => isListOf(runs, isOpenRun)) && isRecordOf(checkpoints, isString)
+}
+
+function isOpenRun (value: unknown): value is StoredOpenRun {
+  if (!Array.isArray(value)) return false
+  const [number, workerId, born, startedAtMs] = value as readonly unknown[]
+  return isString(workerId) && [number, born, startedAtMs].every(isCount)
 }
 
 function isRecordOf (value: unknown, isElement: (element: unknown) => boolean): boolean {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -32,14 +32,21 @@
 /** Why a run counts as lost although the worker did not list it as finished. */
 export type LossReason = 'worker-restarted' | 'lease-lapsed' | 'not-listed' | 'not-started'
 
+/** A run of which no end is known, though it isn't running any more or its worker hasn't reported yet. */
+export type UnsettledRun = Pick<Run, 'id' | 'task' | 'number' | 'startedAt'>
+
 /** Events that a link reports to the leader. */
 export interface WorkerEvents {
+  /** A start is about to be sent. Resolves when it may be; undefined if it need not wait. */
+  startPlanned (link: WorkerLink, run: Run): Promise<void> | undefined
   /** The worker lists a finished run. Resolves when its result is stored and may be acknowledged. */
   runFinished (link: WorkerLink, finishedRun: FinishedRun): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
   runLost (link: WorkerLink, run: Run, reason: LossReason): void
-  /** The worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
-  workerCrashed (link: WorkerLink, runs: readonly Run[]): void
+  /** An incarnation of a worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
+  workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void
+  /** The incarnation of the worker that may have had these runs is up and doesn't list them: it has not crashed under them. */
+  runsSettled (runs: readonly UnsettledRun[]): void
   /** The worker refused a start, or the start was never sent. */
   startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void
   /** The worker lists a run that this leader didn't start. Returns undefined if the run must be stopped. */
@@ -105,8 +112,8 @@
 
   /** Whether this incarnation has announced that it leaves. */
   private hasAnnouncedLeave = false
-  /** Runs that were given up when their lease expired; this incarnation may have crashed under them. */
-  private expiredRuns: readonly Run[] = []
+  /** Runs that were given up when their lease expired, and those of earlier leaders; this incarnation may have crashed under them. */
+  private unsettledRuns: readonly UnsettledRun[] = []
   private suspectRuns = 0
   private exclusiveRuns = 0
   private usedCapacity: ResourceVector = NO_RESOURCES
@@ -130,6 +137,7 @@
 
   private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions, unknownRunsExpireInMs: number) {
     this.id = entry.id
+    this.hasAnnouncedLeave = entry.state === 'draining'
     this.token = options.firstToken
     this.unreachableSince = options.clock.now() + ADOPTION_GRACE_MS
     // An earlier leader may have extended the lease up to this moment, or may still do so.
@@ -284,20 +292,25 @@
 
   /** Reports that this incarnation has ended under the runs that it may have had, unless it has announced that it leaves. */
   reportCrash (): void {
-    const runs = [...this.runs.values(), ...this.expiredRuns]
-    this.expiredRuns = []
-    if (runs.length > 0 && !this.hasAnnouncedLeave) this.options.events.workerCrashed(this, runs)
+    const runs = [...this.runs.values(), ...this.unsettledRuns]
+    this.unsettledRuns = []
+    if (runs.length > 0 && !this.hasAnnouncedLeave) this.options.events.workerCrashed(this.entry, runs)
   }
 
-  /** Whether runs were lost here whose incarnation may have crashed. */
-  hasExpiredRuns (): boolean {
-    return this.expiredRuns.length > 0
+  /** Adds runs of earlier leaders, which this incarnation may have. */
+  addUnsettledRuns (runs: readonly UnsettledRun[]): void {
+    this.unsettledRuns = [...this.unsettledRuns, ...runs]
+  }
+
+  /** Whether there are runs under which this incarnation may have crashed, beside those that are tracked. */
+  hasUnsettledRuns (): boolean {
+    return this.unsettledRuns.length > 0
   }
 
   /** Reports the runs as lost if the worker is unreachable and their leases have expired. */
   reportExpired (): void {
     if (this.isAdopted || this.runs.size === 0 || this.options.clock.now() <= this.leasesExpireAt) return
-    if (!this.isDead) this.expiredRuns = [...this.expiredRuns, ...this.runs.values()]
+    if (!this.isDead) this.addUnsettledRuns([...this.runs.values()])
     this.reportLost('lease-lapsed', () => true)
   }
 
@@ -308,7 +321,7 @@
     task.addRun(run)
     task.lastRunNumber = Math.max(task.lastRunNumber, number)
     this.addRun(run)
-    this.inBackground('start', this.sendStart(run, payload, ticket))
+    this.inBackground('start', this.sendStart(run, payload, ticket, this.options.events.startPlanned(this, run)))
     return run
   }
 
@@ -338,10 +351,16 @@
     this.inBackground('stop', this.sendStop(run))
   }
 
-  private async sendStart (run: Run, payload: string, ticket: string) {
-    const { log, events } = this.options
+  private async sendStart (run: Run, payload: string, ticket: string, mayBeSent: Promise<void> | undefined) {
+    const { log, events, mayIssueCommands } = this.options
     // Sent after the scheduling round, which decides on the other tasks first.
-    await Promise.resolve()
+    await (mayBeSent ?? Promise.resolve())
+    if (!this.isTracked(run)) return
+    if (mayBeSent !== undefined && !mayIssueCommands()) {
+      this.removeRun(run)
+      events.startRefused(this, run, 'unreachable')
+      return
+    }
     const leaseUntilMs = this.nextLeaseUntilMs()
     const res = await this.startHedge.call(() => this.startOnce(run, {
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
@@ -461,8 +480,7 @@
     if (!this.isAdopted && token === this.token) {
       this.isAdopted = true
       this.hasReported = true
-      // It was cut off and has not crashed.
-      this.expiredRuns = []
+      this.settleRuns()
       this.unreachableSince = undefined
       log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
     }
@@ -470,6 +488,13 @@
     return stored
   }
 
+  /** Reports the runs that were given up or are of earlier leaders: the worker was cut off, or not adopted yet, and has not crashed. */
+  private settleRuns () {
+    const runs = this.unsettledRuns.filter(({ id, number }) => !this.runs.has(runKeyOf(id, number)))
+    this.unsettledRuns = []
+    if (runs.length > 0) this.options.events.runsSettled(runs)
+  }
+
   private applyFinishedRuns (report: WorkerReport): Promise<unknown> {
     const { events } = this.options
     const unacknowledged = report.ended.filter(finishedRun => finishedRun.sequence > this.acknowledgedSequence)
@@ -547,6 +572,7 @@
     for (const run of runs) {
       run.moveToIncarnation(this, this.options.clock.now())
       this.addRun(run)
+      this.inBackground('record', this.options.events.startPlanned(this, run) ?? Promise.resolve())
       if (run.state === 'stopping') this.inBackground('stop', this.sendStop(run))
     }
   }
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -10,7 +10,7 @@
 import type { WorkerEntry } from './types.js'
 import { WorkerHealth } from './workerHealth.js'
 import { WorkerLink, latestExpiryMs, latestExpiryOnNextIncarnationMs } from './workerLink.js'
-import type { WorkerEvents } from './workerLink.js'
+import type { UnsettledRun, WorkerEvents } from './workerLink.js'
 
 /** Time without progress after which a run counts as stalled; a task that runs ten times slower still gains one percent in this time. */
 const STALL_MS = 2_500
@@ -22,6 +22,13 @@
 /** Maximum number of vanished workers that are remembered. */
 const MAX_GONE_LINKS = 200
 
+/** A run that an earlier leader has started and of which no end is stored. */
+export interface EarlierRun extends UnsettledRun {
+  readonly workerId: string
+  /** Incarnation of the worker. */
+  readonly born: number
+}
+
 export interface WorkerPoolOptions {
   readonly epoch: number
   readonly store: RowStore
@@ -67,6 +74,8 @@
   private readonly leaseExpiries = new Map<WorkerLink, number>()
   /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
   private readonly goneLinks = new Map<string, WorkerLink>()
+  /** Runs of earlier leaders by worker id, until an incarnation of the worker is seen. */
+  private readonly earlierRuns = new Map<string, EarlierRun[]>()
   /** Jobs that may have runs on each worker that gets no more work, as recorded in the roster. */
   private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
@@ -133,6 +142,12 @@
     return this.roster.load()
   }
 
+  /** Adds the runs that earlier leaders have stored. Called once, before any report of a worker is applied. */
+  addEarlierRuns (runs: readonly EarlierRun[]): void {
+    for (const run of runs) this.earlierRuns.set(run.workerId, [...this.earlierRuns.get(run.workerId) ?? [], run])
+    for (const link of this.links.values()) this.settleEarlierRuns(link)
+  }
+
   /**
    * Polls the registry and keeps the links and the roster up to date until the signal aborts. May be called before the
    * jobs are loaded, so that the workers are connected and fenced meanwhile.
@@ -228,7 +243,7 @@
     if (link.isDead && entry !== undefined) return this.connect(entry, signal, link)
     if (link.isDead) link.reportExpired()
     if (link.runs.size > 0 || link.isAdopted) return
-    if (link.hasExpiredRuns()) this.rememberGone(link)
+    if (link.hasUnsettledRuns()) this.rememberGone(link)
     this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
@@ -250,9 +265,26 @@
     // A later worker at the address of one that vanished: that one has not been cut off.
     if (gone !== undefined && entry.born > gone.entry.born) gone.reportCrash()
     this.links.set(entry.id, link)
+    this.settleEarlierRuns(link)
     supervise(() => link.run(signal), { part: `worker ${link.id}`, signal, clock, log })
   }
 
+  /** Gives the runs of earlier leaders to the link of their worker's incarnation; if a later one is listed, the worker has crashed under them or left. */
+  private settleEarlierRuns (link: WorkerLink) {
+    const { id, born } = link.entry
+    const runs = this.earlierRuns.get(id) ?? []
+    if (runs.length === 0) return
+    this.earlierRuns.delete(id)
+    const later = runs.filter(run => run.born > born)
+    if (later.length > 0) this.earlierRuns.set(id, later)
+    link.addUnsettledRuns(runs.filter(run => run.born === born))
+    for (const endedBorn of new Set(runs.map(run => run.born).filter(runBorn => runBorn < born))) {
+      const member = this.roster.membersOfEarlierLeaders().find(other => other.id === id && other.born === endedBorn)
+      const hasAnnouncedLeave = member?.jobs !== undefined && member.lapsesAtMs === undefined
+      if (!hasAnnouncedLeave) this.options.events.workerCrashed({ id, born: endedBorn }, runs.filter(run => run.born === endedBorn))
+    }
+  }
+
   private drop (link: WorkerLink, reason: string) {
     link.declareGone()
     this.leaseExpiries.delete(link)
