--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -86,7 +86,7 @@
   /** Runs one scheduling round: starts the tasks that fit, in order of urgency. */
   runRound (jobs: Iterable<Job>): void {
     this.now = this.options.clock.now()
-    const candidates = this.findCandidates(jobs)
+    const candidates = this.withoutExhausted(this.findCandidates(jobs))
     if (candidates.length === 0) return
     const usable = [...this.options.workers()].filter(worker => worker.canStart(this.now) && !worker.hasExclusiveRun() && this.options.isUsable(worker, this.now))
     const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: new Map() }
@@ -127,11 +127,6 @@
         if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
         const waitingTasks = step.tasks.filter(task => task.isWaiting() && !task.isHeld)
         if (waitingTasks.length === 0 || (step.spec.gang && waitingTasks.length < step.tasks.length)) continue
-        const exhausted = step.hasSuspects ? waitingTasks.find(task => task.crashes().isExhausted()) : undefined
-        if (exhausted !== undefined) {
-          this.options.onExhausted(exhausted)
-          break
-        }
         const aloneTasks = step.spec.gang || !step.hasSuspects ? [] : waitingTasks.filter(task => this.waitsAlone(task))
         candidates.push({
           step,
@@ -146,6 +141,16 @@
       a.lateness - b.lateness || a.queue.priority - b.queue.priority || a.step.job.record.admittedAtMs - b.step.job.record.admittedAtMs)
   }
 
+  /** Reports the tasks that may not be started again, and leaves out their jobs, which have ended with that. */
+  private withoutExhausted (candidates: readonly Candidate[]): readonly Candidate[] {
+    for (const { step, waitingTasks, aloneTasks } of candidates) {
+      if (!step.hasSuspects) continue
+      const exhausted = [...waitingTasks, ...aloneTasks].find(task => task.crashes().isExhausted())
+      if (exhausted !== undefined) this.options.onExhausted(exhausted)
+    }
+    return candidates.filter(({ step }) => step.job.outcome === undefined)
+  }
+
   /** Whether a task has to wait for a worker without other work. */
   private waitsAlone (task: Task): boolean {
     if (!task.crashes().mustRunAlone()) return false
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -122,6 +122,8 @@
   readonly startedAtMs: number
 }
 
+const NO_RUNS: readonly OpenRun[] = []
+
 export class Task {
   private hasEnded = false
   lastRunNumber = 0
@@ -137,7 +139,7 @@
   /** Workers on which a run of this task has failed or stalled. */
   readonly avoidedWorkers = AvoidedWorkers.create()
   private readonly activeRuns: Run[] = []
-  private readonly openRunsByNumber = new Map<number, OpenRun>()
+  private open: readonly OpenRun[] = NO_RUNS
 
   constructor (readonly step: Step, readonly index: number) {}
 
@@ -162,7 +164,7 @@
 
   /** Runs of which no end is known, in the order of their starts: those of this leader, and others that an earlier one has stored. */
   openRuns (): readonly OpenRun[] {
-    return [...this.openRunsByNumber.values()]
+    return this.open
   }
 
   isWaiting (): boolean {
@@ -180,14 +182,11 @@
   }
 
   addOpenRun (run: OpenRun): void {
-    this.openRunsByNumber.delete(run.number)
-    this.openRunsByNumber.set(run.number, run)
-    const [oldest] = this.openRunsByNumber.keys()
-    if (oldest !== undefined && this.openRunsByNumber.size > MAX_OPEN_RUNS_PER_TASK) this.openRunsByNumber.delete(oldest)
+    this.open = [...this.open.filter(({ number }) => number !== run.number), run].slice(-MAX_OPEN_RUNS_PER_TASK)
   }
 
   closeRun (number: number): void {
-    this.openRunsByNumber.delete(number)
+    this.open = this.open.length === 1 && this.open[0]?.number === number ? NO_RUNS : this.open.filter(run => run.number !== number)
   }
 
   markDone (): void {
