fix(cell): a crash counts though its worker was about to leave or to be maintained

A task that crashes workers that drain was started 13 and 19 times after its third crash (crashesThatGoUncounted.test.ts, marked as failing before). Cause: a drain was taken for the end of the worker. Class: a conclusion drawn from a proxy. A crash within the last 3 s before an announced leave is still not told from the leave; under a task with a crash its start counts.

--- a/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
+++ b/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
@@ -110,7 +110,7 @@
 })
 
 // Guards against BUDGET: a crash that a leader had seen was not counted if the store refused its row until that leader died.
-test.failing('a crash that the store refuses to take is counted, though the leader that saw it dies', async t => {
+test('a crash that the store refuses to take is counted, though the leader that saw it dies', async t => {
   const { cell, plan, starts, crashes, isGivenUp } = await createCell()
   let daemonCount = 1
   for (const endMs = cell.clock.now() + PLAY_MS; !isGivenUp() && cell.clock.now() < endMs;) {
@@ -132,7 +132,7 @@
 })
 
 // Guards against BUDGET: the crash of a worker that drains for the maintenance of its VM was not counted, though no order to maintain it had been given.
-test.failing('a crash of a worker that drains for maintenance, before its VM is maintained, is counted', async t => {
+test('a crash of a worker that drains for maintenance, before its VM is maintained, is counted', async t => {
   const { cell, starts, isGivenUp, play } = await createCell({ crashAfterMs: 4_000, maintainsVms: true })
   let wave = 0
   await play(host => {
@@ -146,7 +146,7 @@
 })
 
 // Guards against BUDGET: the crash of a worker that had announced that it leaves was not counted, though it ended long before the announced time.
-test.failing('a crash of a worker that leaves, long before the announced time, is counted', async t => {
+test('a crash of a worker that leaves, long before the announced time, is counted', async t => {
   const { cell, starts, isGivenUp, play } = await createCell({ crashAfterMs: 2_000 })
   await play(host => {
     cell.setRegistry(cell.workers.all().map(({ entry }) => entry === host.entry ? { ...entry, state: 'draining', leavesInMs: 30_000 } : entry))
@@ -175,7 +175,7 @@
 
 for (const [name, { step = {}, end }] of Object.entries(OTHER_ENDS)) {
   // Guards against BUDGET: the rule counts starts after the third crash, and those that ended without a crash were not counted.
-  test.failing(`no more than two starts follow the third crash if they end otherwise (${name})`, async t => {
+  test(`no more than two starts follow the third crash if they end otherwise (${name})`, async t => {
     const { cell, starts, crashes, isGivenUp, play, stopCrashing } = await createCell({ step })
     await play(host => {
       if (crashes() < CONVICTING_CRASHES) return
@@ -190,7 +190,7 @@
 }
 
 // Guards against BUDGET: the rule counts starts after the third crash, and those of a gang that another member's worker broke were not counted.
-test.failing('no more than two starts follow the third crash if they end otherwise (broken gang)', async t => {
+test('no more than two starts follow the third crash if they end otherwise (broken gang)', async t => {
   const { cell, starts, crashes, hostOf, isGivenUp, play, stopCrashing } = await createCell({ step: { count: 2, gang: true } })
   await play(() => {
     if (crashes() < CONVICTING_CRASHES) return
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -258,7 +258,7 @@
   }
 
   workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void {
-    if (this.maintenance?.isDraining(worker.id) === true) return
+    if (this.maintenance?.mayHaveMaintained(worker.id) === true) return
     const { clock, metrics } = this.options
     const isAlone = new Set(runs.map(run => run.task?.step)).size === 1
     this.log.warn('Worker has crashed.', { worker: worker.id, born: worker.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone })
--- a/packages/cell/src/maintenance.ts
+++ b/packages/cell/src/maintenance.ts
@@ -9,6 +9,8 @@
 const WAVES_POLL_INTERVAL_MS = 2_000
 /** Interval between reads of waves and VMs while a wave is active. */
 const VMS_POLL_INTERVAL_MS = 500
+/** Time beyond the maintenance itself within which the restart of the worker is seen, also if the order is carried out late. */
+const MAINTAINED_WITHIN_MS = 10_000
 /** Fraction of a VM's time slot in a wave, after subtracting the maintenance itself, in which its worker may finish its runs. */
 const DRAIN_SHARE = 0.6
 
@@ -55,6 +57,8 @@
   private readonly waves = new Map<number, ActiveWave>()
   private readonly completed = new Set<number>()
   private drainingWorkers: ReadonlySet<string> = new Set()
+  /** Monotonic time of the latest order for the VM of a worker, by worker id. */
+  private readonly orderedAt = new Map<string, number>()
 
   private constructor (private readonly options: MaintenanceOptions) {}
 
@@ -67,6 +71,12 @@
     return this.drainingWorkers.has(workerId)
   }
 
+  /** Whether the VM of a worker may have been maintained a short time ago: the worker has not crashed. */
+  mayHaveMaintained (workerId: string): boolean {
+    const orderedAt = this.orderedAt.get(workerId)
+    return orderedAt !== undefined && this.options.clock.now() - orderedAt <= this.options.maintenanceMs + MAINTAINED_WITHIN_MS
+  }
+
   async run (signal: AbortSignal): Promise<void> {
     const { clock, mayIssueCommands, orderGapMs } = this.options
     await clock.sleep(orderGapMs, signal)
@@ -148,10 +158,14 @@
     if (!mayIssueCommands()) return
     const sentOrder = active.sentOrders.get(vm.id) ?? { workerId: vm.workerId, acceptedAt: undefined }
     active.sentOrders.set(vm.id, sentOrder)
+    this.orderedAt.set(vm.workerId, clock.now())
     const res = await vms.startMaintenance({ vmId: vm.id, wave: active.wave.number, holder, fencingToken })
     log.info('Maintenance ordered.', { wave: active.wave.number, vm: vm.id, worker: vm.workerId, token: fencingToken, runs: this.runCount(vm), outcome: res.ok ? res.val : res.val.reason })
     if (res.err) {
-      if (res.val.verdict === 'not-run') active.sentOrders.delete(vm.id)
+      if (res.val.verdict === 'not-run') {
+        active.sentOrders.delete(vm.id)
+        this.orderedAt.delete(vm.workerId)
+      }
       return
     }
     if (res.val === 'accepted') sentOrder.acceptedAt = clock.now()
@@ -194,6 +208,7 @@
     const { clock, log } = this.options
     this.waves.delete(wave.number)
     this.completed.add(wave.number)
+    for (const workerId of this.orderedAt.keys()) if (!this.mayHaveMaintained(workerId)) this.orderedAt.delete(workerId)
     log.info('Maintenance wave is completed.', { wave: wave.number, tookMs: Math.round(clock.now() - startedAt), durationMs: wave.durationMs })
   }
 }
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -26,6 +26,9 @@
 /** Minimum delay before an unanswered start is sent again, in milliseconds. */
 const MIN_OVERDUE_START_MS = 150
 
+/** The announced time of a leave is read late, by up to one heartbeat and one poll of the registry; the worker may leave that much earlier. */
+const LEAVE_MARGIN_MS = 3_000
+
 /** Prefix of the failure code of a start that the worker refused. */
 const REFUSAL_CODE_PREFIX = 'start-refused:'
 
@@ -294,7 +297,12 @@
   reportCrash (): void {
     const runs = [...this.runs.values(), ...this.unsettledRuns]
     this.unsettledRuns = []
-    if (runs.length > 0 && !this.hasAnnouncedLeave) this.options.events.workerCrashed(this.entry, runs)
+    if (runs.length > 0 && !this.mayHaveLeft()) this.options.events.workerCrashed(this.entry, runs)
+  }
+
+  /** Whether this incarnation has announced that it leaves, and may have done so by now. */
+  private mayHaveLeft (): boolean {
+    return this.hasAnnouncedLeave && (this.leavesInMs() ?? 0) <= LEAVE_MARGIN_MS
   }
 
   /** Adds runs of earlier leaders, which this incarnation may have. */
