--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -12,7 +12,7 @@
 import { Leader } from '../leader.js'
 import { LeaderLease } from '../leaderLease.js'
 import { MemoryMetrics } from '../metrics.js'
-import type { Directory, VmService } from '../ports.js'
+import type { Directory, RowStore, VmService, WorkerClients } from '../ports.js'
 import { StoreHealth } from '../storeHealth.js'
 import type { JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
@@ -69,8 +69,10 @@
   readonly lease: LeaderLease
   readonly jobs: JobService
   leader (): Leader | undefined
-  /** Stops the daemon without releasing its lease. */
+  /** Stops the daemon without releasing its lease; the writes that it is about to send still arrive. */
   kill (): void
+  /** Ends the daemon as SIGKILL does: what it has not sent yet, it never sends. */
+  crash (): void
 }
 
 /** In-memory cell on a simulated clock: a store, workers, an audit, and daemons that tests start and kill. */
@@ -129,6 +131,8 @@
     const abortController = new AbortController()
     const unhedgedStore = linkBytesPerSecond === undefined ? this.store : BandwidthLimitedStore.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond })
     const store = HedgedStore.create(unhedgedStore, clock)
+    let hasCrashed = false
+    const ifAlive = <T>(call: () => Promise<T>) => hasCrashed ? new Promise<T>(() => {}) : call()
     const metrics = MemoryMetrics.create()
     const queues = new Map(this.queues.map(queue => [queue.name, queue]))
     const directory: Directory = {
@@ -149,8 +153,8 @@
     const lease = LeaderLease.create({
       holder: `${name}/${this.daemons.length}`,
       peerAddress: address,
-      store,
-      unhedgedStore,
+      store: guardStore(store, ifAlive),
+      unhedgedStore: guardStore(unhedgedStore, ifAlive),
       clock,
       log: silentLogs.for('lease'),
       refusesConnections: async peerAddress => this.refusesConnections(peerAddress),
@@ -162,9 +166,9 @@
           mayPredecessorBeActive: isEarly,
           holder: `${name}/${this.daemons.length}`,
           ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
-          store,
+          store: guardStore(store, ifAlive),
           directory,
-          clients: workers,
+          clients: guardClients(workers, ifAlive),
           agents: () => options.agents ?? [],
           queue: name => queues.get(name),
           mayIssueCommands: () => lease.isValid(),
@@ -190,6 +194,10 @@
       kill: () => {
         abortController.abort()
         stopLeading()
+      },
+      crash: () => {
+        hasCrashed = true
+        daemon.kill()
       }
     }
     lease.run(abortController.signal).catch(err => this.audit.violations.push(`lease failed: ${String(err)}`))
@@ -242,3 +250,28 @@
     }
   }
 }
+
+type Guard = <T>(call: () => Promise<T>) => Promise<T>
+
+function guardStore (store: RowStore, guard: Guard): RowStore {
+  return {
+    transact: (tx, timeoutMs) => guard(() => store.transact(tx, timeoutMs)),
+    range: (query, timeoutMs) => guard(() => store.range(query, timeoutMs)),
+    changes: (table, version, waitMs) => guard(() => store.changes(table, version, waitMs)),
+    clockMs: () => store.clockMs()
+  }
+}
+
+function guardClients (clients: WorkerClients, guard: Guard): WorkerClients {
+  return {
+    create: entry => {
+      const client = clients.create(entry)
+      return {
+        heartbeat: (cmd, timeoutMs) => guard(() => client.heartbeat(cmd, timeoutMs)),
+        start: (cmd, timeoutMs) => guard(() => client.start(cmd, timeoutMs)),
+        stop: (cmd, timeoutMs) => guard(() => client.stop(cmd, timeoutMs)),
+        close: () => client.close()
+      }
+    }
+  }
+}
--- a/soak/src/crashRun.ts
+++ b/soak/src/crashRun.ts
@@ -8,12 +8,13 @@
 
 /**
  * What happens to the leader beside the crashes.
+ * `killed-at-start`: SIGKILL at each start of a deadly task.
  * `killed-at-crash`: SIGKILL in the same moment as each second crash.
  * `killed-before-crash`: SIGKILL shortly before each crash.
  * `answers-lost`: after each crash the store loses its answers for a while, and the leader is killed before they return.
  * `refused-at-return`: the store refuses all writes for a while from the worker's return on, and the leader is killed before it accepts them.
  */
-export const LEADER_TROUBLES = ['none', 'killed-at-crash', 'killed-before-crash', 'answers-lost', 'refused-at-return'] as const
+export const LEADER_TROUBLES = ['none', 'killed-at-start', 'killed-at-crash', 'killed-before-crash', 'answers-lost', 'refused-at-return'] as const
 export type LeaderTrouble = typeof LEADER_TROUBLES[number]
 
 export interface CrashRunOptions {
@@ -90,6 +91,7 @@
     if (counts.crashes >= CONVICTING_CRASHES) counts.startsAfterThirdCrash++
     const { born } = host.entry
     const ifStillRunning = (act: () => void) => () => { if (host.entry.born === born && host.runningTasks().includes(name)) act() }
+    if (this.options.trouble === 'killed-at-start') this.killLeader()
     if (this.options.trouble === 'killed-before-crash') setTimeout(ifStillRunning(() => this.killLeader()), CRASH_AFTER_MS - KILLED_BEFORE_MS)
     setTimeout(ifStillRunning(() => this.crashHosts(task.jobId)), CRASH_AFTER_MS)
     return DEADLY_RUN_MS
