--- a/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
+++ b/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
@@ -3,6 +3,7 @@
 import { TABLES } from '../constants.js'
 import { CrashPlan, MemoryVms, TestCell, createStep, createWorkerEntry } from '../testing/index.js'
 import type { MemoryWorker, WriteFault } from '../testing/index.js'
+import type { VmService } from '../ports.js'
 import type { StepSpec } from '../types.js'
 
 /** A task that has crashed three workers may start again fewer than three times, however these starts end (issue 37). */
@@ -205,3 +206,35 @@
   t.true(isGivenUp())
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against jobs that are given up without cause: the maintenance of its VM ends a worker, which has not crashed.
+test('the maintenance of a VM convicts no task', async t => {
+  const clock = ManualClock.create()
+  const vms = MemoryVms.create(clock, 2_000, { 'vm-w0': 'w0' })
+  const maintained: VmService = {
+    list: () => vms.list(),
+    close: () => vms.close(),
+    startMaintenance: async order => {
+      const [worker] = cell.workers.all()
+      if (!vms.hasHadMaintenance(order.vmId, order.wave) && worker !== undefined) {
+        worker.crash()
+        clock.after(2_000, () => {
+          worker.restart(worker.entry.born + 1)
+          cell.setRegistry([worker.entry])
+        })
+      }
+      return vms.startMaintenance(order)
+    }
+  }
+  const cell: TestCell = TestCell.create({ clock, workers: [createWorkerEntry('w0')], vms: maintained, behaviour: () => ({ durationMs: 120_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId)))
+  cell.maintenanceWaves = [{ number: 1, vmIds: ['vm-w0'], durationMs: 8_000, maxConcurrent: 1 }]
+  t.true(await cell.advanceUntil(() => vms.hasHadMaintenance('vm-w0', 1)))
+  await clock.advance(10_000)
+  t.is(cell.workers.all()[0]?.runningTasks().length, 1)
+  const crashed = cell.store.committedTransactions.flatMap(tx => tx.puts).filter(({ table, value }) => table === TABLES.progress && JSON.stringify(value).includes('crashed'))
+  t.deepEqual(crashed, [])
+})
