--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -344,7 +344,8 @@
   private giveUp (task: Task) {
     const { job, index } = task.step
     const crashes = task.crashes()
-    this.log.warn('Job is given up, because workers crash under one of its tasks.', { job: job.id, step: index, task: task.index, crashes: crashes.count(), alone: crashes.aloneCount(), runs: crashes.runs().all })
+    const { all: runs, ended: endedRuns, open: openRuns } = crashes.runs()
+    this.log.warn('Job is given up, because workers crash under one of its tasks.', { job: job.id, step: index, task: task.index, crashes: crashes.count(), alone: crashes.aloneCount(), runs, endedRuns, openRuns })
     this.options.metrics.count('jobs_given_up')
     this.endJob(job, 'failed')
   }
