fix(cell): what other daemons knew of the configuration holds for a bounded time

Cause: 'no daemon has a newer configuration' was kept from a failed refresh until the configuration was confirmed or the next refresh ended, however long ago the daemons had been asked. After a suspension, or with an event loop that was busy for seconds, requests were answered by it at once.

Ruled out: the age of the configuration itself; it counts the time of a suspension, as it is measured by a stopwatch and by the store's clock.

Change: the outcome of a refresh is used for as long as a confirmation is, from the moment at which the daemons were asked. A request that comes later waits for a refresh.

--- a/packages/cell/src/__tests__/configWatch.test.ts
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -77,6 +77,24 @@
   t.true(await cell.watch.mayAnswer())
 })
 
+// Guards against CONFIG: after a suspension, requests were answered by what the other daemons had known before it.
+test('that the others have no newer configuration holds only for as long as a confirmation does', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
+  await cell.clock.advance(100)
+  cell.storeDelayMs = () => Infinity
+  cell.arePeersRefused = true
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.true(await cell.watch.mayAnswer())
+  // The monotonic clock stands still while the VM is suspended.
+  cell.clock.stepWallClock(APPLY_WITHIN_MS)
+  cell.arePeersRefused = false
+  cell.publish()
+  const mayAnswer = cell.watch.mayAnswer().then(allowed => [allowed, cell.inForce.version()])
+  await cell.clock.advance(STEP_MS)
+  t.deepEqual(await mayAnswer, [true, cell.published()])
+  cell.stop()
+})
+
 // Guards against CONFIG: a read that returns an older version must neither put it in force nor confirm the newer one.
 test('an older version is not put in force and confirms nothing', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => Infinity })
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -33,8 +33,12 @@
   readonly metrics: CellMetrics
 }
 
-/** `none-newer`: most of the daemons that were asked have answered, and none has confirmed its configuration in time. */
-type FailedRefresh = 'none-newer' | 'unanswered'
+interface FailedRefresh {
+  /** `none-newer`: most of the daemons that were asked have answered, and none has confirmed its configuration in time. */
+  readonly outcome: 'none-newer' | 'unanswered'
+  /** Started when the daemons were asked. */
+  readonly sinceRequest: Stopwatch
+}
 
 /**
  * Keeps the configuration in force up to date: watches it in the store and, when the watch doesn't confirm it in time,
@@ -44,7 +48,7 @@
   private isWatching = false
   private refreshing: Promise<void> | undefined
   private refreshedAt = -Infinity
-  /** Outcome of the last refresh; undefined once the configuration has been confirmed. */
+  /** Last refresh, unless the configuration has been confirmed by it or since. */
   private failedRefresh: FailedRefresh | undefined
 
   private constructor (private readonly options: ConfigWatchOptions) {}
@@ -59,8 +63,8 @@
    */
   async mayAnswer (): Promise<boolean> {
     if (!this.isOlderThan(TOO_OLD_FRACTION)) return true
-    if (this.failedRefresh === undefined) await this.refresh()
-    return !this.isOlderThan(TOO_OLD_FRACTION) || this.failedRefresh === 'none-newer'
+    if (this.lastOutcome() === undefined) await this.refresh()
+    return !this.isOlderThan(TOO_OLD_FRACTION) || this.lastOutcome() === 'none-newer'
   }
 
   /** Watches the configuration in the store. */
@@ -114,6 +118,13 @@
     }
   }
 
+  /** Outcome of the last refresh that failed; undefined once it is too old to tell anything. */
+  private lastOutcome (): FailedRefresh['outcome'] | undefined {
+    if (this.failedRefresh === undefined) return undefined
+    const { outcome, sinceRequest } = this.failedRefresh
+    return sinceRequest.elapsedMs() <= TOO_OLD_FRACTION * this.options.applyWithinMs ? outcome : undefined
+  }
+
   private isOlderThan (fraction: number): boolean {
     return this.options.inForce.ageMs() > fraction * this.options.applyWithinMs
   }
@@ -128,7 +139,8 @@
   }
 
   private async askAll (): Promise<void> {
-    const { inForce, askPeers } = this.options
+    const { inForce, askPeers, clock, metrics } = this.options
+    const sinceRequest = Stopwatch.start(clock)
     const answers = askPeers(inForce.version())
     const known = await new Promise<ReadonlyArray<KnownConfig | undefined> | 'confirmed'>((resolve, reject) => {
       const settleIfConfirmed = () => { if (!this.isOlderThan(OLD_FRACTION)) resolve('confirmed') }
@@ -142,8 +154,8 @@
       const read = this.isWatching ? this.readStore().then(settleIfConfirmed) : Promise.resolve()
       Promise.all([Promise.all(peers), read]).then(([all]) => resolve(all), reject)
     })
-    this.failedRefresh = known === 'confirmed' ? undefined : hasMajority(known) ? 'none-newer' : 'unanswered'
-    this.options.metrics.count(`config_refreshes_${this.failedRefresh ?? 'confirmed'}`)
+    this.failedRefresh = known === 'confirmed' ? undefined : { outcome: hasMajority(known) ? 'none-newer' : 'unanswered', sinceRequest }
+    metrics.count(`config_refreshes_${this.failedRefresh?.outcome ?? 'confirmed'}`)
   }
 
   private async readStore (): ReturnType<Directory['readConfig']> {
