fix(cell): a leader starts nothing by a configuration that may be outdated

Cause: the leader placed tasks at the service that its own configuration names for a queue, however old that was, and before its first read at the service that the queue had when the job was admitted. It could be outdated while the lease was valid: when the store answered the lease but not the configuration, and on a daemon that was elected right after its start.

Ruled out: an outage of the whole store (the lease ends after 2 s, sooner than a change is due), and starts that are sent late (they are sent with the round that decides on them, and repeated for 900 ms at most).

Change: a scheduling round is run only while ConfigWatch takes the configuration for recent, as for requests. It asks other daemons before that ends, so that a slow store, or one that tells no daemon of changes, holds up no starts. Ends, stops, leases and cancellations go on. The in-memory cell has the real watch now, with answers that tests can hold up.

A leader that reaches neither the configuration nor another daemon starts nothing until it does.

--- a/packages/cell/src/__tests__/droppedQueue.test.ts
+++ b/packages/cell/src/__tests__/droppedQueue.test.ts
@@ -13,8 +13,8 @@
   await cell.advanceUntil(() => cell.leader() !== undefined)
   const jobId = await cell.submit(first, [createStep(), createStep({ after: [0] }), createStep({ after: [1] })])
   await cell.advanceUntil(() => cell.audit.hasStarted(jobId))
-  cell.queues = [createQueue()]
   first.kill()
+  cell.publishQueues([createQueue()])
   cell.startDaemon('d2')
   return { cell, jobId }
 }
--- /dev/null
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -0,0 +1,90 @@
+import { Failure } from '@citronnotch/base/errors'
+import { Err } from '@citronnotch/base/result'
+import test from 'ava'
+import { CONFIG_APPLY_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
+import type { TestDaemon } from '../testing/index.js'
+
+const OTHER_SERVICE = 'archive'
+const MOVED_QUEUE = createQueue({ service: OTHER_SERVICE })
+const REFUSED = Err(Failure.notRun('store-refused', 'The store refuses the call.'))
+/** Time that a slow store takes to answer. */
+const SLOW_MS = 850
+/** Time after which a read without an answer fails. */
+const READ_TIMEOUT_MS = 900
+/** Time within which a task starts: an interval of scheduling and one of refreshes. */
+const START_WITHIN_MS = 1_000
+
+// Guards against ROUTE: a leader that held its lease but could learn of no change started tasks at the service of the version before.
+test('a leader starts nothing once its configuration may be outdated, and goes on with other work', async t => {
+  const { cell, leader, other } = await createCell(CONFIG_APPLY_MS + START_WITHIN_MS)
+  const running = await cell.submit(other, [createStep()])
+  await cell.advanceUntil(() => cell.audit.hasStarted(running))
+  cell.beforeConfigRead = daemon => daemon === leader.name ? REFUSED : undefined
+  cell.arePeersReachable = false
+  cell.publishQueues([MOVED_QUEUE])
+  await cell.clock.advance(CONFIG_APPLY_MS)
+  const late = await cell.submit(other, [createStep()])
+  await cell.clock.advance(CONFIG_APPLY_MS)
+  t.is(cell.leader(), leader.leader(), 'its lease is valid')
+  t.deepEqual(cell.audit.startsOf(late), [])
+  t.is(cell.leader()?.stateOf(running), 'completed')
+  cell.arePeersReachable = true
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(late) === 'completed'))
+  t.deepEqual(cell.audit.startsOf(late), ['w2'])
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against ROUTE: a leader that had read no configuration yet started tasks at the service that the queue had when they were admitted.
+test('a leader without a configuration starts nothing', async t => {
+  const { cell, leader, other } = await createCell()
+  const jobId = await cell.submit(leader, [createStep(), createStep({ after: [0] })])
+  await cell.advanceUntil(() => cell.audit.hasStarted(jobId))
+  cell.beforeConfigRead = () => REFUSED
+  cell.arePeersReachable = false
+  leader.kill()
+  other.kill()
+  cell.publishQueues([MOVED_QUEUE])
+  const successor = cell.startDaemon('d3')
+  t.true(await cell.advanceUntil(() => cell.leader() === successor.leader()))
+  await cell.clock.advance(3 * CONFIG_APPLY_MS)
+  t.deepEqual(cell.audit.startsOf(jobId), ['w1'])
+  cell.beforeConfigRead = () => undefined
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.startsOf(jobId), ['w1', 'w2'])
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against jobs that wait: neither a slow store nor one that tells nobody of changes may hold up starts.
+test('tasks start while the store answers slowly, and while no daemon can know of a newer configuration', async t => {
+  const { cell, other } = await createCell()
+  const faults = {
+    slow: async () => {
+      await cell.clock.sleep(SLOW_MS)
+      return undefined
+    },
+    silent: async () => {
+      await cell.clock.sleep(READ_TIMEOUT_MS)
+      return REFUSED
+    },
+    refused: () => REFUSED
+  }
+  for (const [name, fault] of Object.entries(faults)) {
+    cell.beforeConfigRead = fault
+    for (let elapsedMs = 0; elapsedMs < 4 * CONFIG_APPLY_MS; elapsedMs += START_WITHIN_MS) {
+      const jobId = await cell.submit(other, [createStep()])
+      await cell.clock.advance(START_WITHIN_MS)
+      t.true(cell.audit.hasStarted(jobId), `${name}, after ${elapsedMs} ms`)
+    }
+  }
+  t.deepEqual(cell.audit.violations, [])
+})
+
+/** Returns a cell of two daemons, the first of which leads, with a worker of each service. */
+async function createCell (runMs = 500): Promise<{ readonly cell: TestCell, readonly leader: TestDaemon, readonly other: TestDaemon }> {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1'), createWorkerEntry('w2', { service: OTHER_SERVICE })], behaviour: () => ({ durationMs: runMs, end: 'done' }) })
+  const leader = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const other = cell.startDaemon('d2')
+  await cell.clock.advance(START_WITHIN_MS)
+  return { cell, leader, other }
+}
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -191,6 +191,7 @@
       clients,
       agents: () => this.agents,
       queue: name => this.config.queue(name),
+      isConfigRecent: () => this.configWatch.isRecent(),
       mayIssueCommands: () => this.lease.isValid(),
       onDeposed: () => this.stopLeading(),
       onRefused: () => this.lease.renewNow(),
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -57,14 +57,18 @@
     return new ConfigWatch(options)
   }
 
+  /** Whether the configuration in force may be acted on: it was confirmed in time, or other daemons don't know a newer one either. */
+  isRecent (): boolean {
+    return !this.isOlderThan(TOO_OLD_FRACTION) || this.lastOutcome() === 'none-newer'
+  }
+
   /**
-   * Whether requests may be answered by the configuration in force: it was confirmed in time, or other daemons don't know
-   * a newer one either. Waits for the first refresh of one that is too old, and not for those that follow.
+   * Whether requests may be answered by the configuration in force, which is so while it is recent. Waits for the first
+   * refresh of one that is too old, and not for those that follow.
    */
   async mayAnswer (): Promise<boolean> {
-    if (!this.isOlderThan(TOO_OLD_FRACTION)) return true
-    if (this.lastOutcome() === undefined) await this.refresh()
-    return !this.isOlderThan(TOO_OLD_FRACTION) || this.lastOutcome() === 'none-newer'
+    if (!this.isRecent() && this.lastOutcome() === undefined) await this.refresh()
+    return this.isRecent()
   }
 
   /** Watches the configuration in the store. */
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -52,6 +52,8 @@
   readonly clients: WorkerClients
   readonly agents: () => readonly AdviceAgent[]
   readonly queue: (name: string) => Queue | undefined
+  /** Whether tasks may be started by the configuration in force, which says at which service. */
+  readonly isConfigRecent: () => boolean
   readonly mayIssueCommands: () => boolean
   readonly onDeposed: () => void
   /** Called when the store has refused a transaction of this leader without executing it. */
@@ -392,7 +394,7 @@
   }
 
   private runRound () {
-    if (!this.isLoaded || !this.options.mayIssueCommands() || !this.workers.isRegistryRecent() || this.stopping.signal.aborted) return
+    if (!this.isLoaded || !this.options.mayIssueCommands() || !this.workers.isRegistryRecent() || !this.options.isConfigRecent() || this.stopping.signal.aborted) return
     const { clock, metrics } = this.options
     const startedAt = clock.now()
     this.dispatcher.runRound(this.dispatchable())
--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -17,7 +17,8 @@
   /** Runs that are done, as `worker#run` by task, without those whose worker has ended before their end was acknowledged. */
   private readonly doneEnds = new Map<string, Set<string>>()
   private readonly specs = new Map<string, JobSpec>()
-  private readonly startedJobs = new Set<string>()
+  /** Workers on which tasks of each job were started, in order. */
+  private readonly starts = new Map<string, string[]>()
 
   private constructor () {}
 
@@ -39,7 +40,7 @@
     const taskName = formatTaskId(task)
     const spec = this.specs.get(task.jobId)
     const step = spec?.steps[task.step]
-    this.startedJobs.add(task.jobId)
+    this.starts.set(task.jobId, [...this.startsOf(task.jobId), workerId])
     if (spec === undefined || step === undefined) this.violations.push(`${taskName} was never submitted`)
     else if (spec.payload !== payload) this.violations.push(`${taskName} started with another payload`)
     if ((this.doneEnds.get(taskName)?.size ?? 0) > 0 && step?.longRunning !== true) this.violations.push(`${taskName} run ${run} started on ${workerId} after it was done`)
@@ -93,7 +94,12 @@
   }
 
   hasStarted (jobId: string): boolean {
-    return this.startedJobs.has(jobId)
+    return this.starts.has(jobId)
+  }
+
+  /** Workers on which tasks of a job were started, in order. */
+  startsOf (jobId: string): readonly string[] {
+    return this.starts.get(jobId) ?? []
   }
 
   isDone (task: TaskId): boolean {
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -4,7 +4,10 @@
 import type { Failure } from '@citronnotch/base/errors'
 import { Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
+import { Stopwatch } from '@citronnotch/base/stopwatch'
 import type { AdviceAgent } from '../advice.js'
+import { ConfigInForce } from '../configInForce.js'
+import { ConfigWatch } from '../configWatch.js'
 import { HedgedStore } from '../hedgedStore.js'
 import { STEP_DEFAULTS } from '../jobRecord.js'
 import { JobService } from '../jobService.js'
@@ -12,9 +15,9 @@
 import { Leader } from '../leader.js'
 import { LeaderLease } from '../leaderLease.js'
 import { MemoryMetrics } from '../metrics.js'
-import type { Directory, VmService } from '../ports.js'
+import type { ConfigReading, Directory, VmService } from '../ports.js'
 import { StoreHealth } from '../storeHealth.js'
-import type { JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
+import type { CellConfig, JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
 import { MemoryStore } from './memoryStore.js'
 import { BandwidthLimitedStore } from './bandwidthLimitedStore.js'
@@ -23,6 +26,9 @@
 export const SERVICE = 'dispatch'
 /** Time after which no task may start on a worker that is registered as draining. */
 export const DRAIN_MS = 2_500
+/** Time within which a confirmed configuration must be in force. */
+export const CONFIG_APPLY_MS = 2_500
+const CONFIG_POLL_MS = 20
 const silentLogs = LogFactory.create({ levels: { '*': 'fatal' } })
 
 export function createQueue (fields: Partial<Queue> = {}): Queue {
@@ -68,6 +74,7 @@
   readonly name: string
   readonly lease: LeaderLease
   readonly jobs: JobService
+  readonly config: ConfigInForce
   leader (): Leader | undefined
   /** Stops the daemon without releasing its lease. */
   kill (): void
@@ -83,21 +90,24 @@
   readonly daemons: TestDaemon[] = []
   /** Maintenance waves that the operator requests. */
   maintenanceWaves: readonly MaintenanceWave[] = []
-  /** Queues in the configuration of the daemons that start from now on. */
-  queues: readonly Queue[]
   /** Wave states published to the operator, each as `<wave> <state>`. */
   readonly publishedWaveStates: string[] = []
   /** Called before each read of the worker registry; returns a failure to inject, or throws. */
   beforeRegistryRead: () => Result<never, Failure> | undefined | Promise<Result<never, Failure>> = () => undefined
+  /** Called before each answer about the configuration to a daemon; returns a failure to inject. */
+  beforeConfigRead: (daemon: string) => Result<never, Failure> | undefined | Promise<Result<never, Failure> | undefined> = () => undefined
+  /** Whether the daemons reach each other to ask for the configuration; tests set it. */
+  arePeersReachable = true
   /** Whether connections to a peer address are refused; tests set it. */
   refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
   private nextJobNumber = 1
+  private config: CellConfig
 
   private constructor (private readonly options: TestCellOptions) {
     this.clock = options.clock ?? ManualClock.create()
     this.store = MemoryStore.create({ clock: this.clock })
-    this.queues = options.queues ?? [createQueue()]
+    this.config = { version: 1, queues: options.queues ?? [createQueue()], limits: { maxBodyBytes: 100_000 } }
     this.registry = options.workers ?? [createWorkerEntry('w1'), createWorkerEntry('w2')]
     for (const entry of this.registry) {
       this.workers.add(MemoryWorker.create({
@@ -124,16 +134,29 @@
     this.registry = entries
   }
 
+  /** Changes the configuration, as the operator does. */
+  publishQueues (queues: readonly Queue[]): void {
+    this.config = { ...this.config, version: this.config.version + 1, queues }
+  }
+
   startDaemon (name: string, address = `${name}:1`, linkBytesPerSecond?: number): TestDaemon {
     const { clock, workers, options } = this
     const abortController = new AbortController()
     const unhedgedStore = linkBytesPerSecond === undefined ? this.store : BandwidthLimitedStore.create({ store: this.store, clock, bytesPerSecond: linkBytesPerSecond })
     const store = HedgedStore.create(unhedgedStore, clock)
     const metrics = MemoryMetrics.create()
-    const queues = new Map(this.queues.map(queue => [queue.name, queue]))
+    const config = ConfigInForce.create({ storeClock: () => store.clockMs(), clock, log: silentLogs.for('config') })
+    const readConfig = async (): Promise<Result<ConfigReading, Failure>> => {
+      const reading = { config: this.config, version: this.config.version, asOfMs: store.clockMs()?.earliest }
+      return await this.beforeConfigRead(name) ?? Ok(reading)
+    }
     const directory: Directory = {
-      readConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
-      watchConfig: async () => Ok({ config: undefined, version: 0, asOfMs: undefined }),
+      readConfig,
+      watchConfig: async (version, waitMs) => {
+        const sinceRequest = Stopwatch.start(clock)
+        while (this.config.version <= version && sinceRequest.elapsedMs() < waitMs) await clock.sleep(CONFIG_POLL_MS)
+        return readConfig()
+      },
       listWorkers: async () => await this.beforeRegistryRead() ?? Ok(this.registry),
       listWaves: async () => Ok(this.maintenanceWaves),
       publishWave: async (wave, state) => {
@@ -141,6 +164,16 @@
         return Ok(undefined)
       }
     }
+    const configWatch = ConfigWatch.create({
+      inForce: config,
+      directory,
+      askPeers: version => this.daemons.filter(daemon => daemon.config !== config).map(async daemon => this.arePeersReachable ? daemon.config.known(version) : undefined),
+      storeUnavailableMs: () => 0,
+      applyWithinMs: CONFIG_APPLY_MS,
+      clock,
+      log: silentLogs.for('config'),
+      metrics
+    })
     let leader: Leader | undefined
     const stopLeading = () => {
       leader?.stop()
@@ -166,7 +199,8 @@
           directory,
           clients: workers,
           agents: () => options.agents ?? [],
-          queue: name => queues.get(name),
+          queue: name => config.queue(name),
+          isConfigRecent: () => configWatch.isRecent(),
           mayIssueCommands: () => lease.isValid(),
           onDeposed: stopLeading,
           onRefused: () => lease.renewNow(),
@@ -185,6 +219,7 @@
     const daemon: TestDaemon = {
       name,
       lease,
+      config,
       leader: () => leader,
       jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(), clock, log: silentLogs.for('jobs'), metrics }),
       kill: () => {
@@ -192,6 +227,7 @@
         stopLeading()
       }
     }
+    for (const run of [configWatch.run(abortController.signal), configWatch.monitor(abortController.signal)]) run.catch(err => this.audit.violations.push(`configuration failed: ${String(err)}`))
     lease.run(abortController.signal).catch(err => this.audit.violations.push(`lease failed: ${String(err)}`))
     this.daemons.push(daemon)
     return daemon
