fix(cell,platform): a daemon that the store refuses from its start finds other daemons

Cause: the list of daemons lay in the store only. A daemon that started while the store refused it knew no other one, could ask nobody for the configuration and answered 503 'no configuration yet' until the store answered it.

Ruled out: asking the seeds for the configuration itself (three machines would send it in full to all that start while the store is down), and seeds as permanent peers (they may be stale).

While the list of daemons can't be read and is empty, one of them is asked for the list, another one each second; a daemon without a configuration names nobody. The list is then used like one that was read, so that the configuration is asked from four daemons chosen from all.

Conclusion: such a daemon has the configuration within a few seconds if one of its seeds has. Who leads is still read from the store only, so that it can deny routes, and not yet submit jobs through the leader.

--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -46,6 +46,8 @@
   readonly name: string
   /** `ip:port` that other daemons connect to. */
   readonly peerAddress: string
+  /** Peer addresses at which other daemons may be found without the store; some may be gone. */
+  readonly initialPeers: readonly string[]
   /** Capacity to lead, relative to other daemons, such as the cores of its VM. */
   readonly leadershipWeight: number
   /** Maximum lease that a worker grants, in milliseconds. */
@@ -103,7 +105,7 @@
     })
     this.holder = `${name}/${randomUUID()}`
     this.membership = Membership.create({
-      self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, store, peerClients: this.peerClients, random: Math.random, clock, log: this.log
+      self: { name, peerAddress, leadershipWeight: options.leadershipWeight, startedMs: clock.date().getTime() }, initialPeers: options.initialPeers, store, peerClients: this.peerClients, random: Math.random, clock, log: this.log
     })
     this.lease = LeaderLease.create({
       holder: this.holder,
@@ -306,6 +308,7 @@
         return pending === undefined ? {} : { pending }
       },
       config: ({ version }) => this.config.known(version) ?? {},
+      daemons: () => this.config.current() === undefined ? {} : { daemons: this.membership.all() },
       canTakeOver: async () => {
         const readTimeMs = await this.takeOverReadTimeMs()
         return readTimeMs === undefined ? {} : { readTimeMs }
--- a/packages/cell/src/membership.ts
+++ b/packages/cell/src/membership.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { finiteOr, isString, recordOf } from '@citronnotch/base/untrusted'
+import { finiteOr, isFiniteNumber, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
 import { isSocketAddress } from '@citronnotch/base/utils'
-import { DAEMONS_PARTITION, STORE_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TABLES } from './constants.js'
+import { DAEMONS_PARTITION, PEER_TIMEOUT_MS, STORE_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TABLES } from './constants.js'
 import type { Successor } from './leaderLease.js'
 import type { PeerClients } from './peers.js'
 import type { RowStore, StoredRow } from './ports.js'
@@ -16,6 +16,8 @@
 const NEAR_MARGIN_MS = 10
 /** Timeout of the takeover request: two calls to the store and a round trip between regions. */
 const TAKEOVER_TIMEOUT_MS = 600
+/** Minimum interval between calls for the list of daemons to initial peers, of which each is asked by many daemons. */
+const INITIAL_PEER_INTERVAL_MS = 1_000
 /** Allowance for the network round trip of a call to another daemon. */
 const PEER_ROUND_TRIP_MS = 100
 
@@ -31,6 +33,8 @@
 export interface MembershipOptions {
   /** This daemon, as the others find it. */
   readonly self: Peer
+  /** Peer addresses of daemons that may know the others; some may be gone. */
+  readonly initialPeers: readonly string[]
   readonly store: RowStore
   readonly peerClients: PeerClients
   /** Random number of at least 0 and less than 1. */
@@ -43,8 +47,12 @@
 export class Membership {
   /** The other registered daemons. */
   private peers: readonly Peer[] = []
+  private initialPeersAsked = 0
+  private initialPeerAskedAt = -Infinity
 
-  private constructor (private readonly options: MembershipOptions) {}
+  private constructor (private readonly options: MembershipOptions) {
+    this.initialPeersAsked = Math.floor(options.random() * options.initialPeers.length)
+  }
 
   static create (options: MembershipOptions): Membership {
     return new Membership(options)
@@ -56,6 +64,11 @@
     return this.peers
   }
 
+  /** All known daemons, this one included. */
+  all (): readonly Peer[] {
+    return [this.options.self, ...this.peers]
+  }
+
   /** Up to `count` of the other daemons, chosen at random. */
   sample (count: number): readonly Peer[] {
     const rest = [...this.peers]
@@ -100,11 +113,24 @@
     }, timeoutMs)
   }
 
-  /** Reads the list of daemons; it stays as it is when the read fails. */
+  /** Reads the list of daemons; when the read fails it stays as it is, or is taken from another daemon while it is empty. */
   async refresh (): Promise<void> {
     const { store, self } = this.options
     const page = await store.range({ table: TABLES.daemons, partition: DAEMONS_PARTITION }, STORE_TIMEOUT_MS)
-    if (page.ok) this.peers = page.val.rows.filter(({ key }) => key !== self.name).flatMap(row => decodePeer(row) ?? [])
+    if (page.ok) this.peers = page.val.rows.filter(({ key }) => key !== self.name).flatMap(row => decodeRow(row) ?? [])
+    else if (this.peers.length === 0) await this.askInitialPeer()
+  }
+
+  /** Takes the list of daemons from one of the initial peers, a different one each time. */
+  private async askInitialPeer () {
+    const { initialPeers, peerClients, self, clock, log } = this.options
+    if (initialPeers.length === 0 || clock.now() - this.initialPeerAskedAt < INITIAL_PEER_INTERVAL_MS) return
+    this.initialPeerAskedAt = clock.now()
+    const address = initialPeers[this.initialPeersAsked++ % initialPeers.length] ?? ''
+    const res = await peerClients.call(address, 'daemons', {}, PEER_TIMEOUT_MS)
+    const listed = res.ok ? recordOf(res.val).daemons : []
+    this.peers = isListOf(listed, isPeer) ? listed.filter(({ name }) => name !== self.name) : []
+    if (this.peers.length > 0) log.info('List of daemons taken from another daemon, as the store does not answer.', { from: address, daemons: this.peers.length })
   }
 
   private minBetterWeight (): number {
@@ -138,8 +164,13 @@
 }
 
 /** Returns undefined if the row isn't that of a daemon that can be called. */
-function decodePeer ({ key, value }: StoredRow): Peer | undefined {
+function decodeRow ({ key, value }: StoredRow): Peer | undefined {
   const { peerAddress, strength, startedMs } = recordOf(value)
   if (!isString(peerAddress) || !isSocketAddress(peerAddress)) return undefined
   return { name: key, peerAddress, leadershipWeight: finiteOr(strength, 0), startedMs: finiteOr(startedMs, 0) }
 }
+
+function isPeer (value: unknown): value is Peer {
+  const { name, peerAddress, leadershipWeight, startedMs } = recordOf(value)
+  return isString(name) && isString(peerAddress) && isSocketAddress(peerAddress) && isFiniteNumber(leadershipWeight) && isFiniteNumber(startedMs)
+}
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -9,6 +9,7 @@
 import type { Verdict } from '@citronnotch/base/verdict'
 import type { KnownConfig } from './configInForce.js'
 import type { JobRecord } from './jobRecord.js'
+import type { Peer } from './membership.js'
 import type { JobState } from './types.js'
 
 /** Result of a call that one daemon makes on behalf of another. */
@@ -29,6 +30,8 @@
   pending: { readonly req: { readonly queue: string }, readonly res: { readonly pending?: number } }
   /** Configuration that a daemon has in force, in full unless that is `version`; empty when it has none. */
   config: { readonly req: { readonly version: number }, readonly res: Partial<KnownConfig> }
+  /** Daemons that a daemon knows, with itself; empty when it has no configuration, as it is of no use to the asking one then. */
+  daemons: { readonly req: Record<string, never>, readonly res: { readonly daemons?: readonly Peer[] } }
   /** Asks a daemon whether it could lead, and in what time it reads the lease; the time is missing when it could not. */
   canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly readTimeMs?: number } }
   /** Asks a daemon to take over from a leader that issues no more commands. */
@@ -43,7 +46,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'canTakeOver', 'takeOver', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'daemons', 'canTakeOver', 'takeOver', 'advise']
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** Ping interval and ping timeout: a dead connection is closed within twice this time. */
 const KEEPALIVE_MS = 1_000
