--- a/packages/cell/src/membership.ts
+++ b/packages/cell/src/membership.ts
@@ -47,11 +47,11 @@
 export class Membership {
   /** The other registered daemons. */
   private peers: readonly Peer[] = []
-  private initialPeersAsked = 0
+  private nextInitialPeer = 0
   private initialPeerAskedAt = -Infinity
 
   private constructor (private readonly options: MembershipOptions) {
-    this.initialPeersAsked = Math.floor(options.random() * options.initialPeers.length)
+    this.nextInitialPeer = Math.floor(options.random() * options.initialPeers.length)
   }
 
   static create (options: MembershipOptions): Membership {
@@ -126,7 +126,7 @@
     const { initialPeers, peerClients, self, clock, log } = this.options
     if (initialPeers.length === 0 || clock.now() - this.initialPeerAskedAt < INITIAL_PEER_INTERVAL_MS) return
     this.initialPeerAskedAt = clock.now()
-    const address = initialPeers[this.initialPeersAsked++ % initialPeers.length] ?? ''
+    const address = initialPeers[this.nextInitialPeer++ % initialPeers.length] ?? ''
     const res = await peerClients.call(address, 'daemons', {}, PEER_TIMEOUT_MS)
     const listed = res.ok ? recordOf(res.val).daemons : []
     this.peers = isListOf(listed, isPeer) ? listed.filter(({ name }) => name !== self.name) : []
