test(cell): the store refuses rows only after the start of their runs

Both tests are about the ends of runs; they now wait for the start and then refuse, with the same assertions.

--- a/packages/cell/src/__tests__/jobService.test.ts
+++ b/packages/cell/src/__tests__/jobService.test.ts
@@ -80,6 +80,7 @@
   const daemon = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
   const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId)))
   cell.store.writeFault = tx => tx.puts.some(({ table }) => table === 'progress') ? { kind: 'refused' } : undefined
   await cell.clock.advance(1_000)
   const reportedStates = new Set<string | undefined>()
--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -5,8 +5,9 @@
   const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: ({ index }) => ({ durationMs: index === 0 ? 300 : 9_000, end: 'done' }) })
   const daemon = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
-  cell.store.writeFault = tx => tx.puts.some(({ table }) => table === 'progress') ? { kind: 'refused' } : undefined
   const jobId = await cell.submit(daemon, [createStep({ count: 2 })])
+  t.true(await cell.advanceUntil(() => cell.workers.all()[0]?.runningTasks().length === 2))
+  cell.store.writeFault = tx => tx.puts.some(({ table }) => table === 'progress') ? { kind: 'refused' } : undefined
   await cell.clock.advance(8_000)
   t.deepEqual(cell.workers.all()[0]?.runningTasks(), [`${jobId}.0.0.1`], 'the 5 s lease has been extended')
   cell.store.writeFault = () => undefined
