--- a/soak/src/crashRun.ts
+++ b/soak/src/crashRun.ts
@@ -111,7 +111,8 @@
       const isGivenUp = this.isGivenUp(name.split('.')[0] ?? '')
       return `${name}: ${starts} starts, ${crashes} crashes, ${startsAfterThirdCrash} starts after the third crash, ${isGivenUp ? 'given up' : 'not given up'}`
     })
-    const sound = (this.client?.jobs ?? []).filter(({ isDeadly, isAccepted, isCancelled }) => !isDeadly && isAccepted && !isCancelled)
+    // A cancellation whose answer was lost may have taken effect.
+    const sound = (this.client?.jobs ?? []).filter(({ isDeadly, isAccepted, isCancelled, lastState }) => !isDeadly && isAccepted && !isCancelled && lastState !== 'cancelled')
     const completed = sound.filter(({ lastState }) => lastState === 'completed')
     return [...tasks, `${this.crashCount} crashes of workers, ${this.kills} kills of leaders; ${completed.length} of ${sound.length} accepted sound jobs completed`]
   }
