fix(soak): a soak that is ended by a signal ends its daemons

Cause: the daemons of a soak were stopped only at the end of a seed. A soak that was ended by SIGINT, SIGTERM or SIGHUP left them behind, and the next one on the same ports talked to them: "was never submitted", "is reported as completed, but its first task is not done".

Ruled out: a SIGKILL of the soak can't be handled; the next soak on these ports refuses to run instead.

Change: signals end the program through its exit handlers, which stop the daemons, as does an uncaught exception. Before each seed the ports of the daemons must be free. `--program` plays another build of the daemon.

--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,5 +1,6 @@
 import { cac } from 'cac'
-import { runSeed } from './run.js'
+import { exitOnSignals, findUsedPort } from './ownProcesses.js'
+import { PORTS_PER_DAEMON, runSeed } from './run.js'
 
 /** Seeds that failed before, with the cause of each failure; run with `--regressions`. */
 const REGRESSION_SEEDS: readonly number[] = [
@@ -23,14 +24,20 @@
   .option('--daemons <count>', 'Number of daemons', { default: DEFAULTS.daemons })
   .option('--workers <count>', 'Number of workers', { default: DEFAULTS.workers })
   .option('--port <port>', 'First port of the daemons, on 127.0.0.1', { default: DEFAULTS.port })
+  .option('--program <path>', 'Program of the daemons (default: the bundle of this repository)')
   .option('--all-faults', 'Inject all kinds of faults, also those that came after the seeds of --regressions')
   .option('--regressions', 'Run the seeds that failed before')
-  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, allFaults?: boolean, regressions?: boolean }) => {
+  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, regressions?: boolean }) => {
     const first = options.seed ?? Date.now() % 1_000_000
     const seeds = options.regressions === true ? REGRESSION_SEEDS : Array.from({ length: options.seeds }, (_, index) => first + index)
     let failedSeeds = 0
     for (const seed of seeds) {
-      const { jobs, accepted, faults, violations, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true, firstPort: options.port })
+      const usedPort = await findUsedPort(options.port, PORTS_PER_DAEMON * options.daemons)
+      if (usedPort !== undefined) {
+        console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
+        process.exit(1)
+      }
+      const { jobs, accepted, faults, violations, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true, firstPort: options.port, program: options.program })
       console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
       if (violations.length === 0) continue
@@ -42,4 +49,5 @@
     process.exit(failedSeeds === 0 ? 0 : 1)
   })
 cli.help()
+exitOnSignals()
 cli.parse()
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -22,6 +22,8 @@
   readonly allFaults: boolean
   /** First of the ports that the daemons listen on; each daemon takes four. */
   readonly firstPort: number
+  /** Program of the daemons; undefined for the bundle of this repository. */
+  readonly program: string | undefined
 }
 
 export interface SoakResult {
@@ -34,6 +36,7 @@
   readonly logFolder: string
 }
 
+export const PORTS_PER_DAEMON = 4
 /** Time before the first fault. */
 const STARTUP_MS = 3_000
 /** Time without new jobs or faults at the end, within which all accepted jobs must end; beside the time that their work needs on all workers. */
@@ -81,7 +84,7 @@
 function noFault () {}
 
 /** Runs one seed: starts daemons as processes and the platform's emulator behind proxies, and injects random faults. */
-export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, firstPort }: SoakOptions): Promise<SoakResult> {
+export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, firstPort, program }: SoakOptions): Promise<SoakResult> {
   const random = Random.create(seed)
   const clock = SystemClock.create()
   const audit = Audit.create()
@@ -112,19 +115,21 @@
   const registerTimer = setInterval(() => { for (const worker of workers) emulator.register(worker.entry) }, REGISTER_INTERVAL_MS)
   for (const worker of workers) emulator.register(worker.entry)
 
-  const callerAddresses = Array.from({ length: daemonCount }, (_, index) => `127.0.0.1:${firstPort + 4 * index}`)
+  const callerAddresses = Array.from({ length: daemonCount }, (_, index) => `127.0.0.1:${firstPort + PORTS_PER_DAEMON * index}`)
   const configProbe = ConfigProbe.create(callerAddresses, emulator, HOST, PATH_PREFIX, audit, clock)
   configProbe.change()
 
   const storeLinks: TcpProxy[] = []
   const daemons: DaemonProcess[] = []
+  const stopDaemons = () => Promise.all(daemons.map(daemon => daemon.stop()))
+  process.once('exit', stopDaemons)
   for (const [index, callerAddress] of callerAddresses.entries()) {
     const link = await TcpProxy.create(storeAddress)
-    const port = firstPort + 4 * index
+    const port = firstPort + PORTS_PER_DAEMON * index
     storeLinks.push(link)
     daemons.push(DaemonProcess.create({
       name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress
-    }, logFolder))
+    }, logFolder, program))
   }
 
   const client = SoakClient.create(callerAddresses, audit, random)
@@ -159,7 +164,8 @@
 
   const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits())]
   const knownFailures = daemons.flatMap(daemon => daemon.exitsByEarlySignal())
-  for (const daemon of daemons) daemon.stop()
+  await stopDaemons()
+  process.off('exit', stopDaemons)
   clearInterval(registerTimer)
   emulator.close()
   for (const link of [...storeLinks, ...workerLinks]) link.close()
