test(cell): the audit has TWICE as the rule words it, in both readings

Cause: the audit reported each start after an end as done, unless the worker had ended before. The rule excuses an end whose worker's lease has lapsed before it was acknowledged, and names a third case, a start over a second after the acknowledgement or after the job was shown as completed. The stand-in worker kept no record of the lease and noticed a lapse only by a run that it killed.

Ruled out: waiting for the acknowledgement before a start counts. A start after an end under a lease that still runs counts at once, as before: the scheduler can't know that the end will become void, and a test may end before the acknowledgement.

Change: the audit keeps what became of each end. Reading 1, a lapse is the passing of the deadline on the worker's clock: `violations`. The stand-in worker logs each deadline that it takes, each start, end, acknowledgement and lapse; a start that is refused as old extends its lease, as on the platform. It can have a slow clock, stops that take time, checkpoints with a time to restore, and late orders whose lease counts from the moment at which they are carried out.

--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import { Failure } from '@citronnotch/base/errors'
+import { silentLog } from '@citronnotch/base/logger'
+import type { Log, LogFields } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
 import type { CommandOutcome, HeartbeatCommand, HeartbeatOutcome, RefusalReason, StartCommand, StopCommand, WorkerClient, WorkerClients } from '../ports.js'
@@ -12,7 +14,13 @@
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
   /** `isQueued`: the worker holds the command back, which is lost with the incarnation; otherwise the network does. */
-  | { readonly kind: 'applied-late', readonly afterMs: number, readonly isQueued?: boolean }
+  | {
+    readonly kind: 'applied-late'
+    readonly afterMs: number
+    readonly isQueued?: boolean
+    /** The time of the lease counts from the moment at which the command is carried out. */
+    readonly isGrant?: boolean
+  }
   /** The command is refused without effect. */
   | { readonly kind: 'refused', readonly reason: RefusalReason }
 
@@ -33,6 +41,33 @@
    * @default 6000
    */
   readonly maxLeaseMs?: number
+  /**
+   * Rate of the worker's clock relative to `clock`.
+   * @default 1
+   */
+  readonly clockRate?: number
+  /**
+   * Time that a stop takes, in milliseconds.
+   * @default 0
+   */
+  readonly stopMs?: number
+  /**
+   * Work between two checkpoints, in milliseconds; without it, a run keeps the checkpoint that it started with.
+   */
+  readonly checkpointIntervalMs?: number
+  /**
+   * Time until a run that starts from a checkpoint goes on with its work, in milliseconds.
+   * @default 0
+   */
+  readonly restoreMs?: number
+  /** Receives each deadline that the worker takes, and each start, end and lapse. */
+  readonly log?: Log
+}
+
+interface Lateness {
+  readonly isLate: boolean
+  /** Time by which the end of the lease in the command is put off. */
+  readonly leaseShiftMs: number
 }
 
 interface ActiveRun {
@@ -41,7 +76,11 @@
   readonly startedAt: number
   readonly durationMs: number
   readonly end: 'done' | 'failed'
+  /** Work that is saved in the checkpoint that the run started with, in milliseconds. */
+  readonly savedMs: number
   checkpoint: string
+  /** Time on the worker's clock at which a stop is complete; undefined until it is requested. */
+  stopsAt: number | undefined
 }
 
 /** Gang runs on all workers: members start to work when all have joined, and end as `broken` when one of them ends without success. */
@@ -82,6 +121,7 @@
 /** Time that a gang member waits for the other members before it ends as `alone`. */
 const GANG_TIMEOUT_MS = 3_000
 const COMMAND_LATENCY_MS = 1
+const IN_TIME: Lateness = { isLate: false, leaseShiftMs: 0 }
 const HEARTBEAT_POLL_MS = 10
 
 /** In-memory worker with fencing tokens, leases on its own clock and unacknowledged finished runs; tests inject its faults. */
@@ -101,13 +141,18 @@
   private lastSequence = 0
   private highestToken = 0
   private leaseUntilMs = 0
+  /** Whether the time of the lease has passed and nothing has extended it since. */
+  private hasLapsed = true
   private bootedAt: number
   /** True from a crash to the restart: nothing is carried out. */
   private hasNoPower = false
   /** Number of crashes so far: a call that was waiting during one gets no answer. */
   private crashes = 0
 
+  private readonly log: Log
+
   private constructor (private readonly options: MemoryWorkerOptions, public entry: WorkerEntry) {
+    this.log = options.log ?? silentLog
     this.bootedAt = options.clock.now()
     options.audit.beforeStartHooks.push(() => this.finishDueRuns())
   }
@@ -117,7 +162,11 @@
   }
 
   clockMs (): number {
-    return Math.floor(this.options.clock.now() - this.bootedAt)
+    return Math.floor((this.options.clock.now() - this.bootedAt) * this.rate())
+  }
+
+  private rate (): number {
+    return this.options.clockRate ?? 1
   }
 
   runningTasks (): readonly string[] {
@@ -127,6 +176,7 @@
 
   /** Loses power: nothing runs any more, and commands have no effect and get no answer until `restart`. */
   crash (): void {
+    this.log.info('Crashed.', { worker: this.entry.id, runs: this.activeRuns.size })
     this.isCutOff = true
     this.hasNoPower = true
     this.crashes++
@@ -148,6 +198,7 @@
     this.lastSequence = 0
     this.highestToken = 0
     this.leaseUntilMs = 0
+    this.hasLapsed = true
     this.bootedAt = this.options.clock.now()
     this.entry = { ...this.entry, born }
   }
@@ -155,27 +206,27 @@
   /** Returns a client that also reaches later incarnations of this worker. */
   client (): WorkerClient {
     return {
-      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, timeoutMs, () => this.heartbeat(cmd)),
-      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, timeoutMs, async () => this.start(cmd)),
+      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, timeoutMs, lateness => this.heartbeat(delayLease(cmd, lateness))),
+      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, timeoutMs, async lateness => this.start(delayLease(cmd, lateness), lateness.isLate)),
       stop: (cmd, timeoutMs) => this.deliver('stop', cmd.task, timeoutMs, async () => this.stop(cmd)),
       close: async () => {}
     }
   }
 
-  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, timeoutMs: number, execute: () => Promise<T>): Promise<Result<T, Failure>> {
+  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, timeoutMs: number, execute: (lateness: Lateness) => Promise<T>): Promise<Result<T, Failure>> {
     const { clock } = this.options
     await clock.sleep(COMMAND_LATENCY_MS)
     const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task)
     const { crashes } = this
     if (fault === undefined) {
-      const outcome = await execute()
+      const outcome = await execute(IN_TIME)
       if (this.crashes === crashes) return Ok(outcome)
     }
     if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
-    if (fault?.kind === 'answer-lost') await execute()
+    if (fault?.kind === 'answer-lost') await execute(IN_TIME)
     if (fault?.kind === 'applied-late') {
       const isLost = () => fault.isQueued === true ? this.crashes !== crashes : this.hasNoPower
-      clock.sleep(fault.afterMs).then(() => isLost() ? undefined : execute()).catch(() => {})
+      clock.sleep(fault.afterMs).then(() => isLost() ? undefined : execute({ isLate: true, leaseShiftMs: fault.isGrant === true ? fault.afterMs * this.rate() : 0 })).catch(() => {})
     }
     await clock.sleep(timeoutMs)
     return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
@@ -186,8 +237,8 @@
     this.finishDueRuns()
     if (fencingToken < this.highestToken) return { accepted: false, reason: 'fenced' }
     this.highestToken = fencingToken
-    this.finishedRuns = this.finishedRuns.filter(({ sequence }) => sequence > acknowledged)
-    if (leaseUntilMs !== undefined) this.extendLease(leaseUntilMs)
+    this.acknowledge(acknowledged)
+    if (leaseUntilMs !== undefined) this.extendLease(leaseUntilMs, { token: fencingToken })
     const deadline = clock.now() + waitMs
     while (this.finishedRuns.length === 0 && clock.now() < deadline) {
       await clock.sleep(HEARTBEAT_POLL_MS)
@@ -203,26 +254,29 @@
           task: activeRun.task,
           run: activeRun.run,
           checkpoint: activeRun.checkpoint,
-          percent: this.isStalled ? 0 : Math.min(99, Math.floor(100 * Math.max(0, now - this.workStartMs(activeRun)) / activeRun.durationMs))
+          percent: this.isStalled ? 0 : Math.min(99, Math.floor(100 * (activeRun.savedMs + Math.max(0, now - this.workStartMs(activeRun))) / activeRun.durationMs))
         })),
         ended: [...this.finishedRuns]
       }
     }
   }
 
-  private start ({ task, run, payload, fencingToken, leaseUntilMs, checkpoint }: StartCommand): CommandOutcome {
+  private start ({ task, run, payload, fencingToken, leaseUntilMs, checkpoint }: StartCommand, isLate: boolean): CommandOutcome {
     const { audit, behaviour, needOf } = this.options
     this.finishDueRuns()
     if (fencingToken < this.highestToken) return refuse('fenced')
     this.highestToken = fencingToken
     const taskName = formatTaskId(task)
+    // A start that is refused as old extends the lease too.
+    if (leaseUntilMs > this.clockMs()) this.extendLease(leaseUntilMs, { token: fencingToken, task: taskName, run })
     if (this.activeRuns.get(taskName)?.run === run) return { accepted: true, clockMs: this.clockMs() }
     if (this.activeRuns.has(taskName) || run <= (this.highestFinishedRun.get(taskName) ?? 0)) return refuse('stale-run')
     if (leaseUntilMs <= this.clockMs()) return refuse('lease-passed')
-    this.extendLease(leaseUntilMs)
+    this.log.info('Run started.', { worker: this.entry.id, task: taskName, run, token: fencingToken, isLate })
+    if (!this.isCheckpointOf(task, checkpoint)) audit.violations.push(`${taskName} run ${run} started with the checkpoint of another task`)
     // Recorded first: a member of a broken gang ends as soon as it is among the active runs.
-    audit.recordStart(this.entry.id, task, run, payload)
-    this.activeRuns.set(taskName, { task, run, startedAt: this.clockMs(), checkpoint, ...behaviour(task, run), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
+    audit.recordStart(this.entry.id, task, run, payload, this.options.clock.now(), isLate)
+    this.activeRuns.set(taskName, { task, run, startedAt: this.clockMs(), checkpoint, savedMs: savedMsIn(checkpoint), stopsAt: undefined, ...behaviour(task, run), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
     if (this.isGangMember(task)) this.options.gangs?.join(task, run, this.options.gangSizeOf?.(task) ?? 0, this.options.clock.now())
     const used = [...this.activeRuns.values()].reduce((sum, activeRun) => add(sum, needOf(activeRun.task)), NO_RESOURCES)
     if (!fits(used, this.entry.capacity)) audit.recordOverCapacity(this.entry.id, task)
@@ -235,14 +289,39 @@
     this.highestToken = fencingToken
     const taskName = formatTaskId(task)
     const activeRun = this.activeRuns.get(taskName)
-    if (activeRun?.run === run) this.finish(activeRun, 'stopped')
+    if (activeRun?.run === run) {
+      activeRun.stopsAt ??= this.clockMs() + (this.options.stopMs ?? 0)
+      this.finishDueRuns()
+    }
     this.highestFinishedRun.set(taskName, Math.max(run, this.highestFinishedRun.get(taskName) ?? 0))
     return { accepted: true, clockMs: this.clockMs() }
   }
 
-  private extendLease (leaseUntilMs: number) {
-    const maxLeaseUntilMs = this.clockMs() + (this.options.maxLeaseMs ?? 6_000)
-    this.leaseUntilMs = Math.max(this.leaseUntilMs, Math.min(leaseUntilMs, maxLeaseUntilMs))
+  private acknowledge (sequence: number) {
+    const { audit, clock } = this.options
+    for (const finishedRun of this.finishedRuns.filter(({ sequence: other }) => other <= sequence)) {
+      audit.recordAcknowledged(this.entry.id, finishedRun.task, finishedRun.run, clock.now())
+      this.log.info('End acknowledged.', { worker: this.entry.id, task: formatTaskId(finishedRun.task), run: finishedRun.run, status: finishedRun.status })
+    }
+    this.finishedRuns = this.finishedRuns.filter(({ sequence: other }) => other > sequence)
+  }
+
+  /** Never shortens the lease. */
+  private extendLease (leaseUntilMs: number, command: LogFields) {
+    const now = this.clockMs()
+    const untilMs = Math.min(leaseUntilMs, now + (this.options.maxLeaseMs ?? 6_000))
+    if (untilMs <= this.leaseUntilMs) return
+    this.leaseUntilMs = untilMs
+    this.hasLapsed = false
+    this.log.info('Lease extended.', { worker: this.entry.id, endsInMs: untilMs - now, ...command })
+  }
+
+  /** Notes once that the lease has lapsed, also if nothing was running. */
+  private noteLapse (now: number, killedRuns: number) {
+    if (this.hasLapsed || this.leaseUntilMs >= now) return
+    this.hasLapsed = true
+    this.options.audit.recordLapse(this.entry.id, killedRuns)
+    this.log.info('Lease has lapsed.', { worker: this.entry.id, forMs: now - this.leaseUntilMs, killedRuns })
   }
 
   /**
@@ -251,13 +330,39 @@
    */
   private finishDueRuns () {
     const now = this.clockMs()
+    let killedRuns = 0
     for (const activeRun of [...this.activeRuns.values()]) {
-      const endsAt = this.isStalled ? Infinity : this.workStartMs(activeRun) + activeRun.durationMs
+      const endsAt = this.isStalled ? Infinity : this.workStartMs(activeRun) + activeRun.durationMs - activeRun.savedMs
+      this.saveCheckpoint(activeRun, Math.min(now, this.leaseUntilMs, activeRun.stopsAt ?? Infinity))
       if (this.isGangMember(activeRun.task) && this.options.gangs?.isBroken(activeRun.task, activeRun.run) === true) this.finish(activeRun, 'broken')
       else if (endsAt === Infinity && !this.isStalled && now - activeRun.startedAt > GANG_TIMEOUT_MS) this.finish(activeRun, 'alone')
-      else if (endsAt <= Math.min(now, this.leaseUntilMs)) this.finish(activeRun, activeRun.end)
-      else if (this.leaseUntilMs < now) this.finish(activeRun, 'lapsed')
+      else if (endsAt <= Math.min(now, this.leaseUntilMs, activeRun.stopsAt ?? Infinity)) this.finish(activeRun, activeRun.end)
+      else if ((activeRun.stopsAt ?? Infinity) <= Math.min(now, this.leaseUntilMs)) this.finish(activeRun, 'stopped')
+      else if (this.leaseUntilMs < now) {
+        this.finish(activeRun, 'lapsed')
+        killedRuns++
+      }
     }
+    this.noteLapse(now, killedRuns)
+  }
+
+  /** Saves the work up to a time on this worker's clock: whole intervals, and all of it at a stop. */
+  private saveCheckpoint (activeRun: ActiveRun, until: number) {
+    const { checkpointIntervalMs, audit } = this.options
+    const { task, savedMs, stopsAt } = activeRun
+    if (checkpointIntervalMs === undefined || this.isStalled || audit.specOf(task.jobId)?.steps[task.step]?.checkpoints !== true) return
+    const workMs = Math.max(0, until - this.workStartMs(activeRun))
+    const newMs = stopsAt === until ? workMs : Math.floor(workMs / checkpointIntervalMs) * checkpointIntervalMs
+    if (newMs > 0) activeRun.checkpoint = `${this.checkpointOwner(task)}@${Math.floor(savedMs + newMs)}`
+  }
+
+  /** A checkpoint of any member of a gang is one of the gang. */
+  private checkpointOwner (task: TaskId): string {
+    return this.isGangMember(task) ? formatTaskId({ ...task, index: 0 }) : formatTaskId(task)
+  }
+
+  private isCheckpointOf (task: TaskId, checkpoint: string): boolean {
+    return this.options.checkpointIntervalMs === undefined || checkpoint === '' || checkpoint.split('@')[0] === this.checkpointOwner(task)
   }
 
   private isGangMember (task: TaskId): boolean {
@@ -265,10 +370,11 @@
   }
 
   /** Time on this worker's clock at which a run starts to work; Infinity until its gang is complete. */
-  private workStartMs ({ task, run, startedAt }: ActiveRun): number {
-    if (!this.isGangMember(task)) return startedAt
+  private workStartMs ({ task, run, startedAt, savedMs }: ActiveRun): number {
+    const restoreMs = savedMs > 0 ? this.options.restoreMs ?? 0 : 0
+    if (!this.isGangMember(task)) return startedAt + restoreMs
     const completeAt = this.options.gangs?.completeAt(task, run)
-    return completeAt === undefined ? Infinity : completeAt - this.bootedAt
+    return completeAt === undefined ? Infinity : (completeAt - this.bootedAt) * this.rate() + restoreMs
   }
 
   private finish (activeRun: ActiveRun, status: FinishStatus) {
@@ -278,6 +384,7 @@
     this.highestFinishedRun.set(taskName, Math.max(activeRun.run, this.highestFinishedRun.get(taskName) ?? 0))
     this.finishedRuns.push({ sequence: ++this.lastSequence, task: activeRun.task, run: activeRun.run, status, checkpoint: activeRun.checkpoint })
     this.options.audit.recordFinish(this.entry.id, activeRun.task, activeRun.run, status)
+    this.log.info('Run ended.', { worker: this.entry.id, task: taskName, run: activeRun.run, status, sequence: this.lastSequence })
   }
 }
 
@@ -304,6 +411,15 @@
   }
 }
 
+/** Work that a checkpoint saves, in milliseconds. */
+function savedMsIn (checkpoint: string): number {
+  return Number(checkpoint.split('@')[1] ?? 0)
+}
+
+function delayLease<T extends { readonly leaseUntilMs?: number }> (cmd: T, { leaseShiftMs }: Lateness): T {
+  return cmd.leaseUntilMs === undefined ? cmd : { ...cmd, leaseUntilMs: Math.floor(cmd.leaseUntilMs + leaseShiftMs) }
+}
+
 function refuse (reason: RefusalReason): CommandOutcome {
   return { accepted: false, reason }
 }
