--- a/soak/src/__tests__/ownProcesses.test.ts
+++ b/soak/src/__tests__/ownProcesses.test.ts
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
 
-const PORTS_PER_SOAK = 12
+const PORTS_PER_SOAK = 15
 const POLL_MS = 20
 /** Time that a process may take to start or to end, in milliseconds. */
 const LIMIT_MS = 20_000
--- a/soak/src/client.ts
+++ b/soak/src/client.ts
@@ -1,10 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { Clock } from '@citronnotch/base/clock'
 import { isFinal } from '@citronnotch/cell'
 import type { JobSpec, JobState } from '@citronnotch/cell'
 import type { Audit } from '@citronnotch/cell/testing'
 import { decodeJob } from '@citronnotch/platform/testing'
 import { Agent, request } from 'undici'
 import type { Random } from './random.js'
+import type { Shape } from './shape.js'
 
 export const HOST = 'soak.example'
 export const PATH_PREFIX = '/jobs/'
@@ -30,15 +32,15 @@
   private readonly agent = new Agent({ connections: CONNECTIONS, pipelining: 1 })
   private nextJobNumber = 1
 
-  private constructor (private readonly addresses: readonly string[], private readonly audit: Audit, private readonly random: Random) {}
+  private constructor (private readonly addresses: readonly string[], private readonly audit: Audit, private readonly random: Random, private readonly clock: Clock, private readonly randomSteps: Shape['randomSteps']) {}
 
-  static create (addresses: readonly string[], audit: Audit, random: Random): SoakClient {
-    return new SoakClient(addresses, audit, random)
+  static create (addresses: readonly string[], audit: Audit, random: Random, clock: Clock, randomSteps: Shape['randomSteps']): SoakClient {
+    return new SoakClient(addresses, audit, random, clock, randomSteps)
   }
 
   async submitOne (): Promise<void> {
     const id = (this.nextJobNumber++).toString(16).padStart(16, '0')
-    const steps = this.randomSteps()
+    const steps = this.randomSteps(this.random)
     const spec = decodeSpec({ spec: id, steps })
     const job: SubmittedJob = { id, spec, statuses: [], isAccepted: false, isCancelled: false }
     this.jobs.push(job)
@@ -63,6 +65,7 @@
     if (hasEnded(lastState) && state !== lastState) this.audit.violations.push(`${job.id} was reported as ${lastState} and later as ${state}`)
     if (state === 'failed') this.audit.violations.push(`${job.id} is reported as failed, but no run has failed`)
     if (state === 'completed' && !this.audit.isDone({ jobId: job.id, occurrence: 0, step: 0, index: 0 })) this.audit.violations.push(`${job.id} is reported as completed, but its first task is not done`)
+    if (state === 'completed') this.audit.recordCompleted(job.id, this.clock.now())
     if (!hasEnded(job.lastState)) job.lastState = state
   }
 
@@ -72,11 +75,11 @@
   }
 
   /** Work of the tasks of accepted jobs that aren't done, in thousandths of a core times milliseconds. */
-  remainingWork (durationMsOf: (jobId: string) => number): number {
+  remainingWork (durationMsOf: Shape['durationMsOf']): number {
     let work = 0
     for (const { id, spec } of this.jobs.filter(({ isAccepted, isCancelled }) => isAccepted && !isCancelled)) {
       spec.steps.forEach(({ count, need }, step) => {
-        for (let index = 0; index < count; index++) if (!this.audit.isDone({ jobId: id, occurrence: 0, step, index })) work += need.milliCores * durationMsOf(id)
+        for (let index = 0; index < count; index++) if (!this.audit.isDone({ jobId: id, occurrence: 0, step, index })) work += need.milliCores * durationMsOf({ jobId: id, step }, spec)
       })
     }
     return work
@@ -95,12 +98,6 @@
     return this.agent.destroy()
   }
 
-  private randomSteps () {
-    const count = this.random.between(1, 4)
-    const first = { count, cpu: this.random.between(200, 1_500), mem_mb: 100, estimated_ms: 500, ...(this.random.chance(0.3) ? { gang: true } : {}) }
-    return this.random.chance(0.4) ? [first, { count: 1, cpu: 500, mem_mb: 100, after: [0] }] : [first]
-  }
-
   private async sendForStatus (method: 'POST' | 'DELETE', id: string, body?: unknown): Promise<number> {
     return (await this.send(method, id, body)).status
   }
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -12,6 +12,8 @@
   readonly store: MemoryStore
   readonly workers: readonly MemoryWorker[]
   readonly emulator: Emulator
+  /** Daemons whose listener for peers refuses connections; each fault removes its own. */
+  readonly refusedPeers: Set<DaemonProcess>
   /** Writes the next version of the configuration. */
   readonly changeConfig: () => void
 }
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,6 +1,7 @@
 import { cac } from 'cac'
 import { exitOnSignals, findUsedPort } from './ownProcesses.js'
 import { PORTS_PER_DAEMON, runSeed } from './run.js'
+import { DEFAULT_SHAPE, SHAPES } from './shape.js'
 
 /** Seeds that failed before, with the cause of each failure; run with `--regressions`. */
 const REGRESSION_SEEDS: readonly number[] = [
@@ -26,10 +27,17 @@
   .option('--port <port>', 'First port of the daemons, on 127.0.0.1', { default: DEFAULTS.port })
   .option('--program <path>', 'Program of the daemons (default: the bundle of this repository)')
   .option('--all-faults', 'Inject all kinds of faults, also those that came after the seeds of --regressions')
+  .option('--shape <name>', `Cell to play: ${Object.keys(SHAPES).join(' or ')}; another one than the default implies --all-faults`, { default: 'default' })
+  .option('--only <faults>', 'Names of the faults to draw from, separated by commas; with --all-faults')
   .option('--regressions', 'Run the seeds that failed before')
-  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, regressions?: boolean }) => {
+  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, shape: string, only?: string, regressions?: boolean }) => {
     const first = options.seed ?? Date.now() % 1_000_000
     const seeds = options.regressions === true ? REGRESSION_SEEDS : Array.from({ length: options.seeds }, (_, index) => first + index)
+    const shape = SHAPES[options.shape]
+    if (shape === undefined) throw new Error(`There is no shape ${options.shape}.`)
+    const only = options.only?.split(',') ?? []
+    const unknown = only.find(name => !(name in shape.faults))
+    if (unknown !== undefined) throw new Error(`The shape has no fault ${unknown}; it has ${Object.keys(shape.faults).join(', ')}.`)
     let failedSeeds = 0
     for (const seed of seeds) {
       const usedPort = await findUsedPort(options.port, PORTS_PER_DAEMON * options.daemons)
@@ -37,9 +45,11 @@
         console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
         process.exit(1)
       }
-      const { jobs, accepted, faults, violations, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true, firstPort: options.port, program: options.program })
+      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true || shape !== DEFAULT_SHAPE, shape, only, firstPort: options.port, program: options.program })
       console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
+      if (startsAfterIdleLapse.length > 0) console.log(`  ${startsAfterIdleLapse.length} starts after an end under a lease that passed without killing a run, such as: ${startsAfterIdleLapse[0]}`)
+      if (earlyLapses.length > 0) console.log(`  ${earlyLapses.length} leases counted as lapsed too early, such as: ${earlyLapses[0]}`)
       if (violations.length === 0) continue
       failedSeeds++
       console.log(`  faults: ${faults.join(' ')}\n  logs: ${logFolder}`)
--- /dev/null
+++ b/soak/src/leaderFaults.ts
@@ -0,0 +1,107 @@
+import { FAULTS, MORE_FAULTS } from './faults.js'
+import type { Fault, FaultTargets } from './faults.js'
+import type { Random } from './random.js'
+
+const LEADER_ROW = ['leader', 'lease', 'lease'] as const
+const RENEWAL_ROW = ['leader', 'lease', 'renewal'] as const
+const RENEWAL_POLL_MS = 2
+
+/** Faults around leaders and the leases of workers. Most are longer than those that the shorter leases need. */
+export const LEADER_FAULTS: Readonly<Record<string, Fault>> = {
+  killLeader: targets => leaderOf(targets)?.signal('SIGKILL'),
+  killLeaders: (targets, random) => {
+    for (let index = 0, atMs = 0; index < 4; index++, atMs += random.between(800, 3_500)) setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), atMs)
+  },
+  terminateLeader: targets => leaderOf(targets)?.signal('SIGTERM'),
+  pauseLeader: (targets, _random, durationMs) => pauseLeader(targets, durationMs),
+  pauseLeaderAtRenewal: (targets, _random, durationMs) => {
+    const version = targets.store.get(...RENEWAL_ROW)?.version
+    const timer = setInterval(() => {
+      if (targets.store.get(...RENEWAL_ROW)?.version === version) return
+      clearInterval(timer)
+      pauseLeader(targets, durationMs)
+    }, RENEWAL_POLL_MS)
+    setTimeout(() => clearInterval(timer), 1_000)
+  },
+  /** The leader is taken for dead while it is paused, and wakes under a successor. */
+  pauseLeaderAndRefuse: (targets, random, durationMs) => {
+    refusePeers(targets, random.between(300, 2_000))
+    pauseLeader(targets, durationMs)
+  },
+  refusePeers: (targets, random) => refusePeers(targets, random.between(300, 4_000)),
+  /** One leader after the other is taken for dead while it lives. */
+  refusePeersAgain: (targets, random) => {
+    for (let index = 0; index < 4; index++) setTimeout(() => refusePeers(targets, random.between(300, 1_500)), index * 1_800)
+  },
+  refusePeersThenKill: (targets, random) => {
+    refusePeers(targets, 600)
+    setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(400, 3_000))
+  },
+  cutWorkers: (targets, random) => cutWorkers(targets, random),
+  cutWorkersAndKill: (targets, random) => {
+    cutWorkers(targets, random)
+    for (let index = 0; index < 3; index++) setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 9_000))
+  },
+  lateOrders: (targets, random) => delayOrders(targets, random, false),
+  lateGrants: (targets, random) => delayOrders(targets, random, true),
+  lateOrdersAndKill: (targets, random) => {
+    delayOrders(targets, random, false)
+    for (let index = 0; index < 3; index++) setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 6_000))
+  },
+  lostAnswers: ({ workers }, random, durationMs) => {
+    for (const worker of workers) {
+      worker.fault = () => random.chance(0.2) ? { kind: 'answer-lost' } : undefined
+      setTimeout(() => { worker.fault = () => undefined }, durationMs)
+    }
+  },
+  listenerRestarts: ({ storeLinks, workerLinks }, random) => {
+    const link = random.pick([...storeLinks, ...workerLinks])
+    link.refuse()
+    setTimeout(() => link.accept(), random.between(100, 2_000))
+  },
+  ...pickFaults('kill', 'terminate', 'reload', 'pause', 'storeLink', 'workerLink', 'storeDown', 'storeLosesAnswers', 'storeLosesHistory', 'workerStalls', 'workerRestarts', 'rollingRestart', 'configChange')
+}
+
+function pickFaults (...names: readonly string[]): Readonly<Record<string, Fault>> {
+  return Object.fromEntries(Object.entries({ ...FAULTS, ...MORE_FAULTS }).filter(([name]) => names.includes(name)))
+}
+
+/** The daemon that the store names as the leader. */
+function leaderOf ({ daemons, store }: FaultTargets) {
+  const row = store.get(...LEADER_ROW)?.value as { readonly holder: string } | undefined
+  return daemons.find(({ settings }) => row?.holder.startsWith(`${settings.name}/`))
+}
+
+function pauseLeader (targets: FaultTargets, durationMs: number) {
+  const leader = leaderOf(targets)
+  leader?.signal('SIGSTOP')
+  setTimeout(() => leader?.signal('SIGCONT'), durationMs)
+}
+
+/** The leader lives on, but its connections to and from its peers are reset and new ones refused. */
+function refusePeers (targets: FaultTargets, durationMs: number) {
+  const leader = leaderOf(targets)
+  if (leader === undefined) return
+  targets.refusedPeers.add(leader)
+  setTimeout(() => targets.refusedPeers.delete(leader), durationMs)
+}
+
+/** Cuts off up to a third of the workers, which run on. */
+function cutWorkers ({ workers, workerLinks }: FaultTargets, random: Random) {
+  for (let index = 0; index < Math.ceil(workers.length / 3); index++) {
+    const link = workerLinks[random.between(0, workers.length - 1)]
+    if (link === undefined) continue
+    link.fault = random.pick(['hold', 'drop-all', 'drop-responses'] as const)
+    setTimeout(() => { link.fault = 'none' }, random.between(6_000, 13_000))
+  }
+}
+
+/** A third of the workers leave orders unanswered and carry them out 2 to 12 s later. */
+function delayOrders ({ workers }: FaultTargets, random: Random, isGrant: boolean) {
+  const durationMs = random.between(3_000, 8_000)
+  for (let index = 0; index < Math.ceil(workers.length / 3); index++) {
+    const worker = random.pick(workers)
+    worker.fault = () => random.chance(0.3) ? { kind: 'applied-late', afterMs: random.between(2_000, 12_000), isQueued: true, isGrant } : undefined
+    setTimeout(() => { worker.fault = () => undefined }, durationMs)
+  }
+}
--- /dev/null
+++ b/soak/src/peerProxies.ts
@@ -0,0 +1,41 @@
+import type { DaemonProcess } from '@citronnotch/platform/testing'
+import { TcpProxy } from './proxy.js'
+
+const POLL_MS = 20
+
+/** Proxies in the place of the daemons' listeners for peers. Each accepts connections while its daemon runs and isn't among the refused ones. */
+export class PeerProxies {
+  readonly refused = new Set<DaemonProcess>()
+  private readonly timer: NodeJS.Timeout
+
+  private constructor (private readonly proxies: ReadonlyMap<DaemonProcess, TcpProxy>) {
+    this.timer = setInterval(() => this.update(), POLL_MS)
+  }
+
+  /** `distance`: how far the ports are apart to which the daemons' listeners have moved. */
+  static async create (daemons: readonly DaemonProcess[], distance: number): Promise<PeerProxies> {
+    const proxies = new Map<DaemonProcess, TcpProxy>()
+    for (const daemon of daemons) {
+      const { peerPort } = daemon.settings
+      proxies.set(daemon, await TcpProxy.create(`127.0.0.1:${peerPort + distance}`, peerPort))
+    }
+    return new PeerProxies(proxies)
+  }
+
+  /** Options with which Node.js moves a daemon's listener for peers. */
+  static nodeArguments (from: number, to: number): readonly string[] {
+    return ['--import', `${new URL('movePeerPort.js', import.meta.url).href}?from=${from}&to=${to}`]
+  }
+
+  close (): void {
+    clearInterval(this.timer)
+    for (const proxy of this.proxies.values()) proxy.close()
+  }
+
+  private update () {
+    for (const [daemon, proxy] of this.proxies) {
+      if (daemon.isRunning() && !this.refused.has(daemon)) proxy.accept()
+      else proxy.refuse()
+    }
+  }
+}
--- a/soak/src/proxy.ts
+++ b/soak/src/proxy.ts
@@ -4,33 +4,50 @@
 
 /** Fault that a proxy injects into its connections. */
 export type LinkFault = 'none' | 'delay' | 'drop-all' | 'drop-responses' | 'reset'
+  /** What is sent arrives when the fault is over, as over a link that was cut. */
+  | 'hold'
 
 const LINK_DELAY_MS = 300
+const HOLD_POLL_MS = 20
 
 /** Loopback TCP proxy in front of one address; a fault applies to open and new connections. */
 export class TcpProxy {
   fault: LinkFault = 'none'
   private readonly sockets = new Set<Socket>()
 
+  private isClosed = false
+
   private constructor (private readonly server: Server, readonly address: string) {}
 
-  static async create (target: string): Promise<TcpProxy> {
+  /** Listens on a free port unless one is given. */
+  static async create (target: string, ownPort = 0): Promise<TcpProxy> {
     const { host, port } = parseAddress(target)
     const server = createServer()
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+    await new Promise<void>(resolve => server.listen(ownPort, '127.0.0.1', () => resolve()))
     const bound = server.address()
     const proxy = new TcpProxy(server, `127.0.0.1:${typeof bound === 'object' ? bound?.port : 0}`)
     server.on('connection', client => proxy.relay(client, connect(port, host)))
     return proxy
   }
 
+  /** Resets all open connections and refuses new ones until `accept`. */
+  refuse (): void {
+    if (this.server.listening) this.server.close()
+    this.reset()
+  }
+
+  accept (): void {
+    if (!this.server.listening && !this.isClosed) this.server.listen(parseAddress(this.address).port, '127.0.0.1')
+  }
+
   /** Resets all open connections. */
   reset (): void {
     for (const socket of this.sockets) socket.resetAndDestroy()
   }
 
   close (): void {
-    this.server.close()
+    this.isClosed = true
+    if (this.server.listening) this.server.close()
     for (const socket of this.sockets) socket.destroy()
   }
 
@@ -47,17 +64,31 @@
   private forward (from: Socket, to: Socket, droppingFaults: readonly LinkFault[]) {
     this.sockets.add(from)
     let isDropping = false
+    const held: Buffer[] = []
+    let isHolding = false
+    const release = () => {
+      if (this.fault === 'hold') return setTimeout(release, HOLD_POLL_MS)
+      isHolding = false
+      if (to.destroyed) return
+      for (const data of held.splice(0)) to.write(data)
+      if (from.destroyed) to.end()
+    }
     from.on('data', data => {
       // After dropped data, this direction stays silent until the connection closes.
       isDropping ||= droppingFaults.includes(this.fault)
       if (isDropping) return
-      if (this.fault === 'delay') setTimeout(() => { if (!to.destroyed) to.write(data) }, LINK_DELAY_MS)
+      if (this.fault === 'hold' && !isHolding) {
+        isHolding = true
+        release()
+      }
+      if (isHolding) held.push(data)
+      else if (this.fault === 'delay') setTimeout(() => { if (!to.destroyed) to.write(data) }, LINK_DELAY_MS)
       else to.write(data)
     })
     from.on('error', () => to.destroy())
     from.on('close', () => {
       this.sockets.delete(from)
-      to.destroy()
+      if (!isHolding) to.destroy()
     })
   }
 }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -7,10 +7,14 @@
 import { SoakClient, HOST, PATH_PREFIX } from './client.js'
 import { ConfigProbe } from './configProbe.js'
 import { DaemonProcess, Emulator } from '@citronnotch/platform/testing'
-import { FAULTS, MORE_FAULTS, startChangeSeries } from './faults.js'
+import { FAULTS, startChangeSeries } from './faults.js'
 import type { Fault, FaultTargets } from './faults.js'
+import { LeaseRecord } from './leaseRecord.js'
 import { TcpProxy } from './proxy.js'
+import { PeerProxies } from './peerProxies.js'
 import { Random } from './random.js'
+import { DEFAULT_SHAPE } from './shape.js'
+import type { Shape } from './shape.js'
 
 export interface SoakOptions {
   readonly seed: number
@@ -20,7 +24,10 @@
   readonly workers: number
   /** Whether all kinds of faults are injected, or those that earlier seeds were found with. */
   readonly allFaults: boolean
-  /** First of the ports that the daemons listen on; each daemon takes four. */
+  readonly shape: Shape
+  /** Names of the faults to draw from; all of the shape if it is empty. Only with `allFaults`. */
+  readonly only: readonly string[]
+  /** First of the ports that the daemons listen on; each daemon takes `PORTS_PER_DAEMON`. */
   readonly firstPort: number
   /** Program of the daemons; undefined for the bundle of this repository. */
   readonly program: string | undefined
@@ -31,17 +38,20 @@
   readonly accepted: number
   readonly faults: readonly string[]
   readonly violations: readonly string[]
+  /** Starts after an end that counts as taken note of only if a lease doesn't lapse by its time. */
+  readonly startsAfterIdleLapse: readonly string[]
+  /** Leases that a leader counted as lapsed too early. */
+  readonly earlyLapses: readonly string[]
   /** Exits by a signal that arrived before Node.js had started; see KNOWN-RED.txt. */
   readonly knownFailures: readonly string[]
   readonly logFolder: string
 }
 
-export const PORTS_PER_DAEMON = 4
+export const PORTS_PER_DAEMON = 5
 /** Time before the first fault. */
 const STARTUP_MS = 3_000
 /** Time without new jobs or faults at the end, within which all accepted jobs must end; beside the time that their work needs on all workers. */
 const RECOVERY_MS = 25_000
-const SUBMIT_INTERVAL_MS = 60
 const POLL_INTERVAL_MS = 40
 const PROBE_INTERVAL_MS = 400
 const REGISTER_INTERVAL_MS = 1_500
@@ -66,25 +76,19 @@
 }
 
 /** Draws faults of all kinds from sequences of their own: a seed always injects the same ones at the same times. */
-export function * planFaults (seed: number): Iterable<NextFault> {
-  const kinds = { ...FAULTS, ...MORE_FAULTS }
+export function * planFaults (seed: number, kinds: Shape['faults'] = DEFAULT_SHAPE.faults, maxPauseMs = DEFAULT_SHAPE.maxPauseMs): Iterable<NextFault> {
   const random = Random.create(seed)
-  for (let index = 0; ; index++) {
+  for (;;) {
     const name = random.pick(Object.keys(kinds))
-    const [durationMs, pauseMs] = [random.between(500, 5_000), random.between(300, 3_000)]
-    yield { name, inject: kinds[name as keyof typeof kinds] ?? noFault, random: Random.create(random.between(0, MAX_SEED)), durationMs: () => durationMs, pauseMs: () => pauseMs }
+    const [durationMs, pauseMs] = [random.between(500, 5_000), random.between(300, maxPauseMs)]
+    yield { name, inject: kinds[name] ?? noFault, random: Random.create(random.between(0, MAX_SEED)), durationMs: () => durationMs, pauseMs: () => pauseMs }
   }
 }
 
-/** Run time of each task of a job, in milliseconds. */
-function durationMsOf (jobId: string): number {
-  return 100 + Number.parseInt(jobId.slice(-3), 16) % 1_500
-}
-
 function noFault () {}
 
 /** Runs one seed: starts daemons as processes and the platform's emulator behind proxies, and injects random faults. */
-export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, firstPort, program }: SoakOptions): Promise<SoakResult> {
+export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, shape, only, firstPort, program }: SoakOptions): Promise<SoakResult> {
   const random = Random.create(seed)
   const clock = SystemClock.create()
   const audit = Audit.create()
@@ -95,17 +99,21 @@
   const storeAddress = await emulator.serveStore()
 
   const gangs = GangRegistry.create()
+  const clocks = Random.create(seed)
+  const leases = LeaseRecord.create(logFolder)
   const workers: MemoryWorker[] = []
   const workerLinks: TcpProxy[] = []
   for (let index = 0; index < workerCount; index++) {
     const worker = MemoryWorker.create({
-      entry: createWorkerEntry(`w${index}`),
+      entry: createWorkerEntry(`w${index}`, { capacity: shape.workerCapacity }),
       clock,
       audit,
-      behaviour: task => ({ durationMs: durationMsOf(task.jobId), end: 'done' }),
+      behaviour: task => ({ durationMs: shape.durationMsOf(task, audit.specOf(task.jobId)), end: 'done' }),
       needOf: task => audit.needOf(task),
       gangSizeOf: task => audit.gangSizeOf(task),
-      gangs
+      gangs,
+      log: leases,
+      ...shape.workerOptions(clocks)
     })
     const link = await TcpProxy.create(await emulator.serveWorker(worker))
     worker.entry = { ...worker.entry, address: link.address }
@@ -128,26 +136,28 @@
     const port = firstPort + PORTS_PER_DAEMON * index
     storeLinks.push(link)
     daemons.push(DaemonProcess.create({
-      name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress
-    }, logFolder, program))
+      name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress, maxTaskLeaseMs: shape.maxTaskLeaseMs
+    }, logFolder, program, shape.hasPeerProxies ? PeerProxies.nodeArguments(port + 2, port + 4) : []))
   }
+  const peerProxies = await PeerProxies.create(shape.hasPeerProxies ? daemons : [], 2)
 
-  const client = SoakClient.create(callerAddresses, audit, random)
+  const client = SoakClient.create(callerAddresses, audit, random, clock, shape.randomSteps)
   await sleep(STARTUP_MS)
   const pendingCalls = new Set<Promise<void>>()
   const track = (call: Promise<void>) => {
     pendingCalls.add(call)
     call.finally(() => pendingCalls.delete(call)).catch(() => {})
   }
-  const submitTimer = setInterval(() => track(client.submitOne()), SUBMIT_INTERVAL_MS)
+  const submitTimer = setInterval(() => track(client.submitOne()), shape.submitIntervalMs)
   const pollTimer = setInterval(() => { if (client.jobs.length > 0) track(client.poll(random.pick(client.jobs))) }, POLL_INTERVAL_MS)
   const probeTimer = setInterval(() => track(configProbe.probe()), PROBE_INTERVAL_MS)
 
   const faults: string[] = []
-  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, changeConfig: () => configProbe.change() }
-  if (allFaults) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
+  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, refusedPeers: peerProxies.refused, changeConfig: () => configProbe.change() }
+  const kinds = Object.fromEntries(Object.entries(shape.faults).filter(([name]) => only.length === 0 || only.includes(name)))
+  if (allFaults && shape === DEFAULT_SHAPE) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
   const faultsEndMs = clock.now() + faultPeriodMs
-  for (const { name, inject, durationMs, pauseMs, random: choices } of allFaults ? planFaults(seed) : drawFaults(random)) {
+  for (const { name, inject, durationMs, pauseMs, random: choices } of allFaults ? planFaults(seed, kinds, shape.maxPauseMs) : drawFaults(random)) {
     if (clock.now() >= faultsEndMs) break
     faults.push(name)
     inject(targets, choices, durationMs())
@@ -155,7 +165,7 @@
   }
   clearInterval(submitTimer)
   const capacity = workers.reduce((sum, { entry }) => sum + entry.capacity.milliCores, 0)
-  await sleep(RECOVERY_MS + client.remainingWork(durationMsOf) / capacity)
+  await sleep(RECOVERY_MS + client.remainingWork(shape.durationMsOf) / capacity)
   clearInterval(pollTimer)
   clearInterval(probeTimer)
   await Promise.all(pendingCalls)
@@ -165,10 +175,12 @@
   const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits())]
   const knownFailures = daemons.flatMap(daemon => daemon.exitsByEarlySignal())
   await stopDaemons()
+  const earlyLapses = leases.earlyLapses(daemons.map(({ settings }) => join(logFolder, `${settings.name}.log`)))
   process.off('exit', stopDaemons)
   clearInterval(registerTimer)
   emulator.close()
+  peerProxies.close()
   for (const link of [...storeLinks, ...workerLinks]) link.close()
   await Promise.all([client.close(), configProbe.close()])
-  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, knownFailures, logFolder }
+  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, startsAfterIdleLapse: audit.startsAfterIdleLapse, earlyLapses, knownFailures, logFolder }
 }
--- /dev/null
+++ b/soak/src/shape.ts
@@ -0,0 +1,66 @@
+import type { MemoryWorkerOptions } from '@citronnotch/cell/testing'
+import type { JobSpec, ResourceVector, TaskId } from '@citronnotch/cell'
+import { FAULTS, MORE_FAULTS } from './faults.js'
+import type { Fault } from './faults.js'
+import { LEADER_FAULTS } from './leaderFaults.js'
+import type { Random } from './random.js'
+
+/** What kind of cell a soak plays: its jobs, workers, bounds and faults. */
+export interface Shape {
+  readonly submitIntervalMs: number
+  /** Steps of the next job, as callers send them. */
+  readonly randomSteps: (random: Random) => readonly object[]
+  readonly durationMsOf: (task: Pick<TaskId, 'jobId' | 'step'>, spec: JobSpec | undefined) => number
+  readonly workerCapacity: ResourceVector
+  readonly workerOptions: (random: Random) => Partial<MemoryWorkerOptions>
+  readonly maxTaskLeaseMs: number
+  /** Faults that `--all-faults` draws from. */
+  readonly faults: Readonly<Record<string, Fault>>
+  /** Longest pause between two faults, in milliseconds. */
+  readonly maxPauseMs: number
+  /** Whether proxies stand in front of the daemons' listeners for peers. */
+  readonly hasPeerProxies: boolean
+}
+
+export const DEFAULT_SHAPE: Shape = {
+  submitIntervalMs: 60,
+  randomSteps: random => {
+    const count = random.between(1, 4)
+    const first = { count, cpu: random.between(200, 1_500), mem_mb: 100, estimated_ms: 500, ...(random.chance(0.3) ? { gang: true } : {}) }
+    return random.chance(0.4) ? [first, { count: 1, cpu: 500, mem_mb: 100, after: [0] }] : [first]
+  },
+  durationMsOf: ({ jobId }) => 100 + Number.parseInt(jobId.slice(-3), 16) % 1_500,
+  workerCapacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 },
+  workerOptions: () => ({}),
+  maxTaskLeaseMs: 6_000,
+  faults: { ...FAULTS, ...MORE_FAULTS },
+  maxPauseMs: 3_000,
+  hasPeerProxies: false
+}
+
+/** Tasks of the users' stave cluster: count, thousandths of a core, and run time in milliseconds. */
+const STAVE_JOBS = {
+  assess: { count: 8, cpu: 4_500, estimated_ms: 4_000, checkpoints: true },
+  match: { count: 10, cpu: 980, estimated_ms: 2_700 },
+  quote: { count: 2, cpu: 1_400, estimated_ms: 800 }
+} as const
+const STAVE_CAPACITY: ResourceVector = { milliCores: 16_000, memoryMb: 64_000, accelerators: 0 }
+
+/** The users' deployment tanglaw-sked: bounds and jobs of its site, with the disturbances of its days. */
+const TANGLAW_SKED: Shape = {
+  submitIntervalMs: 120,
+  randomSteps: random => {
+    const kind = random.chance(0.82) ? 'quote' : random.chance(0.15) ? 'assess' : 'match'
+    const work = { ...STAVE_JOBS[kind], mem_mb: 500, ...(random.chance(0.25) ? { gang: true } : random.chance(0.2) ? { speculative: true } : {}) }
+    return random.chance(0.2) ? [work, { ...STAVE_JOBS.quote, mem_mb: 500, after: [0] }] : [work]
+  },
+  durationMsOf: ({ jobId, step }, spec) => (spec?.steps[step]?.estimateMs ?? 0) * (0.7 + 0.1 * (Number.parseInt(jobId.slice(-2), 16) % 7)),
+  workerCapacity: STAVE_CAPACITY,
+  workerOptions: random => ({ maxLeaseMs: 10_000, clockRate: 0.98 + random.between(0, 20) / 1_000, stopMs: 200, checkpointIntervalMs: 2_000, restoreMs: 100 }),
+  maxTaskLeaseMs: 10_000,
+  faults: LEADER_FAULTS,
+  maxPauseMs: 2_000,
+  hasPeerProxies: true
+}
+
+export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED }
