--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -15,6 +15,9 @@
   100, 121, 140, 142
 ]
 
+/** Time for which the soak itself may stand still without being printed: less than any timeout of the daemons. */
+const LONG_STALL_MS = 150
+
 const DEFAULTS = { seeds: 1, seconds: 20, daemons: 3, workers: 6, port: 20_000 }
 
 const cli = cac('soak')
@@ -45,8 +48,8 @@
         console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
         process.exit(1)
       }
-      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true || shape !== DEFAULT_SHAPE, shape, only, firstPort: options.port, program: options.program })
-      console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations`)
+      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true || shape !== DEFAULT_SHAPE, shape, only, firstPort: options.port, program: options.program })
+      console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations${longestStallMs > LONG_STALL_MS ? `; workers and store stood still for ${Math.round(longestStallMs)} ms` : ''}`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
       if (startsAfterIdleLapse.length > 0) console.log(`  ${startsAfterIdleLapse.length} starts after an end under a lease that passed without killing a run, such as: ${startsAfterIdleLapse[0]}`)
       if (earlyLapses.length > 0) console.log(`  ${earlyLapses.length} leases counted as lapsed too early, such as: ${earlyLapses[0]}`)
--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -40,13 +40,13 @@
   cutWorkers: (targets, random) => cutWorkers(targets, random),
   cutWorkersAndKill: (targets, random) => {
     cutWorkers(targets, random)
-    for (let index = 0; index < 3; index++) setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 9_000))
+    setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 9_000))
   },
   lateOrders: (targets, random) => delayOrders(targets, random, false),
   lateGrants: (targets, random) => delayOrders(targets, random, true),
   lateOrdersAndKill: (targets, random) => {
     delayOrders(targets, random, false)
-    for (let index = 0; index < 3; index++) setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 6_000))
+    setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 6_000))
   },
   lostAnswers: ({ workers }, random, durationMs) => {
     for (const worker of workers) {
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -1,5 +1,6 @@
 import { tmpdir } from 'node:os'
 import { mkdtempSync } from 'node:fs'
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import { join } from 'node:path'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Audit, GangRegistry, MemoryStore, MemoryWorker, createWorkerEntry } from '@citronnotch/cell/testing'
@@ -42,6 +43,8 @@
   readonly startsAfterIdleLapse: readonly string[]
   /** Leases that a leader counted as lapsed too early. */
   readonly earlyLapses: readonly string[]
+  /** Longest time for which this process, and the workers and the store in it, stood still, in milliseconds. */
+  readonly longestStallMs: number
   /** Exits by a signal that arrived before Node.js had started; see KNOWN-RED.txt. */
   readonly knownFailures: readonly string[]
   readonly logFolder: string
@@ -50,11 +53,10 @@
 export const PORTS_PER_DAEMON = 5
 /** Time before the first fault. */
 const STARTUP_MS = 3_000
-/** Time without new jobs or faults at the end, within which all accepted jobs must end; beside the time that their work needs on all workers. */
-const RECOVERY_MS = 25_000
 const POLL_INTERVAL_MS = 40
 const PROBE_INTERVAL_MS = 400
 const REGISTER_INTERVAL_MS = 1_500
+const NANOSECONDS_PER_MS = 1e6
 const MAX_SEED = 2 ** 30
 
 interface NextFault {
@@ -89,6 +91,8 @@
 
 /** Runs one seed: starts daemons as processes and the platform's emulator behind proxies, and injects random faults. */
 export async function runSeed ({ seed, faultPeriodMs, daemons: daemonCount, workers: workerCount, allFaults, shape, only, firstPort, program }: SoakOptions): Promise<SoakResult> {
+  const stalls = monitorEventLoopDelay({ resolution: 20 })
+  stalls.enable()
   const random = Random.create(seed)
   const clock = SystemClock.create()
   const audit = Audit.create()
@@ -165,7 +169,7 @@
   }
   clearInterval(submitTimer)
   const capacity = workers.reduce((sum, { entry }) => sum + entry.capacity.milliCores, 0)
-  await sleep(RECOVERY_MS + client.remainingWork(shape.durationMsOf) / capacity)
+  await sleep(shape.recoveryMs + client.remainingWork(shape.durationMsOf) / capacity)
   clearInterval(pollTimer)
   clearInterval(probeTimer)
   await Promise.all(pendingCalls)
@@ -182,5 +186,5 @@
   peerProxies.close()
   for (const link of [...storeLinks, ...workerLinks]) link.close()
   await Promise.all([client.close(), configProbe.close()])
-  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, startsAfterIdleLapse: audit.startsAfterIdleLapse, earlyLapses, knownFailures, logFolder }
+  return { jobs: client.jobs.length, accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length, faults, violations, startsAfterIdleLapse: audit.startsAfterIdleLapse, earlyLapses, longestStallMs: stalls.max / NANOSECONDS_PER_MS, knownFailures, logFolder }
 }
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -18,6 +18,8 @@
   readonly faults: Readonly<Record<string, Fault>>
   /** Longest pause between two faults, in milliseconds. */
   readonly maxPauseMs: number
+  /** Time after the last fault has begun within which all accepted jobs must end, beside the time that their work needs, in milliseconds. */
+  readonly recoveryMs: number
   /** Whether proxies stand in front of the daemons' listeners for peers. */
   readonly hasPeerProxies: boolean
 }
@@ -35,6 +37,7 @@
   maxTaskLeaseMs: 6_000,
   faults: { ...FAULTS, ...MORE_FAULTS },
   maxPauseMs: 3_000,
+  recoveryMs: 25_000,
   hasPeerProxies: false
 }
 
@@ -48,7 +51,7 @@
 
 /** The users' deployment tanglaw-sked: bounds and jobs of its site, with the disturbances of its days. */
 const TANGLAW_SKED: Shape = {
-  submitIntervalMs: 120,
+  submitIntervalMs: 200,
   randomSteps: random => {
     const kind = random.chance(0.82) ? 'quote' : random.chance(0.15) ? 'assess' : 'match'
     const work = { ...STAVE_JOBS[kind], mem_mb: 500, ...(random.chance(0.25) ? { gang: true } : random.chance(0.2) ? { speculative: true } : {}) }
@@ -59,7 +62,9 @@
   workerOptions: random => ({ maxLeaseMs: 10_000, clockRate: 0.98 + random.between(0, 20) / 1_000, stopMs: 200, checkpointIntervalMs: 2_000, restoreMs: 100 }),
   maxTaskLeaseMs: 10_000,
   faults: LEADER_FAULTS,
-  maxPauseMs: 2_000,
+  maxPauseMs: 5_000,
+  // The last order is carried out 20 s after its fault has begun.
+  recoveryMs: 45_000,
   hasPeerProxies: true
 }
 
