fix(cell): a leader remembers that one before its predecessor may still be alive

Cause: a leader that refuses connections is taken for dead before its lease has ended. If it lives, it may issue commands and extend leases for up to 2 s more, which its successor allows for. A third leader didn't: when the successor stopped, or was killed and started again at its address, within these 2 s, the third one took over without a wait and counted the leases of unreachable workers from its own takeover, up to 2 s too early, and started new jobs before all workers were fenced.

Ruled out: keeping `isEarly` alone in the row. It would hold up each later takeover of a leader that has led for hours; the end on the store's clock passes by itself. Counting from the time at which the takeover was applied: it fails if a renewal is applied after the row was read, so the time of the read bounds the earlier leader.

Change: an early takeover stores until when, on the store's clock, the holder before may be active. Whoever takes over before that counts as early too, and passes the time on.

The soak has not shown it: its links to the workers are the same for all daemons, and a double run takes a worker that only the earlier leader reaches.

--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -42,7 +42,7 @@
   readonly epoch: number
   /** Version of the lease row that began the epoch. */
   readonly version: number
-  /** Whether the lease of the previous holder had not ended: unless it is dead, it may issue commands for another `LEASE_TTL_MS`. */
+  /** Whether the lease of an earlier holder may not have ended: unless it is dead, it may issue commands for another `LEASE_TTL_MS`. */
   readonly isEarly: boolean
 }
 
@@ -317,7 +317,8 @@
   private async writeLease (state: LeaseState, isEarly: boolean) {
     const { store, clock, holder, peerAddress, log } = this.options
     const epoch = (state.value?.epoch ?? 0) + 1
-    const value: LeaseValue = { holder, peerAddress, epoch, released: false }
+    const earlierActiveUntilMs = this.earlierActiveUntilMs(state.value, isEarly)
+    const value: LeaseValue = { holder, peerAddress, epoch, released: false, ...(earlierActiveUntilMs === undefined ? {} : { earlierActiveUntilMs }) }
     const sinceSent = Stopwatch.start(clock)
     const res = await store.transact({
       partition: LEASE_PARTITION,
@@ -327,10 +328,22 @@
       removes: []
     }, LEASE_TTL_MS)
     if (res.err) log.warn('Lease takeover was not acknowledged.', { epoch, verdict: res.val.verdict, reason: res.val.reason })
-    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent, state.value, isEarly)
+    else if (res.val.committed) this.gain({ value, version: res.val.version }, sinceSent, state.value, isEarly || earlierActiveUntilMs !== undefined)
     else this.unchangedSince = undefined
   }
 
+  /**
+   * Time on the store's clock until which a holder before this one may issue commands. The takeover fails if a renewal is
+   * applied after `previous` was read, so an early one leaves the previous holder `LEASE_TTL_MS` from now at most. A
+   * holder that soon stops again passes the time on.
+   */
+  private earlierActiveUntilMs (previous: LeaseValue | undefined, isEarly: boolean): number | undefined {
+    const storeMs = this.options.store.clockMs()
+    if (isEarly) return Math.ceil((storeMs?.latest ?? Infinity) + LEASE_TTL_MS)
+    const untilMs = previous?.earlierActiveUntilMs
+    return untilMs !== undefined && (storeMs === undefined || storeMs.earliest <= untilMs) ? untilMs : undefined
+  }
+
   private gain (held: HeldLease, sinceSent: Stopwatch, previous: LeaseValue | undefined, isEarly: boolean) {
     this.held = held
     this.sinceRenewal = sinceSent
--- a/packages/cell/src/leaseRows.ts
+++ b/packages/cell/src/leaseRows.ts
@@ -1,4 +1,4 @@
-import { countOr, recordOf, stringOr } from '@citronnotch/base/untrusted'
+import { countOr, isFiniteNumber, recordOf, stringOr } from '@citronnotch/base/untrusted'
 import { TABLES } from './constants.js'
 import type { RowKey, StoredRow } from './ports.js'
 
@@ -14,6 +14,8 @@
   readonly peerAddress: string
   readonly epoch: number
   readonly released: boolean
+  /** Time on the store's clock until which an earlier holder that was taken for dead may still issue commands; missing if there is none. */
+  readonly earlierActiveUntilMs?: number
 }
 
 /** Stored value of the renewal row, which the holder writes. */
@@ -51,6 +53,12 @@
 }
 
 function parseLease (value: unknown): LeaseValue {
-  const { holder, peerAddress, epoch, released } = recordOf(value)
-  return { holder: stringOr(holder, ''), peerAddress: stringOr(peerAddress, ''), epoch: countOr(epoch, 0), released: released === true }
+  const { holder, peerAddress, epoch, released, earlierActiveUntilMs } = recordOf(value)
+  return {
+    holder: stringOr(holder, ''),
+    peerAddress: stringOr(peerAddress, ''),
+    epoch: countOr(epoch, 0),
+    released: released === true,
+    ...(isFiniteNumber(earlierActiveUntilMs) ? { earlierActiveUntilMs } : {})
+  }
 }
