feat(soak): faults that hit some daemons only

Cause: the daemons shared one link to each worker, so that no worker was reached by one leader and not by the next; two leaders can harm each other only there, since a worker that the later one has adopted refuses the earlier one.

Change: the connections of a daemon come from an address of its own, by which the links tell them apart. `isolateLeader` cuts a leader off from the store, has it taken for dead while it lives, and cuts the others off from a third of the workers; `isolateLeaderThenKill` also kills or stops its successor; `cutDaemonFromWorkers` cuts one daemon off. `--pause` sets the longest pause between faults, so that one kind can be played by itself.

Ruled out: a fault only by the leader's peers.

Conclusion: two leaders that start at the same time are played now; that the soak finds a fault in it has not been shown.

--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -32,12 +32,14 @@
   .option('--all-faults', 'Inject all kinds of faults, also those that came after the seeds of --regressions')
   .option('--shape <name>', `Cell to play: ${Object.keys(SHAPES).join(' or ')}; another one than the default implies --all-faults`, { default: 'default' })
   .option('--only <faults>', 'Names of the faults to draw from, separated by commas; with --all-faults')
+  .option('--pause <seconds>', 'Longest pause between two faults, in seconds; with --all-faults (default: that of the shape)')
   .option('--regressions', 'Run the seeds that failed before')
-  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, shape: string, only?: string, regressions?: boolean }) => {
+  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, shape: string, only?: string, pause?: number, regressions?: boolean }) => {
     const first = options.seed ?? Date.now() % 1_000_000
     const seeds = options.regressions === true ? REGRESSION_SEEDS : Array.from({ length: options.seeds }, (_, index) => first + index)
-    const shape = SHAPES[options.shape]
-    if (shape === undefined) throw new Error(`There is no shape ${options.shape}.`)
+    const playedShape = SHAPES[options.shape]
+    if (playedShape === undefined) throw new Error(`There is no shape ${options.shape}.`)
+    const shape = options.pause === undefined ? playedShape : { ...playedShape, maxPauseMs: options.pause * 1_000 }
     const only = options.only?.split(',') ?? []
     const unknown = only.find(name => !(name in shape.faults))
     if (unknown !== undefined) throw new Error(`The shape has no fault ${unknown}; it has ${Object.keys(shape.faults).join(', ')}.`)
@@ -48,7 +50,7 @@
         console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
         process.exit(1)
       }
-      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true || shape !== DEFAULT_SHAPE, shape, only, firstPort: options.port, program: options.program })
+      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, logFolder } = await runSeed({ seed, faultPeriodMs: options.seconds * 1_000, daemons: options.daemons, workers: options.workers, allFaults: options.allFaults === true || playedShape !== DEFAULT_SHAPE, shape, only, firstPort: options.port, program: options.program })
       console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations${longestStallMs > LONG_STALL_MS ? `; workers and store stood still for ${Math.round(longestStallMs)} ms` : ''}`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
       if (startsAfterIdleLapse.length > 0) console.log(`  ${startsAfterIdleLapse.length} starts after an end under a lease that passed without killing a run, such as: ${startsAfterIdleLapse[0]}`)
--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -1,5 +1,7 @@
+import type { DaemonProcess } from '@citronnotch/platform/testing'
 import { FAULTS, MORE_FAULTS } from './faults.js'
 import type { Fault, FaultTargets } from './faults.js'
+import { sourceOf } from './peerProxies.js'
 import type { Random } from './random.js'
 
 const LEADER_ROW = ['leader', 'lease', 'lease'] as const
@@ -37,6 +39,15 @@
     refusePeers(targets, 600)
     setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(400, 3_000))
   },
+  /** The leader is cut off from the store and taken for dead, lives on, and alone reaches some of the workers. */
+  isolateLeader: (targets, random) => isolateLeader(targets, random),
+  /** The same, and its successor is replaced at once. */
+  isolateLeaderThenKill: (targets, random) => {
+    isolateLeader(targets, random)
+    for (const atMs of [random.between(200, 900), random.between(900, 1_900)]) setTimeout(() => leaderOf(targets)?.signal(random.pick(['SIGKILL', 'SIGTERM'] as const)), atMs)
+  },
+  /** One daemon can't reach some of the workers. */
+  cutDaemonFromWorkers: (targets, random) => cutFromWorkers([random.pick(targets.daemons)], targets, random),
   cutWorkers: (targets, random) => cutWorkers(targets, random),
   cutWorkersAndKill: (targets, random) => {
     cutWorkers(targets, random)
@@ -86,6 +97,25 @@
   setTimeout(() => targets.refusedPeers.delete(leader), durationMs)
 }
 
+function isolateLeader (targets: FaultTargets, random: Random) {
+  const { daemons, storeLinks } = targets
+  const leader = leaderOf(targets)
+  const storeLink = leader === undefined ? undefined : storeLinks[daemons.indexOf(leader)]
+  if (storeLink === undefined) return
+  cutFromWorkers(daemons.filter(daemon => daemon !== leader), targets, random)
+  storeLink.fault = random.pick(['hold', 'drop-all', 'drop-responses'] as const)
+  setTimeout(() => { storeLink.fault = 'none' }, random.between(2_000, 5_000))
+  refusePeers(targets, random.between(1_000, 3_000))
+}
+
+function cutFromWorkers (daemons: readonly DaemonProcess[], { workerLinks }: FaultTargets, random: Random) {
+  const links = workerLinks.filter(() => random.chance(0.3))
+  const fault = random.pick(['hold', 'drop-all', 'drop-responses'] as const)
+  const sources = daemons.map(({ settings }) => sourceOf(settings.name))
+  for (const link of links) for (const source of sources) link.sourceFaults.set(source, fault)
+  setTimeout(() => { for (const link of links) for (const source of sources) link.sourceFaults.delete(source) }, random.between(6_000, 13_000))
+}
+
 /** Cuts off up to a third of the workers, which run on. */
 function cutWorkers ({ workers, workerLinks }: FaultTargets, random: Random) {
   for (let index = 0; index < Math.ceil(workers.length / 3); index++) {
--- a/soak/src/peerProxies.ts
+++ b/soak/src/peerProxies.ts
@@ -3,6 +3,11 @@
 
 const POLL_MS = 20
 
+/** Address from which the connections of a daemon come. */
+export function sourceOf (daemonName: string): string {
+  return `127.0.0.${10 + Number(daemonName.slice(1))}`
+}
+
 /** Proxies in the place of the daemons' listeners for peers. Each accepts connections while its daemon runs and isn't among the refused ones. */
 export class PeerProxies {
   readonly refused = new Set<DaemonProcess>()
@@ -22,9 +27,9 @@
     return new PeerProxies(proxies)
   }
 
-  /** Options with which Node.js moves a daemon's listener for peers. */
-  static nodeArguments (from: number, to: number): readonly string[] {
-    return ['--import', `${new URL('movePeerPort.js', import.meta.url).href}?from=${from}&to=${to}`]
+  /** Options with which Node.js moves a daemon's listener for peers and gives its connections a source. */
+  static nodeArguments (from: number, to: number, source: string): readonly string[] {
+    return ['--import', `${new URL('movePeerPort.js', import.meta.url).href}?from=${from}&to=${to}&source=${source}`]
   }
 
   close (): void {
--- a/soak/src/proxy.ts
+++ b/soak/src/proxy.ts
@@ -13,6 +13,8 @@
 /** Loopback TCP proxy in front of one address; a fault applies to open and new connections. */
 export class TcpProxy {
   fault: LinkFault = 'none'
+  /** Faults for connections from one address, in place of `fault`. */
+  readonly sourceFaults = new Map<string, LinkFault>()
   private readonly sockets = new Set<Socket>()
 
   private isClosed = false
@@ -52,22 +54,27 @@
   }
 
   private relay (client: Socket, target: Socket) {
-    if (this.fault === 'reset') {
+    const source = client.remoteAddress ?? ''
+    if (this.faultOf(source) === 'reset') {
       client.resetAndDestroy()
       target.destroy()
       return
     }
-    this.forward(client, target, ['drop-all'])
-    this.forward(target, client, ['drop-all', 'drop-responses'])
+    this.forward(source, client, target, ['drop-all'])
+    this.forward(source, target, client, ['drop-all', 'drop-responses'])
   }
 
-  private forward (from: Socket, to: Socket, droppingFaults: readonly LinkFault[]) {
+  private faultOf (source: string): LinkFault {
+    return this.sourceFaults.get(source) ?? this.fault
+  }
+
+  private forward (source: string, from: Socket, to: Socket, droppingFaults: readonly LinkFault[]) {
     this.sockets.add(from)
     let isDropping = false
     const held: Buffer[] = []
     let isHolding = false
     const release = () => {
-      if (this.fault === 'hold') return setTimeout(release, HOLD_POLL_MS)
+      if (this.faultOf(source) === 'hold') return setTimeout(release, HOLD_POLL_MS)
       isHolding = false
       if (to.destroyed) return
       for (const data of held.splice(0)) to.write(data)
@@ -75,14 +82,14 @@
     }
     from.on('data', data => {
       // After dropped data, this direction stays silent until the connection closes.
-      isDropping ||= droppingFaults.includes(this.fault)
+      isDropping ||= droppingFaults.includes(this.faultOf(source))
       if (isDropping) return
-      if (this.fault === 'hold' && !isHolding) {
+      if (this.faultOf(source) === 'hold' && !isHolding) {
         isHolding = true
         release()
       }
       if (isHolding) held.push(data)
-      else if (this.fault === 'delay') setTimeout(() => { if (!to.destroyed) to.write(data) }, LINK_DELAY_MS)
+      else if (this.faultOf(source) === 'delay') setTimeout(() => { if (!to.destroyed) to.write(data) }, LINK_DELAY_MS)
       else to.write(data)
     })
     from.on('error', () => to.destroy())
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -12,7 +12,7 @@
 import type { Fault, FaultTargets } from './faults.js'
 import { LeaseRecord } from './leaseRecord.js'
 import { TcpProxy } from './proxy.js'
-import { PeerProxies } from './peerProxies.js'
+import { PeerProxies, sourceOf } from './peerProxies.js'
 import { Random } from './random.js'
 import { DEFAULT_SHAPE } from './shape.js'
 import type { Shape } from './shape.js'
@@ -141,7 +141,7 @@
     storeLinks.push(link)
     daemons.push(DaemonProcess.create({
       name: `d${index}`, callerAddress, readyAddress: `127.0.0.1:${port + 1}`, peerPort: port + 2, storeAddress: link.address, policyAddress, maxTaskLeaseMs: shape.maxTaskLeaseMs
-    }, logFolder, program, shape.hasPeerProxies ? PeerProxies.nodeArguments(port + 2, port + 4) : []))
+    }, logFolder, program, shape.hasPeerProxies ? PeerProxies.nodeArguments(port + 2, port + 4, sourceOf(`d${index}`)) : []))
   }
   const peerProxies = await PeerProxies.create(shape.hasPeerProxies ? daemons : [], 2)
 
@@ -159,7 +159,7 @@
   const faults: string[] = []
   const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, refusedPeers: peerProxies.refused, changeConfig: () => configProbe.change() }
   const kinds = Object.fromEntries(Object.entries(shape.faults).filter(([name]) => only.length === 0 || only.includes(name)))
-  if (allFaults && shape === DEFAULT_SHAPE) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
+  if (allFaults && shape.hasChangeSeries) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
   const faultsEndMs = clock.now() + faultPeriodMs
   for (const { name, inject, durationMs, pauseMs, random: choices } of allFaults ? planFaults(seed, kinds, shape.maxPauseMs) : drawFaults(random)) {
     if (clock.now() >= faultsEndMs) break
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -20,6 +20,8 @@
   readonly maxPauseMs: number
   /** Time after the last fault has begun within which all accepted jobs must end, beside the time that their work needs, in milliseconds. */
   readonly recoveryMs: number
+  /** Whether `--all-faults` changes the configuration again and again, beside the faults. */
+  readonly hasChangeSeries: boolean
   /** Whether proxies stand in front of the daemons' listeners for peers. */
   readonly hasPeerProxies: boolean
 }
@@ -38,6 +40,7 @@
   faults: { ...FAULTS, ...MORE_FAULTS },
   maxPauseMs: 3_000,
   recoveryMs: 25_000,
+  hasChangeSeries: true,
   hasPeerProxies: false
 }
 
@@ -65,6 +68,7 @@
   maxPauseMs: 5_000,
   // The last order is carried out 20 s after its fault has begun.
   recoveryMs: 45_000,
+  hasChangeSeries: false,
   hasPeerProxies: true
 }
 
