--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -1,7 +1,9 @@
 import { cac } from 'cac'
 import { LEADER_TROUBLES } from './crashRun.js'
 import type { LeaderTrouble } from './crashRun.js'
-import { runSeed } from './run.js'
+import { exitOnSignals, findUsedPort } from './ownProcesses.js'
+import { PORTS_PER_DAEMON, runSeed } from './run.js'
+import { DEFAULT_SHAPE, SHAPES } from './shape.js'
 
 /** Seeds that failed before, with the cause of each failure; run with `--regressions`. */
 const REGRESSION_SEEDS: readonly number[] = [
@@ -15,6 +17,9 @@
   100, 121, 140, 142
 ]
 
+/** Time for which the soak itself may stand still without being printed: less than any timeout of the daemons. */
+const LONG_STALL_MS = 150
+
 const DEFAULTS = { seeds: 1, seconds: 20, daemons: 3, workers: 6, port: 20_000 }
 
 const cli = cac('soak')
@@ -25,30 +30,48 @@
   .option('--daemons <count>', 'Number of daemons', { default: DEFAULTS.daemons })
   .option('--workers <count>', 'Number of workers', { default: DEFAULTS.workers })
   .option('--port <port>', 'First port of the daemons, on 127.0.0.1', { default: DEFAULTS.port })
+  .option('--program <path>', 'Program of the daemons (default: the bundle of this repository)')
   .option('--all-faults', 'Inject all kinds of faults, also those that came after the seeds of --regressions')
+  .option('--shape <name>', `Cell to play: ${Object.keys(SHAPES).join(' or ')}; another one than the default implies --all-faults`, { default: 'default' })
+  .option('--only <faults>', 'Names of the faults to draw from, separated by commas; with --all-faults')
+  .option('--pause <seconds>', 'Longest pause between two faults, in seconds; with --all-faults (default: that of the shape)')
   .option('--crashing-tasks <trouble>', `Play two tasks that crash their workers, in place of random faults, with trouble of the leader: ${LEADER_TROUBLES.join(', ')}`)
   .option('--gangs', 'Let each of the crashing tasks be a gang of two')
-  .option('--program <path>', 'Daemon to run, e.g. the bundle of another build (default: the bundle of this build)')
   .option('--regressions', 'Run the seeds that failed before')
-  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, allFaults?: boolean, regressions?: boolean, crashingTasks?: LeaderTrouble, gangs?: boolean, program?: string }) => {
+  .action(async (options: { seed?: number, seeds: number, seconds: number, daemons: number, workers: number, port: number, program?: string, allFaults?: boolean, shape: string, only?: string, pause?: number, regressions?: boolean, crashingTasks?: LeaderTrouble, gangs?: boolean }) => {
     const { crashingTasks: trouble, program } = options
     if (trouble !== undefined && !LEADER_TROUBLES.includes(trouble)) throw new Error(`--crashing-tasks: unknown trouble ${String(trouble)}`)
     const first = options.seed ?? Date.now() % 1_000_000
     const seeds = options.regressions === true ? REGRESSION_SEEDS : Array.from({ length: options.seeds }, (_, index) => first + index)
+    const playedShape = SHAPES[options.shape]
+    if (playedShape === undefined) throw new Error(`There is no shape ${options.shape}.`)
+    const shape = options.pause === undefined ? playedShape : { ...playedShape, maxPauseMs: options.pause * 1_000 }
+    const only = options.only?.split(',') ?? []
+    const unknown = only.find(name => !(name in shape.faults))
+    if (unknown !== undefined) throw new Error(`The shape has no fault ${unknown}; it has ${Object.keys(shape.faults).join(', ')}.`)
     let failedSeeds = 0
     for (const seed of seeds) {
-      const { jobs, accepted, faults, violations, knownFailures, logFolder, crashReport } = await runSeed({
+      const usedPort = await findUsedPort(options.port, PORTS_PER_DAEMON * options.daemons)
+      if (usedPort !== undefined) {
+        console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
+        process.exit(1)
+      }
+      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, logFolder, crashReport } = await runSeed({
         seed,
         faultPeriodMs: options.seconds * 1_000,
         daemons: options.daemons,
         workers: options.workers,
-        allFaults: options.allFaults === true,
+        allFaults: options.allFaults === true || playedShape !== DEFAULT_SHAPE,
+        shape,
+        only,
         firstPort: options.port,
-        ...(trouble === undefined ? {} : { crashes: { trouble, isGang: options.gangs === true } }),
-        ...(program === undefined ? {} : { program })
+        program,
+        crashes: trouble === undefined ? undefined : { trouble, isGang: options.gangs === true }
       })
-      console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations`)
+      console.log(`seed ${seed}: ${jobs} jobs, ${accepted} accepted, ${faults.length} faults, ${violations.length} violations${longestStallMs > LONG_STALL_MS ? `; workers and store stood still for ${Math.round(longestStallMs)} ms` : ''}`)
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
+      if (startsAfterIdleLapse.length > 0) console.log(`  ${startsAfterIdleLapse.length} starts after an end under a lease that passed without killing a run, such as: ${startsAfterIdleLapse[0]}`)
+      if (earlyLapses.length > 0) console.log(`  ${earlyLapses.length} leases counted as lapsed too early, such as: ${earlyLapses[0]}`)
       for (const line of crashReport) console.log(`  ${line}`)
       if (trouble !== undefined || violations.length > 0) console.log(`  faults: ${trouble ?? faults.join(' ')}\n  logs: ${logFolder}`)
       if (violations.length === 0) continue
@@ -59,4 +82,5 @@
     process.exit(failedSeeds === 0 ? 0 : 1)
   })
 cli.help()
+exitOnSignals()
 cli.parse()
