fix(cell): several unanswered starts raise a worker's fencing token once

Cause: each unanswered start raised the token and sent a heartbeat, though the token had been raised since that start was sent. Ruled out: a start that is still pending under an older token. It can't be carried out once the raised token is seen, and the report under that token lists it or drops it, as before. Change: the token is raised only by a start that was sent under the current one. The test failed before with three tokens instead of two.

--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -38,3 +38,24 @@
   await cell.clock.advance(6_000)
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against needless adoptions: each of several unanswered starts raised the fencing token, so that the answers under the tokens before adopted nothing.
+test('starts that are not answered raise the fencing token once', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: () => ({ durationMs: 60_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  const [worker] = cell.workers.all()
+  if (worker === undefined) throw new Error('no worker')
+  const tokens = new Set<number>()
+  worker.fault = (command, _task, token) => {
+    tokens.add(token)
+    return command === 'start' ? { kind: 'answer-lost' } : undefined
+  }
+  const jobId = await cell.submit(daemon, [createStep({ count: 2 })])
+  await cell.advanceUntil(() => cell.audit.hasStarted(jobId))
+  t.true(await cell.advanceUntil(() => tokens.size > 1, 4_000))
+  await cell.clock.advance(2_000)
+  t.is(tokens.size, 2)
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -87,7 +87,7 @@
 /** In-memory worker with fencing tokens, leases on its own clock and unacknowledged finished runs; tests inject its faults. */
 export class MemoryWorker {
   /** Returns the fault to inject into a command, if any; `hold` is the heartbeat. */
-  fault: (command: 'start' | 'stop' | 'hold', task?: TaskId) => CommandFault | undefined = () => undefined
+  fault: (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, fencingToken: number) => CommandFault | undefined = () => undefined
   /** While true, commands have no effect and get no answer; active runs continue. */
   isCutOff = false
   /** While true, every run that starts here fails. */
@@ -155,17 +155,17 @@
   /** Returns a client that also reaches later incarnations of this worker. */
   client (): WorkerClient {
     return {
-      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, timeoutMs, () => this.heartbeat(cmd)),
-      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, timeoutMs, async () => this.start(cmd)),
-      stop: (cmd, timeoutMs) => this.deliver('stop', cmd.task, timeoutMs, async () => this.stop(cmd)),
+      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, cmd.fencingToken, timeoutMs, () => this.heartbeat(cmd)),
+      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, cmd.fencingToken, timeoutMs, async () => this.start(cmd)),
+      stop: (cmd, timeoutMs) => this.deliver('stop', cmd.task, cmd.fencingToken, timeoutMs, async () => this.stop(cmd)),
       close: async () => {}
     }
   }
 
-  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, timeoutMs: number, execute: () => Promise<T>): Promise<Result<T, Failure>> {
+  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, fencingToken: number, timeoutMs: number, execute: () => Promise<T>): Promise<Result<T, Failure>> {
     const { clock } = this.options
     await clock.sleep(COMMAND_LATENCY_MS)
-    const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task)
+    const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task, fencingToken)
     const { crashes } = this
     if (fault === undefined) {
       const outcome = await execute()
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -354,13 +354,13 @@
     }
     if (res.val.verdict !== 'not-run') {
       log.warn('Run start was not answered.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason: res.val.reason })
-      this.readopt()
+      if (run.fencingToken === this.token) this.readopt()
       return
     }
     const reason = refusalReasonOf(res.val)
     log.info('Start refused.', { task: formatTaskId(run.id), run: run.number, worker: this.id, token: run.fencingToken, reason })
     this.removeRun(run)
-    if (reason === 'unreachable' || reason === 'other-life') this.readopt()
+    if ((reason === 'unreachable' && run.fencingToken === this.token) || reason === 'other-life') this.readopt()
     events.startRefused(this, run, reason)
   }
 
