fix(cell,platform): ends that a worker lists in a late answer are not lost

Cause: an answer to a heartbeat that came later than 0.9 s was thrown away with its connection. A worker behind a slow link, or a leader that is late itself, listed the end of a run in such answers for five seconds; the leader saw none of them, took the lease as lapsed and started the task again. Change: an overdue heartbeat stays open for another 3 s and what it brings is applied. It adopts the worker only within 2 s of its sending, before which no next incarnation can be there. A worker whose answers come late has at most two overdue heartbeats, and its runs are given up only when no report from before the end of their leases can arrive.

--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -11,6 +11,8 @@
 /** Fault injected into a command to a worker. */
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
+  /** The command is executed at once, and its answer takes this long. */
+  | { readonly kind: 'answer-late', readonly afterMs: number }
   /** `isQueued`: the worker holds the command back, which is lost with the incarnation; otherwise the network does. */
   | { readonly kind: 'applied-late', readonly afterMs: number, readonly isQueued?: boolean }
   /** The command is refused without effect. */
@@ -171,6 +173,12 @@
       const outcome = await execute()
       if (this.crashes === crashes) return Ok(outcome)
     }
+    if (fault?.kind === 'answer-late') {
+      const outcome = await execute()
+      await clock.sleep(Math.min(fault.afterMs, timeoutMs))
+      if (this.crashes === crashes && fault.afterMs < timeoutMs) return Ok(outcome)
+      return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
+    }
     if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
     if (fault?.kind === 'answer-lost') await execute()
     if (fault?.kind === 'applied-late') {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@citronnotch/base/clock'
+import type { CancelTimer, Clock } from '@citronnotch/base/clock'
 import { Failure } from '@citronnotch/base/errors'
 import type { Log } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
@@ -18,6 +18,15 @@
 /** Longest gap between two reports over which a run can count as stalled; after a longer gap the stall timers restart. */
 const MAX_REPORT_GAP_MS = 1_600
 
+/** Time for which the answer to an overdue heartbeat is still waited for, in milliseconds. */
+const LATE_ANSWER_MS = 3_000
+/** Maximum number of overdue heartbeats to a worker whose answers come late: more would hold them up. Lost ones are repeated. */
+const MAX_OVERDUE_HEARTBEATS = 2
+/** Time after a late answer for which a worker counts as slow, in milliseconds. */
+const SLOW_MS = 4_000
+/** Time after its heartbeat was sent until which an answer shows that this incarnation is alive; a worker may restart under its id sooner after that. */
+const MAX_ADOPTION_ANSWER_MS = 2_000
+
 /** Grace period before a worker that was never adopted counts as unreachable: a new leader adopts many workers at once. */
 const ADOPTION_GRACE_MS = 1_000
 
@@ -76,6 +85,13 @@
   readonly stored: Promise<void>
 }
 
+/** A heartbeat that may still be answered. */
+interface PendingHeartbeat {
+  /** Monotonic time at which it was sent. */
+  readonly sentAt: number
+  isOverdue: boolean
+}
+
 /** Result of an accepted heartbeat. The promise is wrapped because an async function awaits a promise that it returns. */
 interface HeartbeatResult {
   /** Resolves once the finished runs that the worker listed are stored. */
@@ -118,6 +134,9 @@
   /** The worker's clock in the latest report; -1 before the first. */
   private workerClockMs = -1
   private lastReportAt = 0
+  private readonly pendingHeartbeats = new Set<PendingHeartbeat>()
+  /** Monotonic time at which the latest overdue answer was received. */
+  private lateAnswerAt = -Infinity
   /** Monotonic time at which every lease sent so far has expired. */
   private leasesExpireAt: number
   /** Monotonic time at which the worker leaves, if that is announced. */
@@ -222,8 +241,9 @@
   async run (signal: AbortSignal): Promise<void> {
     const { clock, mayIssueCommands } = this.options
     while (!signal.aborted && !this.isDead) {
-      if (!mayIssueCommands()) {
+      if (!mayIssueCommands() || (this.isSlow() && this.overdueHeartbeats() >= MAX_OVERDUE_HEARTBEATS)) {
         await clock.sleep(MIN_HEARTBEAT_INTERVAL_MS)
+        if (mayIssueCommands()) this.reportExpired()
         continue
       }
       const startedAt = clock.now()
@@ -294,9 +314,13 @@
     return this.expiredRuns.length > 0
   }
 
-  /** Reports the runs as lost if the worker is unreachable and their leases have expired. */
+  /**
+   * Reports the runs as lost if the worker is unreachable and their leases have expired. If its answers come late, reports
+   * from before then are waited for: they may list an end under the lease, which counts as acknowledged soon after.
+   */
   reportExpired (): void {
     if (this.isAdopted || this.runs.size === 0 || this.options.clock.now() <= this.leasesExpireAt) return
+    if (!this.isDead && this.isSlow() && [...this.pendingHeartbeats].some(({ sentAt }) => sentAt <= this.leasesExpireAt)) return
     if (!this.isDead) this.expiredRuns = [...this.expiredRuns, ...this.runs.values()]
     this.reportLost('lease-lapsed', () => true)
   }
@@ -422,26 +446,64 @@
     return undefined
   }
 
-  /** Sends an overdue heartbeat again, over another connection. A heartbeat that arrives late is harmless: leases are never shortened. */
+  /**
+   * Sends an overdue heartbeat again, over another connection. A heartbeat that arrives late is harmless: leases are never
+   * shortened. Resolves with the first answer, or with a failure once it is overdue by `WORKER_TIMEOUT_MS`. Later answers
+   * are applied when they come.
+   */
   private sendHeartbeat (cmd: HeartbeatCommand): Promise<Result<HeartbeatOutcome, Failure>> {
+    const { clock } = this.options
+    const pending: PendingHeartbeat = { sentAt: clock.now(), isOverdue: false }
+    this.pendingHeartbeats.add(pending)
     return new Promise(resolve => {
+      const cancels: CancelTimer[] = []
       let pendingSends = 0
-      let isAnswered = false
+      let isSettled = false
+      const settle = (res: Result<HeartbeatOutcome, Failure>) => {
+        isSettled = true
+        for (const cancel of cancels) cancel()
+        resolve(res)
+      }
       const send = async (waitMs: number) => {
         pendingSends++
-        const res = await this.client.heartbeat({ ...cmd, waitMs }, waitMs + WORKER_TIMEOUT_MS)
+        const sentAt = clock.now()
+        const res = await this.client.heartbeat({ ...cmd, waitMs }, waitMs + WORKER_TIMEOUT_MS + LATE_ANSWER_MS)
+          .catch((err: unknown) => Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`)))
         pendingSends--
-        if (isAnswered || (res.err && pendingSends > 0)) return
-        isAnswered = true
-        cancel()
-        resolve(res)
+        if (pendingSends === 0) this.pendingHeartbeats.delete(pending)
+        if (isSettled) await this.applyLateAnswer(res, cmd.fencingToken, sentAt)
+        else if (res.ok || pendingSends === 0) settle(res)
       }
-      const cancel = this.options.clock.after(cmd.waitMs + HEARTBEAT_OVERDUE_MS, () => { send(0) })
-      send(cmd.waitMs)
+      cancels.push(
+        clock.after(cmd.waitMs + HEARTBEAT_OVERDUE_MS, () => {
+          if (!this.isSlow() || this.overdueHeartbeats() === 0) this.inBackground('heartbeat', send(0))
+        }),
+        clock.after(cmd.waitMs + WORKER_TIMEOUT_MS, () => {
+          pending.isOverdue = true
+          settle(Err(Failure.mayHaveRun('worker-answer-overdue', `No answer of the worker within ${WORKER_TIMEOUT_MS} ms.`)))
+        })
+      )
+      this.inBackground('heartbeat', send(cmd.waitMs))
     })
   }
 
-  private applyReport (report: WorkerReport, token: number): Promise<unknown> {
+  private isSlow (): boolean {
+    return this.options.clock.now() - this.lateAnswerAt <= SLOW_MS
+  }
+
+  private overdueHeartbeats (): number {
+    return [...this.pendingHeartbeats].filter(({ isOverdue }) => isOverdue).length
+  }
+
+  private async applyLateAnswer (res: Result<HeartbeatOutcome, Failure>, token: number, sentAt: number): Promise<void> {
+    const { clock, jobsLoaded } = this.options
+    if (res.err) return
+    if (clock.now() - sentAt > WORKER_TIMEOUT_MS) this.lateAnswerAt = clock.now()
+    if (!res.val.accepted || !await jobsLoaded || this.isDead || this.isClosed) return
+    await this.applyReport(res.val.report, token, clock.now() - sentAt <= MAX_ADOPTION_ANSWER_MS)
+  }
+
+  private applyReport (report: WorkerReport, token: number, mayAdopt = true): Promise<unknown> {
     const { clock, log, events } = this.options
     if (report.born !== this.entry.born) {
       log.info('Worker has restarted.', { worker: this.id, born: report.born, knownBorn: this.entry.born, runs: this.runs.size })
@@ -458,7 +520,7 @@
     }
     const stored = this.applyFinishedRuns(report)
     if (isNewest) this.applyRunning(report, token)
-    if (!this.isAdopted && token === this.token) {
+    if (!this.isAdopted && mayAdopt && token === this.token) {
       this.isAdopted = true
       this.hasReported = true
       // It was cut off and has not crashed.
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -33,3 +33,4 @@
 # Some errors take one tick more than an exhaustive search of the ownership model has room for.
 check ownership protocol -DMAX_TICKS=8 NO_FENCE NO_GATE ACK_FIRST RELATIVE
 check restart restart -DMAX_TICKS=8 LOSE_ALL ANSWER_SETTLES SAME_TOKEN SHORT_LEASE ROSTER_BORN
+check report report -DMAX_TICKS=8 DROP_LATE NO_WAIT
