fix(cell): a leader that may be deposed repeats no start and extends no lease

Cause: a start was sent, and sent again for up to 3.6 s, without a look at the leader's own lease. The end of its lease on the worker's clock is computed after the scheduling round, so that a leader that is suspended in between sends one that begins when it resumes, past what its successor waits for. The successor's token helps only where the worker has answered it. Ruled out: a suspension after the computation. The end of the lease is a time on the worker's clock and has passed by then. Change: the leadership is checked after the end of a lease was computed, at each send of a start and at each extension by a heartbeat. The test failed before: starts were sent while the leadership was not valid. Conclusion: closes the gap between check and send. What remains is a suspension in the network stack, which the deadline covers.

--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -59,3 +59,24 @@
   t.is(tokens.size, 2)
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against TWICE: a start is repeated for up to 3.6 s, and its lease can begin when a suspended leader resumes; another leader may have been elected by then.
+test('a start is not repeated once the leader may issue no more commands', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1')] })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  const [worker] = cell.workers.all()
+  if (worker === undefined) throw new Error('no worker')
+  const sentWhileLeading: boolean[] = []
+  worker.fault = command => {
+    if (command !== 'start') return undefined
+    sentWhileLeading.push(daemon.lease.isValid())
+    return { kind: 'applied-late', afterMs: 60_000 }
+  }
+  await cell.submit(daemon, [createStep()])
+  cell.store.writeFault = ({ partition }) => partition === 'lease' ? { kind: 'refused' } : undefined
+  await cell.clock.advance(5_000)
+  t.true(sentWhileLeading.length > 2, 'it is repeated while the lease is valid')
+  t.false(sentWhileLeading.includes(false))
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -390,7 +390,8 @@
 
   /** Resolves with the worker's clock. A refusal is a failure, so that an earlier unanswered send keeps the outcome uncertain. */
   private async startOnce (run: Run, cmd: StartCommand): Promise<Result<number, Failure>> {
-    if (this.isDead || !this.isTracked(run)) return Err(Failure.notRun('start-withdrawn', 'The start is not needed any more.'))
+    // Checked after the end of the lease was computed: a leader that was suspended before then may have been replaced.
+    if (this.isDead || !this.isTracked(run) || !this.options.mayIssueCommands()) return Err(Failure.notRun('start-withdrawn', 'The start is not needed any more.'))
     run.unansweredStarts++
     const res = await this.client.start(cmd, WORKER_TIMEOUT_MS)
     if (res.ok || res.val.verdict === 'not-run') run.unansweredStarts--
@@ -428,7 +429,8 @@
     const { clock, log, events } = this.options
     const token = this.token
     // The lease of an unreachable worker isn't extended, so that it expires at a known time.
-    const leaseUntilMs = this.isAdopted && this.options.mayExtendLeases() ? this.nextLeaseUntilMs() : undefined
+    const nextUntilMs = this.isAdopted && this.options.mayExtendLeases() ? this.nextLeaseUntilMs() : undefined
+    const leaseUntilMs = this.options.mayIssueCommands() ? nextUntilMs : undefined
     // An unreachable worker may have restarted, and its next incarnation numbers its finished runs anew.
     const acknowledged = this.isAdopted ? this.acknowledgedSequence : 0
     const res = await this.sendHeartbeat({ fencingToken: token, acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
