--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -13,6 +13,8 @@
 /** Fault injected into a command to a worker. */
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
+  /** The command is executed at once, and its answer takes this long. */
+  | { readonly kind: 'answer-late', readonly afterMs: number }
   /** `isQueued`: the worker holds the command back, which is lost with the incarnation; otherwise the network does. */
   | {
     readonly kind: 'applied-late'
@@ -127,7 +129,7 @@
 /** In-memory worker with fencing tokens, leases on its own clock and unacknowledged finished runs; tests inject its faults. */
 export class MemoryWorker {
   /** Returns the fault to inject into a command, if any; `hold` is the heartbeat. */
-  fault: (command: 'start' | 'stop' | 'hold', task?: TaskId) => CommandFault | undefined = () => undefined
+  fault: (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, fencingToken: number) => CommandFault | undefined = () => undefined
   /** While true, commands have no effect and get no answer; active runs continue. */
   isCutOff = false
   /** While true, every run that starts here fails. */
@@ -206,22 +208,28 @@
   /** Returns a client that also reaches later incarnations of this worker. */
   client (): WorkerClient {
     return {
-      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, timeoutMs, lateness => this.heartbeat(delayLease(cmd, lateness))),
-      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, timeoutMs, async lateness => this.start(delayLease(cmd, lateness), lateness.isLate)),
-      stop: (cmd, timeoutMs) => this.deliver('stop', cmd.task, timeoutMs, async () => this.stop(cmd)),
+      heartbeat: (cmd, timeoutMs) => this.deliver('hold', undefined, cmd.fencingToken, timeoutMs, lateness => this.heartbeat(delayLease(cmd, lateness))),
+      start: (cmd, timeoutMs) => this.deliver('start', cmd.task, cmd.fencingToken, timeoutMs, async lateness => this.start(delayLease(cmd, lateness), lateness.isLate)),
+      stop: (cmd, timeoutMs) => this.deliver('stop', cmd.task, cmd.fencingToken, timeoutMs, async () => this.stop(cmd)),
       close: async () => {}
     }
   }
 
-  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, timeoutMs: number, execute: (lateness: Lateness) => Promise<T>): Promise<Result<T, Failure>> {
+  private async deliver<T> (command: 'start' | 'stop' | 'hold', task: TaskId | undefined, fencingToken: number, timeoutMs: number, execute: (lateness: Lateness) => Promise<T>): Promise<Result<T, Failure>> {
     const { clock } = this.options
     await clock.sleep(COMMAND_LATENCY_MS)
-    const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task)
+    const fault = this.isCutOff ? { kind: 'cut-off' } as const : this.fault(command, task, fencingToken)
     const { crashes } = this
     if (fault === undefined) {
       const outcome = await execute(IN_TIME)
       if (this.crashes === crashes) return Ok(outcome)
     }
+    if (fault?.kind === 'answer-late') {
+      const outcome = await execute(IN_TIME)
+      await clock.sleep(Math.min(fault.afterMs, timeoutMs))
+      if (this.crashes === crashes && fault.afterMs < timeoutMs) return Ok(outcome)
+      return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
+    }
     if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
     if (fault?.kind === 'answer-lost') await execute(IN_TIME)
     if (fault?.kind === 'applied-late') {
