fix(cell): a start that had to wait is checked again, and only what may have run counts as a crash

Cause: the checks of a scheduling round were taken as still true after a wait; and all that had been planned was taken as having run, without an end. Change: a start that has waited is sent only if the worker is adopted under the same token and ready, and the lease, the registry and the configuration allow it; its times count from the sending. A run that was never sent is dropped at once when it is stopped or its worker ends. Runs of a worker that left as announced are settled. Refused, lost and adopted runs are stored.

--- a/packages/cell/src/__tests__/roundCost.test.ts
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -65,7 +65,7 @@
       taskLeaseMs: 5_000,
       maxTaskLeaseMs: 6_000,
       predecessorActiveMs: 0,
-      events: { startPlanned: async () => {} } as never,
+      events: { startPlanned: async () => {}, mayStart: () => true } as never,
       mayIssueCommands: () => true,
       jobsLoaded: Promise.resolve(true),
       mayExtendLeases: () => true,
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -59,6 +59,7 @@
   private readonly rejectedJobs = new WeakSet<Job>()
   /** Whether the store refused the latest transaction. */
   private isRefused = false
+  private isStopped = false
   private wakeUp: (() => void) | undefined
   private endDelay: (() => void) | undefined
 
@@ -81,7 +82,13 @@
         entry.waiters.push({ resolve, isBestEffort })
         return
       }
-      const cancel = this.options.clock.after(SLOW_STORE_MS, () => { if (!this.isRefused) resolve() })
+      let cancel = () => {}
+      const goOnIfSlow = () => {
+        if (this.isStopped) return
+        if (this.isRefused) cancel = this.options.clock.after(SLOW_STORE_MS, goOnIfSlow)
+        else resolve()
+      }
+      cancel = this.options.clock.after(SLOW_STORE_MS, goOnIfSlow)
       entry.waiters.push({
         isBestEffort,
         resolve: () => {
@@ -99,7 +106,10 @@
 
   async run (signal: AbortSignal): Promise<void> {
     const { clock } = this.options
-    signal.addEventListener('abort', () => this.wakeUp?.(), { once: true })
+    signal.addEventListener('abort', () => {
+      this.isStopped = true
+      this.wakeUp?.()
+    }, { once: true })
     while (!signal.aborted) {
       if (this.staged.size === 0) await new Promise<void>(resolve => { this.wakeUp = resolve })
       if (signal.aborted) return
@@ -204,7 +214,7 @@
       removes: []
     }
     const res = await store.transact(tx, STORE_TIMEOUT_MS)
-    this.isRefused = res.err && res.val.verdict === 'not-run'
+    this.isRefused = res.err && res.val.verdict === 'not-run' && res.val.code !== TRANSACTION_REJECTED
     if (res.err && res.val.code === TRANSACTION_REJECTED) return 'rejected'
     if (res.err) {
       log.warn('Storing job progress failed; retrying.', { jobs: batch.length, verdict: res.val.verdict, reason: res.val.reason })
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -53,6 +53,8 @@
 /** One run of a task on one worker, from the decision to start it until the leader learns that it has finished or is lost. */
 export class Run {
   state: RunState = 'starting'
+  /** False while the start waits to be sent: the worker can't have the run. */
+  isSent = false
   /** Reading of the worker's clock when it confirmed the start; undefined until it has. */
   confirmedAtMs: number | undefined
   /** True once a report of the worker's current incarnation has listed the run. The answer to a start names no incarnation. */
@@ -77,7 +79,8 @@
     /** Undefined if this leader doesn't have the job. */
     readonly task: Task | undefined,
     readonly fencingToken: number,
-    readonly startedAt: number
+    /** Monotonic time in milliseconds at which the start was sent or, until then, planned. */
+    public startedAt: number
   ) {
     this.progressAt = startedAt
     this.checkpoint = task?.checkpoint ?? ''
@@ -90,9 +93,16 @@
     return new Run(fields.id, fields.number, fields.worker, fields.task, fields.fencingToken, fields.startedAt)
   }
 
+  /** Records that the start is being sent, possibly long after it was planned. */
+  markSent (now: number): void {
+    this.isSent = true
+    this.startedAt = now
+    this.progressAt = now
+  }
+
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
   mayOutliveIncarnation (): boolean {
-    return !this.isListed || this.unansweredStarts > 0
+    return this.isSent && (!this.isListed || this.unansweredStarts > 0)
   }
 
   /** Continues the run on the next incarnation of its worker, which hasn't confirmed it yet. */
@@ -296,14 +306,18 @@
   recordEnd (task: Task, runNumber: number): void {
     task.closeRun(runNumber)
     // The worker of another member of the gang may have crashed.
-    if (this.spec.gang && this.tasks.some(member => member.openRuns().some(run => run.number === runNumber))) return
-    this.countedTask(task).ownCrashes.addEnd(runNumber)
+    if (!this.hasOpenRun(runNumber, task)) this.countedTask(task).ownCrashes.addEnd(runNumber)
   }
 
   /** Records that a run of a task was not started after all, or ended by itself: neither is held against the task. */
   withdrawStart (task: Task, runNumber: number): void {
     task.closeRun(runNumber)
-    if (!this.spec.gang) this.countedTask(task).ownCrashes.withdrawStart(runNumber)
+    if (!this.hasOpenRun(runNumber, task)) this.countedTask(task).ownCrashes.withdrawStart(runNumber)
+  }
+
+  /** Whether no end is known of a run of another member of the task's gang. */
+  private hasOpenRun (runNumber: number, task: Task): boolean {
+    return this.spec.gang && this.tasks.some(member => member !== task && member.openRuns().some(run => run.number === runNumber))
   }
 
   /**
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -242,7 +242,10 @@
   runLost (link: WorkerLink, run: Run, reason: LossReason): void {
     this.log.info('Run lost.', { task: formatTaskId(run.id), run: run.number, worker: link.id, reason })
     this.options.metrics.count('runs_lost')
-    if (run.task !== undefined) RECORD_LOSS[reason](run.task, run.number)
+    if (run.task !== undefined) {
+      RECORD_LOSS[reason](run.task, run.number)
+      this.stageChange(run.task)
+    }
     this.stopGang(run)
     this.scheduleRound()
   }
@@ -255,8 +258,16 @@
     await this.stage(task.step.job, { isUrgent: true, isBestEffort: !task.crashes().isSuspect() })
   }
 
+  mayStart (link: WorkerLink): boolean {
+    return this.mayStartTasks() && this.workers.isUsable(link) && this.maintenance?.isDraining(link.id) !== true
+  }
+
   runsSettled (runs: readonly UnsettledRun[]): void {
-    for (const { task, number } of runs) if (task !== undefined) task.step.recordEnd(task, number)
+    for (const { task, number } of runs) {
+      if (task === undefined) continue
+      task.step.recordEnd(task, number)
+      this.stageChange(task)
+    }
   }
 
   workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void {
@@ -275,13 +286,14 @@
     }
   }
 
-  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void {
+  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'withdrawn'): void {
     const { clock, metrics } = this.options
     metrics.count(`starts_refused_${reason}`)
     const { task } = run
     const step = task?.step
     if (task !== undefined && step !== undefined) {
       step.withdrawStart(task, run.number)
+      this.stageChange(task)
       step.notBefore = clock.now() + STEP_BACKOFF_MS
       if (reason === 'ticket-invalid') this.advice.invalidateTicket(step, link)
     }
@@ -298,8 +310,10 @@
     if (task.runs.length > 0 && !isSpeculative) return undefined
     job.hasStarted = true
     const run = link.addListedRun(listed, task)
-    const startedAtMs = task.openRuns().find(({ number }) => number === run.number)?.startedAtMs ?? this.options.clock.date().getTime()
+    const stored = task.openRuns().find(({ number }) => number === run.number)
+    const startedAtMs = stored?.startedAtMs ?? this.options.clock.date().getTime()
     task.addOpenRun({ number: run.number, workerId: link.id, born: link.entry.born, startedAtMs })
+    if (stored === undefined) this.stageChange(task)
     return run
   }
 
@@ -343,6 +357,21 @@
     this.endJob(job, 'failed')
   }
 
+  /** Forgets the crashes under tasks of which a run works for long: they had another cause. */
+  private clearSuspects () {
+    for (const job of this.jobs.live()) {
+      for (const step of job.liveSteps()) {
+        if (!step.hasSuspects) continue
+        for (const task of step.tasks) {
+          const hasWorked = task.runs.some(run => run.state === 'running' && run.worker.reportedAt() - run.startedAt > CLEARED_AFTER_MS)
+          if (!hasWorked || !task.crashes().isSuspect()) continue
+          task.crashes().clear()
+          this.stageChange(task)
+        }
+      }
+    }
+  }
+
   private giveUp (task: Task) {
     const { job, index } = task.step
     const crashes = task.crashes()
@@ -405,6 +434,11 @@
     await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job, options)
   }
 
+  /** Stores a change that a successor should know of, and that nothing waits for. */
+  private stageChange ({ isDone, step }: Task) {
+    if (!isDone && step.job.outcome === undefined) this.stage(step.job)
+  }
+
   private commitsWaiting (): number {
     return this.commitQueues.reduce((sum, commitQueue) => sum + commitQueue.size(), 0)
   }
@@ -419,7 +453,7 @@
   }
 
   private runRound () {
-    if (!this.isLoaded || !this.options.mayIssueCommands() || !this.workers.isRegistryRecent() || !this.options.isConfigRecent() || this.stopping.signal.aborted) return
+    if (!this.mayStartTasks()) return
     const { clock, metrics } = this.options
     const startedAt = clock.now()
     this.dispatcher.runRound(this.dispatchable())
@@ -429,6 +463,11 @@
     metrics.observe('pass_ms', endedAt - startedAt)
   }
 
+  /** Whether tasks may be started by what this leader knows of the workers and the configuration. */
+  private mayStartTasks (): boolean {
+    return this.isLoaded && this.options.mayIssueCommands() && this.workers.isRegistryRecent() && this.options.isConfigRecent() && !this.stopping.signal.aborted
+  }
+
   /** Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back. */
   private * dispatchable (): Iterable<Job> {
     const { heldBackJobs } = this
@@ -461,8 +500,8 @@
     for (const job of this.jobs.live()) {
       for (const { task, run: { number, workerId, born, startedAtMs } } of job.openRuns()) {
         const startedAt = clock.now() - Math.max(0, clock.date().getTime() - startedAtMs)
-        // Nobody has looked at the run since the leader that started it: it may have worked until now.
-        yield { id: task.id(), task, number, workerId, born, startedAt, lastSeenAt: clock.now() }
+        // Nobody knows how long it has worked.
+        yield { id: task.id(), task, number, workerId, born, startedAt, lastSeenAt: startedAt }
       }
     }
   }
@@ -533,6 +572,7 @@
       this.jobs.tick()
       this.workers.stopStalledRuns()
       this.moveRunsFromLeavingWorkers()
+      this.clearSuspects()
       metrics.gauge('jobs_live', this.jobs.size())
       metrics.gauge('commits_waiting', this.commitsWaiting())
       this.loadReport.tick()
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -54,16 +54,18 @@
 export interface WorkerEvents {
   /** A start is about to be sent. Resolves when it may be. */
   startPlanned (link: WorkerLink, run: Run): Promise<void>
+  /** Whether a start that had to wait may still be sent to the worker. */
+  mayStart (link: WorkerLink): boolean
   /** The worker lists a finished run. Resolves when its result is stored and may be acknowledged. */
   runFinished (link: WorkerLink, finishedRun: FinishedRun): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
   runLost (link: WorkerLink, run: Run, reason: LossReason): void
   /** An incarnation of a worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
   workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void
-  /** The incarnation of the worker that may have had these runs is up and doesn't list them: it has not crashed under them. */
+  /** The incarnation of the worker that may have had these runs is up and doesn't list them, or has left as announced: it has not crashed under them. */
   runsSettled (runs: readonly UnsettledRun[]): void
   /** The worker refused a start, or the start was never sent. */
-  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable'): void
+  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'withdrawn'): void
   /** The worker lists a run that this leader didn't start. Returns undefined if the run must be stopped. */
   adoptRun (link: WorkerLink, listed: RunningTask): Run | undefined
   /** Free capacity, reachability or progress has changed. */
@@ -318,13 +320,16 @@
 
   /** Reports that this incarnation has ended under the runs that it may have had, unless it has announced that it leaves. */
   reportCrash (): void {
+    const { events } = this.options
     const runs = [...this.trackedRuns(), ...this.unsettledRuns]
     this.unsettledRuns = []
-    if (runs.length > 0 && !this.mayHaveLeft()) this.options.events.workerCrashed(this.entry, runs)
+    if (runs.length === 0) return
+    if (this.mayHaveLeft()) events.runsSettled(runs)
+    else events.workerCrashed(this.entry, runs)
   }
 
   private trackedRuns (): readonly UnsettledRun[] {
-    return [...this.runs.values()].map(({ id, task, number, startedAt }) => ({ id, task, number, startedAt, lastSeenAt: Math.max(startedAt, this.lastReportAt) }))
+    return [...this.runs.values()].filter(({ isSent }) => isSent).map(({ id, task, number, startedAt }) => ({ id, task, number, startedAt, lastSeenAt: Math.max(startedAt, this.lastReportAt) }))
   }
 
   /** Whether this incarnation has announced that it leaves, and may have done so by now. */
@@ -370,6 +375,7 @@
       id: listed.task, number: listed.run, worker: this, task, fencingToken: this.token, startedAt: this.options.clock.now()
     })
     run.state = 'running'
+    run.isSent = true
     run.isListed = true
     run.percent = listed.percent
     run.startPercent = listed.percent
@@ -387,18 +393,25 @@
   stop (run: Run): void {
     if (run.state === 'stopping') return
     run.state = 'stopping'
+    if (!run.isSent) {
+      this.removeRun(run)
+      this.options.events.runLost(this, run, 'not-started')
+      return
+    }
     this.inBackground('stop', this.sendStop(run))
   }
 
   private async sendStart (run: Run, payload: string, ticket: string, mayBeSent: Promise<void>) {
-    const { log, events, mayIssueCommands } = this.options
+    const { clock, log, events } = this.options
     await mayBeSent
     if (!this.isTracked(run)) return
-    if (!mayIssueCommands()) {
+    // The worker, the lease and the configuration may have changed meanwhile.
+    if (run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this)) {
       this.removeRun(run)
-      events.startRefused(this, run, 'unreachable')
+      events.startRefused(this, run, 'withdrawn')
       return
     }
+    run.markSent(clock.now())
     const leaseUntilMs = this.nextLeaseUntilMs()
     const res = await this.startHedge.call(() => this.startOnce(run, {
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
@@ -667,7 +680,7 @@
   private reportLost (reason: LossReason, isLost: (run: Run) => boolean) {
     for (const run of [...this.runs.values()].filter(isLost)) {
       this.removeRun(run)
-      this.options.events.runLost(this, run, reason)
+      this.options.events.runLost(this, run, run.isSent ? reason : 'not-started')
     }
   }
 
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -281,7 +281,9 @@
     for (const endedBorn of new Set(runs.map(run => run.born).filter(runBorn => runBorn < born))) {
       const member = this.roster.membersOfEarlierLeaders().find(other => other.id === id && other.born === endedBorn)
       const hasAnnouncedLeave = member?.jobs !== undefined && member.lapsesAtMs === undefined
-      if (!hasAnnouncedLeave) this.options.events.workerCrashed({ id, born: endedBorn }, runs.filter(run => run.born === endedBorn))
+      const ended = runs.filter(run => run.born === endedBorn)
+      if (hasAnnouncedLeave) this.options.events.runsSettled(ended)
+      else this.options.events.workerCrashed({ id, born: endedBorn }, ended)
     }
   }
 
