feat(soak): orders carried out late by a worker that is cut off meanwhile

Change: `lateOrdersThenCut` and `lateGrantsThenCut` hold back what a worker is sent, then cut it off for 8 to 13 s, while it carries the orders out with an absolute deadline or with one that counts from then.

--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -55,6 +55,8 @@
   },
   lateOrders: (targets, random) => delayOrders(targets, random, false),
   lateGrants: (targets, random) => delayOrders(targets, random, true),
+  lateOrdersThenCut: (targets, random) => delayOrdersThenCut(targets, random, false),
+  lateGrantsThenCut: (targets, random) => delayOrdersThenCut(targets, random, true),
   lateOrdersAndKill: (targets, random) => {
     delayOrders(targets, random, false)
     setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, 6_000))
@@ -135,3 +137,16 @@
     setTimeout(() => { worker.fault = () => undefined }, durationMs)
   }
 }
+
+/** What a worker was sent last before it was cut off is carried out while nobody reaches it. */
+function delayOrdersThenCut ({ workers, workerLinks }: FaultTargets, random: Random, isGrant: boolean) {
+  const index = random.between(0, workers.length - 1)
+  const [worker, link] = [workers[index], workerLinks[index]]
+  if (worker === undefined || link === undefined) return
+  worker.fault = () => ({ kind: 'applied-late', afterMs: random.between(2_000, 8_000), isQueued: true, isGrant })
+  setTimeout(() => {
+    link.fault = 'drop-all'
+    worker.fault = () => undefined
+    setTimeout(() => { link.fault = 'none' }, random.between(8_000, 13_000))
+  }, random.between(100, 900))
+}
