feat(cell): the log says by how much a lease had ended when a worker is adopted

`leaseEndedMsAgo` is the worker's clock in its report less the latest end of a lease that was sent to it. A positive figure after `lease-lapsed` shows that the leader's bound was not too early; a negative one, that it was. Late answers are logged at level debug.

--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -137,6 +137,8 @@
   private readonly pendingHeartbeats = new Set<PendingHeartbeat>()
   /** Monotonic time at which the latest overdue answer was received. */
   private lateAnswerAt = -Infinity
+  /** Latest end of a lease sent so far, on the worker's clock. */
+  private lastLeaseUntilMs = 0
   /** Monotonic time at which every lease sent so far has expired. */
   private leasesExpireAt: number
   /** Monotonic time at which the worker leaves, if that is announced. */
@@ -498,10 +500,11 @@
   }
 
   private async applyLateAnswer (res: Result<HeartbeatOutcome, Failure>, token: number, sentAt: number): Promise<void> {
-    const { clock, jobsLoaded } = this.options
+    const { clock, jobsLoaded, log } = this.options
     if (res.err) return
     if (clock.now() - sentAt > WORKER_TIMEOUT_MS) this.lateAnswerAt = clock.now()
     if (!res.val.accepted || !await jobsLoaded || this.isDead || this.isClosed) return
+    log.debug('Heartbeat was answered late.', { worker: this.id, token, afterMs: Math.round(clock.now() - sentAt), ended: res.val.report.ended.length })
     await this.applyReport(res.val.report, token, clock.now() - sentAt <= MAX_ADOPTION_ANSWER_MS)
   }
 
@@ -528,7 +531,7 @@
       // It was cut off and has not crashed.
       this.expiredRuns = []
       this.unreachableSince = undefined
-      log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length })
+      log.info('Worker adopted.', { worker: this.id, address: this.entry.address, token, running: report.running.length, ended: report.ended.length, leaseEndedMsAgo: Math.round(report.clockMs - this.lastLeaseUntilMs) })
     }
     events.workerChanged(this)
     return stored
@@ -601,6 +604,7 @@
     const leaseUntilMs = this.workerClockMs + elapsedMs + taskLeaseMs
     const latestExpiry = this.lastReportAt + (leaseUntilMs - this.workerClockMs) / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
     this.leasesExpireAt = Math.max(this.leasesExpireAt, latestExpiry)
+    this.lastLeaseUntilMs = Math.max(this.lastLeaseUntilMs, leaseUntilMs)
     return leaseUntilMs
   }
 
