test(cell): no command that is late or lost lets a task run twice

The audit follows the rule's words: an end counts once it is acknowledged or has been listed for 100 ms, unless the lease lapsed before. Two runs at once count in any case.

--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -35,6 +35,12 @@
    * @default 6000
    */
   readonly maxLeaseMs?: number
+  /**
+   * Whether a task may start again after a run of it is done, if the lease lapses before that end is taken note of: when
+   * it is acknowledged, or 100 ms after it is listed in an answer that is not lost.
+   * @default false
+   */
+  readonly lapseFreesTasks?: boolean
 }
 
 interface ActiveRun {
@@ -85,6 +91,8 @@
 const GANG_TIMEOUT_MS = 3_000
 const COMMAND_LATENCY_MS = 1
 const HEARTBEAT_POLL_MS = 10
+/** Time after which an end that was listed counts as taken note of. */
+const NOTED_AFTER_MS = 100
 
 /** In-memory worker with fencing tokens, leases on its own clock and unacknowledged finished runs; tests inject its faults. */
 export class MemoryWorker {
@@ -103,6 +111,10 @@
   private lastSequence = 0
   private highestToken = 0
   private leaseUntilMs = 0
+  /** End of the latest lease whose lapse was recorded. */
+  private lapsedUntilMs = 0
+  /** Finished runs that are not acknowledged, by sequence number, with the time on this worker's clock at which each counts as taken note of. */
+  private readonly unnotedEnds = new Map<number, { readonly task: TaskId, readonly run: number, notedAtMs: number }>()
   private bootedAt: number
   /** True from a crash to the restart: nothing is carried out. */
   private hasNoPower = false
@@ -150,6 +162,8 @@
     this.lastSequence = 0
     this.highestToken = 0
     this.leaseUntilMs = 0
+    this.lapsedUntilMs = 0
+    this.unnotedEnds.clear()
     this.bootedAt = this.options.clock.now()
     this.entry = { ...this.entry, born }
   }
@@ -171,10 +185,12 @@
     const { crashes } = this
     if (fault === undefined) {
       const outcome = await execute()
+      this.noteListedEnds(outcome)
       if (this.crashes === crashes) return Ok(outcome)
     }
     if (fault?.kind === 'answer-late') {
       const outcome = await execute()
+      this.noteListedEnds(outcome)
       await clock.sleep(Math.min(fault.afterMs, timeoutMs))
       if (this.crashes === crashes && fault.afterMs < timeoutMs) return Ok(outcome)
       return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
@@ -195,6 +211,7 @@
     if (fencingToken < this.highestToken) return { accepted: false, reason: 'fenced' }
     this.highestToken = fencingToken
     this.finishedRuns = this.finishedRuns.filter(({ sequence }) => sequence > acknowledged)
+    for (const sequence of [...this.unnotedEnds.keys()]) if (sequence <= acknowledged) this.unnotedEnds.delete(sequence)
     if (leaseUntilMs !== undefined) this.extendLease(leaseUntilMs)
     const deadline = clock.now() + waitMs
     while (this.finishedRuns.length === 0 && clock.now() < deadline) {
@@ -266,6 +283,22 @@
       else if (endsAt <= Math.min(now, this.leaseUntilMs)) this.finish(activeRun, activeRun.end)
       else if (this.leaseUntilMs < now) this.finish(activeRun, 'lapsed')
     }
+    if (this.leaseUntilMs < now) this.recordLapse()
+  }
+
+  private recordLapse () {
+    if (this.options.lapseFreesTasks !== true || this.lapsedUntilMs === this.leaseUntilMs) return
+    this.lapsedUntilMs = this.leaseUntilMs
+    for (const [sequence, { task, run, notedAtMs }] of [...this.unnotedEnds]) {
+      if (notedAtMs <= this.leaseUntilMs) continue
+      this.unnotedEnds.delete(sequence)
+      this.options.audit.recordEndLost(this.entry.id, task, run)
+    }
+  }
+
+  private noteListedEnds (outcome: unknown) {
+    if (typeof outcome !== 'object' || outcome === null || !('report' in outcome)) return
+    for (const end of this.unnotedEnds.values()) end.notedAtMs = Math.min(end.notedAtMs, this.clockMs() + NOTED_AFTER_MS)
   }
 
   private isGangMember (task: TaskId): boolean {
@@ -284,6 +317,7 @@
     const taskName = formatTaskId(activeRun.task)
     this.activeRuns.delete(taskName)
     this.highestFinishedRun.set(taskName, Math.max(activeRun.run, this.highestFinishedRun.get(taskName) ?? 0))
+    this.unnotedEnds.set(this.lastSequence + 1, { task: activeRun.task, run: activeRun.run, notedAtMs: Infinity })
     this.finishedRuns.push({ sequence: ++this.lastSequence, task: activeRun.task, run: activeRun.run, status, checkpoint: activeRun.checkpoint })
     this.options.audit.recordFinish(this.entry.id, activeRun.task, activeRun.run, status)
   }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -59,6 +59,8 @@
   readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agents?: readonly AdviceAgent[]
   readonly vms?: VmService
+  /** Whether a lease that lapses before the end of a run is taken note of lets the task start again. */
+  readonly lapseFreesTasks?: boolean
   /** Minimum length of job payloads; shorter ones are padded. */
   readonly minPayloadLength?: number
 }
@@ -107,7 +109,8 @@
         behaviour: options.behaviour ?? (() => ({ durationMs: 500, end: 'done' })),
         needOf: task => this.audit.needOf(task),
         gangSizeOf: task => this.audit.gangSizeOf(task),
-        gangs: this.gangs
+        gangs: this.gangs,
+        lapseFreesTasks: options.lapseFreesTasks ?? false
       }))
     }
   }
