--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -13,6 +13,8 @@
   lapse: 'none' | 'without-runs' | 'with-runs'
   /** Monotonic time in milliseconds at which the end was acknowledged. */
   acknowledgedAt: number | undefined
+  /** The end counts as taken note of, as the worker listed it a while ago: a lapse has no effect on it any more. */
+  isNoted: boolean
   /** The worker has ended before the end was acknowledged: nobody can know of it. */
   isLost: boolean
   /** Starts of the task since. */
@@ -84,7 +86,7 @@
     const taskName = formatTaskId(task)
     this.observedRuns.set(taskName, (this.observedRuns.get(taskName) ?? []).filter(observed => observed.workerId !== workerId || observed.run !== run))
     if (status !== 'done') return
-    const end: DoneEnd = { lapse: 'none', acknowledgedAt: undefined, isLost: false, laterStarts: [] }
+    const end: DoneEnd = { lapse: 'none', acknowledgedAt: undefined, isNoted: false, isLost: false, laterStarts: [] }
     for (const member of this.tasksThatEndWith(task)) {
       this.doneTasks.add(member)
       this.doneEnds.set(member, [...this.doneEnds.get(member) ?? [], end])
@@ -100,9 +102,16 @@
     if (end.lapse === 'without-runs') this.startsAfterIdleLapse.push(...end.laterStarts)
   }
 
+  /** The worker has listed its end of a run in an answer, 100 ms ago. */
+  recordNoted (workerId: string, task: TaskId, run: number): void {
+    const end = this.unacknowledgedEnds.get(workerId)?.get(`${formatTaskId(task)}#${run}`)
+    if (end !== undefined) end.isNoted = true
+  }
+
   /** The lease of a worker has passed; from then on its unacknowledged ends don't count. */
   recordLapse (workerId: string, killedRuns: number): void {
     for (const end of this.unacknowledgedEnds.get(workerId)?.values() ?? []) {
+      if (end.isNoted) continue
       if (killedRuns > 0) end.lapse = 'with-runs'
       else if (end.lapse === 'none') end.lapse = 'without-runs'
     }
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -7,7 +7,7 @@
 import type { CommandOutcome, HeartbeatCommand, HeartbeatOutcome, RefusalReason, StartCommand, StopCommand, WorkerClient, WorkerClients } from '../ports.js'
 import { NO_RESOURCES, add, fits } from '../resources.js'
 import { formatTaskId } from '../types.js'
-import type { FinishedRun, ResourceVector, FinishStatus, TaskId, WorkerEntry } from '../types.js'
+import type { FinishedRun, ResourceVector, FinishStatus, TaskId, WorkerEntry, WorkerReport } from '../types.js'
 import type { Audit } from './audit.js'
 
 /** Fault injected into a command to a worker. */
@@ -125,6 +125,8 @@
 const COMMAND_LATENCY_MS = 1
 const IN_TIME: Lateness = { isLate: false, leaseShiftMs: 0 }
 const HEARTBEAT_POLL_MS = 10
+/** Time after which an end that was listed counts as taken note of. */
+const NOTED_AFTER_MS = 100
 
 /** In-memory worker with fencing tokens, leases on its own clock and unacknowledged finished runs; tests inject its faults. */
 export class MemoryWorker {
@@ -222,10 +224,12 @@
     const { crashes } = this
     if (fault === undefined) {
       const outcome = await execute(IN_TIME)
+      this.noteListedEnds(outcome)
       if (this.crashes === crashes) return Ok(outcome)
     }
     if (fault?.kind === 'answer-late') {
       const outcome = await execute(IN_TIME)
+      this.noteListedEnds(outcome)
       await clock.sleep(Math.min(fault.afterMs, timeoutMs))
       if (this.crashes === crashes && fault.afterMs < timeoutMs) return Ok(outcome)
       return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
@@ -305,6 +309,14 @@
     return { accepted: true, clockMs: this.clockMs() }
   }
 
+  private noteListedEnds (outcome: unknown) {
+    const { audit, clock } = this.options
+    if (typeof outcome !== 'object' || outcome === null || !('report' in outcome)) return
+    const { ended } = outcome.report as WorkerReport
+    if (ended.length === 0) return
+    clock.after(NOTED_AFTER_MS, () => { for (const { task, run } of ended) audit.recordNoted(this.entry.id, task, run) })
+  }
+
   private acknowledge (sequence: number) {
     const { audit, clock } = this.options
     for (const finishedRun of this.finishedRuns.filter(({ sequence: other }) => other <= sequence)) {
