fix(cell): a job counts as begun once a worker has confirmed a start

Cause: a job counted as begun when its start was planned, which may be withdrawn or never carried out; and a successor took any progress row for a begun job, while rows are stored before the start now. Change: the confirmation of a start, a report or an end says that a job has begun; of a stored row, an end, a crash or a checkpoint. The test of acknowledgements in leader.test.ts refused the rows from before the start, which is not sent then; it refuses them once both tasks run, with the same assertions. Measured: storedRuns.test.ts, 'a job whose start no worker has confirmed ...', 0 waiting before, 1 now.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -244,6 +244,7 @@
   const first = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
   const jobId = await cell.submit(first, [createStep({ count: 2 })])
+  t.true(await cell.advanceUntil(() => cell.workers.all()[0]?.runningTasks().length === 2))
   cell.store.writeFault = tx => tx.puts.some(({ table }) => table === 'progress') ? { kind: 'refused' } : undefined
   await cell.clock.advance(2_000)
   t.is(cell.leader()?.stateOf(jobId), 'active', 'an outcome that is not stored is not reported')
--- a/packages/cell/src/__tests__/storedRuns.test.ts
+++ b/packages/cell/src/__tests__/storedRuns.test.ts
@@ -196,3 +196,17 @@
   t.is(starts.count, 1)
   t.true(storedProgress().some(row => row.includes('"open"')))
 })
+
+// Guards against MIXED: a job counted as begun once its start was planned, so that too few jobs were reported as waiting.
+test('a job whose start no worker has confirmed counts as waiting, also under a successor', async t => {
+  const { cell, worker, daemon, replaceLeader } = await createCell()
+  worker.fault = command => command === 'start' ? { kind: 'refused', reason: 'unhealthy' } : undefined
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(2_000)
+  t.is(cell.leader()?.pendingOf('renewals'), 1)
+  const successor = replaceLeader()
+  t.true(await cell.advanceUntil(() => successor.leader()?.pendingOf('renewals') === 1, 5_000))
+  worker.fault = () => undefined
+  t.true(await cell.advanceUntil(() => cell.leader()?.pendingOf('renewals') === 0))
+  t.is(cell.leader()?.stateOf(jobId), 'active')
+})
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -329,7 +329,6 @@
   private start ({ step, queue }: Candidate, task: Task, runNumber: number, worker: WorkerLink, { capacity }: SchedulingRound, lastRunNumber = 0): Run {
     const { advice } = this.options
     const ticket = queue.advice === undefined ? '' : advice.ticket(step, worker, this.now) ?? ''
-    step.job.hasStarted = true
     task.waitsAloneSince = undefined
     // Tasks on idle capacity would slow down a task with a latency target, so those on this worker are stopped and resume elsewhere.
     if (step.hasLatencyTarget()) for (const other of [...worker.runs.values()]) if (other.task?.step.spec.usesIdleCapacity === true) worker.stop(other)
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -100,6 +100,12 @@
     this.progressAt = now
   }
 
+  /** Records that the worker has confirmed the start. */
+  markRunning (): void {
+    if (this.state === 'starting') this.state = 'running'
+    if (this.task !== undefined) this.task.step.job.hasStarted = true
+  }
+
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
   mayOutliveIncarnation (): boolean {
     return this.isSent && (!this.isListed || this.unansweredStarts > 0)
@@ -344,6 +350,7 @@
   readonly occurrences = new Map<number, 'done' | Step[]>()
   outcome: JobOutcome | undefined
   isCancelled = false
+  /** Whether a worker has confirmed a start of one of its tasks. */
   hasStarted = false
   /** True once the store has confirmed the row with the outcome. */
   isOutcomeStored = false
@@ -449,7 +456,7 @@
   /** Restores the progress that an earlier leader stored. */
   restore (progress: JobProgress, version: number): void {
     this.progressVersion = version
-    this.hasStarted = true
+    this.hasStarted = Object.values(progress).some(steps => steps === 'done' || steps.some(hasBegun))
     for (const [key, storedSteps] of Object.entries(progress)) {
       const occurrence = Number(key)
       if (storedSteps === 'done') {
@@ -464,6 +471,11 @@
   }
 }
 
+/** Whether a task of the step has run for certain: an open run may not have been sent. */
+function hasBegun ({ done, failed, crashed, checkpoints }: StepProgress): boolean {
+  return done.includes('1') || failed !== undefined || crashed !== undefined || checkpoints !== undefined
+}
+
 function stepProgress (step: Step, openRuns: ReadonlyMap<Task, readonly StoredOpenRun[]>): StepProgress {
   const tasksWithFailures = step.tasks.filter(task => task.failedRuns.size > 0)
   const tasksWithCrashes = step.tasks.filter(task => !task.isDone && task.ownCrashes.isSuspect())
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -226,6 +226,7 @@
     const task = job?.listedTask(id)
     this.scheduleRound()
     if (job === undefined || task === undefined) return
+    job.hasStarted = true
     task.step.saveCheckpoint(task, checkpoint)
     if (status !== 'done') this.log.info('Run ended.', { task: formatTaskId(id), run, worker: link.id, end: status })
     // A finished run of an ended job may be acknowledged only once the outcome of the job is stored.
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -421,7 +421,7 @@
     if (!this.isTracked(run)) return
     if (res.ok) {
       run.confirmedAtMs = res.val
-      if (run.state === 'starting') run.state = 'running'
+      run.markRunning()
       return
     }
     if (res.val.verdict !== 'not-run') {
@@ -621,7 +621,7 @@
         run.percent = listedRun.percent
         run.progressAt = clock.now()
       }
-      if (run.state === 'starting') run.state = 'running'
+      run.markRunning()
       run.isListed = true
       run.confirmedAtMs ??= report.clockMs
     }
