--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -10,6 +10,7 @@
 import { ConfigInForce, decodeKnownConfig } from './configInForce.js'
 import type { KnownConfig } from './configInForce.js'
 import { ConfigWatch } from './configWatch.js'
+import type { ConfigBasis } from './configWatch.js'
 import { PEER_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TASK_LEASE_MS } from './constants.js'
 import { JobLoader } from './jobLoader.js'
 import { JobService } from './jobService.js'
@@ -149,6 +150,11 @@
     return this.configWatch.mayAnswer()
   }
 
+  /** What an answer given now relies on. */
+  configBasis (): ConfigBasis {
+    return this.configWatch.basis()
+  }
+
   /** Time after which a caller that is refused now should retry, in milliseconds. */
   retryAfterMs (): number {
     return retryAfterMs(this.options.storeHealth.unavailableMs(), Math.random)
@@ -194,6 +200,7 @@
       agents: () => this.agents,
       queue: name => this.config.queue(name),
       isConfigRecent: () => this.configWatch.isRecent(),
+      configBasis: () => this.configWatch.basis(),
       mayIssueCommands: () => this.lease.isValid(),
       onDeposed: () => this.stopLeading(),
       onRefused: () => this.lease.renewNow(),
--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -15,6 +15,9 @@
   readonly config?: CellConfig
 }
 
+/** Where a version came from, or what has confirmed that it was the latest: a read of the store, a watch there, or another daemon. */
+export type ConfigSource = 'read' | 'watch' | 'peer'
+
 export interface ConfigInForceOptions {
   /** Bounds of the store's clock at this moment; undefined before the store's first answer. */
   readonly storeClock: () => ClockBounds | undefined
@@ -29,6 +32,8 @@
   private asOfMs: number | undefined
   /** Started when the last read that confirmed the configuration was sent. */
   private sinceRead: Stopwatch | undefined
+  private source: ConfigSource | undefined
+  private confirmedBy: ConfigSource | undefined
   private queuesByName: ReadonlyMap<string, Queue> = new Map()
   private queuesByHost: ReadonlyMap<string, readonly Queue[]> = new Map()
 
@@ -56,6 +61,12 @@
     return Math.min(byStoreClock, this.sinceRead?.elapsedMs() ?? Infinity)
   }
 
+  /** Source of the version in force, and of its last confirmation. */
+  sources (): { readonly source?: ConfigSource, readonly confirmedBy?: ConfigSource } {
+    const { source, confirmedBy } = this
+    return { ...(source === undefined ? {} : { source }), ...(confirmedBy === undefined ? {} : { confirmedBy }) }
+  }
+
   queue (name: string): Queue | undefined {
     return this.queuesByName.get(name)
   }
@@ -75,28 +86,32 @@
   // Commands
 
   /** Records an answer of the store. `sinceRequest` was started when the request was sent. */
-  observeReading ({ config, asOfMs }: ConfigReading, sinceRequest: Stopwatch, source: 'read' | 'watch'): void {
+  observeReading ({ config, asOfMs }: ConfigReading, sinceRequest: Stopwatch, source: Exclude<ConfigSource, 'peer'>): void {
     if (config !== undefined) this.apply(config, source)
     // A read that returns an older version shows nothing about the one in force.
     if (config !== undefined && config.version < this.version()) return
     this.sinceRead = sinceRequest
+    this.confirmedBy = source
     this.confirm(asOfMs)
   }
 
   /** Records what another daemon has in force. */
   observePeer (known: KnownConfig): void {
     if (known.config !== undefined) this.apply(known.config, 'peer')
-    if (known.version === this.version()) this.confirm(known.asOfMs)
+    if (known.version !== this.version()) return
+    if (known.asOfMs > (this.asOfMs ?? -Infinity)) this.confirmedBy = 'peer'
+    this.confirm(known.asOfMs)
   }
 
   private confirm (asOfMs: number | undefined) {
     if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
   }
 
-  private apply (config: CellConfig, source: string) {
+  private apply (config: CellConfig, source: ConfigSource) {
     if (config.version <= this.version()) return
     const previousAgeMs = this.ageMs()
     this.config = config
+    this.source = source
     // Jobs of a removed queue continue under its last settings.
     this.queuesByName = new Map([...this.queuesByName, ...config.queues.map(queue => [queue.name, queue] as const)])
     const byHost = new Map<string, Queue[]>()
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
-import type { ConfigInForce, KnownConfig } from './configInForce.js'
+import type { ConfigInForce, ConfigSource, KnownConfig } from './configInForce.js'
 import { CONFIG_WATCH_MS, TOO_OLD_FRACTION } from './constants.js'
 import type { CellMetrics } from './metrics.js'
 import type { Directory } from './ports.js'
@@ -33,6 +33,17 @@
   readonly metrics: CellMetrics
 }
 
+/** What an answer or a start relies on, for the logs. */
+export interface ConfigBasis {
+  readonly version: number
+  /** Time for which the version was not known to be the latest, in milliseconds; missing before the first read. */
+  readonly ageMs?: number
+  readonly source?: ConfigSource
+  readonly confirmedBy?: ConfigSource
+  /** Outcome of the last refresh; missing if the configuration has been confirmed by it or since. */
+  readonly refresh?: FailedRefresh['outcome']
+}
+
 interface FailedRefresh {
   /** `none-newer`: most of the daemons that were asked have answered, and none has confirmed its configuration in time. */
   readonly outcome: 'none-newer' | 'unanswered'
@@ -71,6 +82,13 @@
     return this.isRecent()
   }
 
+  basis (): ConfigBasis {
+    const { inForce } = this.options
+    const ageMs = inForce.ageMs()
+    const refresh = this.lastOutcome()
+    return { version: inForce.version(), ...(ageMs < Infinity ? { ageMs: Math.round(ageMs) } : {}), ...inForce.sources(), ...(refresh === undefined ? {} : { refresh }) }
+  }
+
   /** Watches the configuration in the store. */
   async run (signal: AbortSignal): Promise<void> {
     const { directory, inForce, clock, log } = this.options
--- a/packages/cell/src/index.ts
+++ b/packages/cell/src/index.ts
@@ -1,6 +1,7 @@
 export { CellDaemon } from './cellDaemon.js'
 export type { CellDaemonOptions } from './cellDaemon.js'
 export type { AdviceAgent } from './advice.js'
+export type { ConfigBasis } from './configWatch.js'
 export { TRANSACTION_REJECTED } from './constants.js'
 export { isJobId } from './jobs.js'
 export { StoreHealth } from './storeHealth.js'
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -7,6 +7,7 @@
 import { CommitQueue } from './commitQueue.js'
 import type { StageOptions } from './commitQueue.js'
 import { CHANGES_POLL_INTERVAL_MS, LEADER_PARTITIONS, LEASE_TTL_MS, SCHEDULING_INTERVAL_MS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
+import type { ConfigBasis } from './configWatch.js'
 import { Dispatcher } from './dispatcher.js'
 import { runsToMove } from './evacuation.js'
 import { Janitor } from './janitor.js'
@@ -56,6 +57,8 @@
   readonly queue: (name: string) => Queue | undefined
   /** Whether tasks may be started by the configuration in force, which says at which service. */
   readonly isConfigRecent: () => boolean
+  /** What a start relies on now, for the logs. */
+  readonly configBasis: () => ConfigBasis
   readonly mayIssueCommands: () => boolean
   readonly onDeposed: () => void
   /** Called when the store has refused a transaction of this leader without executing it. */
@@ -334,6 +337,7 @@
       job: step.job.id,
       step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
       ageMs,
+      config: this.options.configBasis(),
       runs: runs.map(({ id, number, worker, fencingToken }) => `${id.index}#${number} ${worker.id} ${fencingToken}`)
     })
   }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -205,6 +205,7 @@
           agents: () => options.agents ?? [],
           queue: name => config.queue(name),
           isConfigRecent: () => configWatch.isRecent(),
+          configBasis: () => configWatch.basis(),
           mayIssueCommands: () => lease.isValid(),
           onDeposed: stopLeading,
           onRefused: () => lease.renewNow(),
