fix(cell): no answer relies on a configuration that nobody has confirmed in time

Callers saw: 404 on a route that exists and success on one that was dropped, for as long as the store refused a daemon and those that it asked. Cause: an absence of news was taken as evidence. If half of up to four other daemons answered and none had confirmed its configuration in time, a daemon took the store to be down for all and answered by what it had, again and again without an upper bound. The store may refuse the daemons that are asked as well, and serve the operator. Change: answers need a confirmation within 0.8 of the bound; without one they are refused as not run at once. Starts of accepted jobs go on while most of those asked have none that is later, at most for 0.8 of the extended bound (max_extension_ms). Daemons ask the leader and the daemon that knew most last, beside random ones, as a store that serves few daemons is seldom met by chance. They tell their age in place of the store's time, so that a daemon that the store has never answered can judge it. Each refresh reads the store, also at once when the store answers again. Tests replaced: 'while the store refuses all daemons, they answer by the latest configuration that any of them has' asked for the conclusion that is the fault; it now asks for a refusal with a time to return and an answer soon after the outage, beside a change. 'a daemon answers by an old configuration if the others have none that is newer' likewise; the property test now lets the other daemons be refused too, and checks starts. 'tasks start ... while no daemon can know' now bounds the time from both sides.

--- a/packages/cell/src/__tests__/configWatch.test.ts
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -16,6 +16,10 @@
 const READ_TIMEOUT_MS = 900
 const WATCH_TIMEOUT_MS = 1_700
 const PEER_TIMEOUT_MS = 400
+const EXTENSION_MS = 6_000
+/** Time within which a daemon answers again once the store answers it, without a sign of that: a read that waits for its timeout, and a retry. */
+const ANSWER_AGAIN_WITHIN_MS = 2_000
+const AGE_CHECK_MS = 200
 const STEP_MS = 50
 const FUZZ_SEED = 40
 const FUZZ_RUNS = 150
@@ -32,27 +36,28 @@
 })
 
 // Guards against CONFIG: whatever the store and the other daemons do, no answer relies on a version older than the bound allows.
-test('an answer relies on a configuration that was the latest within the bound, or no daemon that was asked has a later one', async t => {
+test('an answer relies on a configuration that was the latest within the bound, and a start on one within the extended bound', async t => {
   await fc.assert(fc.asyncProperty(fc.array(fc.record({
     lengthMs: fc.integer({ min: 200, max: 4_000 }),
     storeDelayMs: fc.constantFrom(5, 300, 850, 1_600, Infinity),
     peerDelayMs: fc.constantFrom(5, 150, 390, Infinity),
+    arePeersRefused: fc.boolean(),
     changes: fc.boolean()
   }), { minLength: 2, maxLength: 6 }), async phases => {
     const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
     await cell.clock.advance(100)
-    for (const { lengthMs, storeDelayMs, peerDelayMs, changes } of phases) {
+    for (const { lengthMs, storeDelayMs, peerDelayMs, arePeersRefused, changes } of phases) {
       cell.storeDelayMs = () => storeDelayMs
       cell.peerDelayMs = () => peerDelayMs
+      cell.arePeersRefused = arePeersRefused
       if (changes) cell.publish()
       for (let elapsedMs = 0; elapsedMs < lengthMs; elapsedMs += STEP_MS) {
         const dueVersion = cell.publishedBefore(APPLY_WITHIN_MS)
-        const answer = { isSettled: false }
         cell.watch.mayAnswer().then(mayAnswer => {
-          answer.isSettled = true
           if (mayAnswer && cell.inForce.version() < dueVersion) throw new Error(`answers by ${cell.inForce.version()} when ${dueVersion} is due`)
         }).catch((err: unknown) => cell.violations.push(String(err)))
         await cell.clock.advance(STEP_MS)
+        if (cell.watch.mayStartTasks() && cell.inForce.version() < cell.publishedBefore(APPLY_WITHIN_MS + EXTENSION_MS)) throw new Error(`starts by ${cell.inForce.version()}`)
       }
       if (cell.violations.length > 0) throw new Error(cell.violations[0])
     }
@@ -61,32 +66,40 @@
   t.pass()
 })
 
-// Guards against lost service: what no daemon can know must not keep them from answering.
-test('a daemon answers by an old configuration if the others have none that is newer, and not if none of them answers', async t => {
+// Guards against CONFIG: daemons that the store refused took it from each other that nobody had a later configuration, without an upper bound.
+test('that the others have no later configuration allows no answer, and starts only within the extended bound', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
   await cell.clock.advance(100)
   cell.storeDelayMs = () => Infinity
   cell.arePeersRefused = true
   await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.false(await cell.watch.mayAnswer())
+  t.true(cell.watch.mayStartTasks(), 'jobs that were accepted do not wait')
+  await cell.clock.advance(EXTENSION_MS)
+  t.false(cell.watch.mayStartTasks(), 'beyond the extended bound')
+  cell.storeDelayMs = () => 5
+  await cell.clock.advance(ANSWER_AGAIN_WITHIN_MS)
   t.true(await cell.watch.mayAnswer())
+  t.true(cell.watch.mayStartTasks())
+  cell.storeDelayMs = () => Infinity
   cell.peerDelayMs = () => Infinity
   await cell.clock.advance(2 * APPLY_WITHIN_MS)
   t.false(await cell.watch.mayAnswer())
-  cell.storeDelayMs = () => 5
-  await cell.clock.advance(APPLY_WITHIN_MS)
-  t.true(await cell.watch.mayAnswer())
+  t.false(cell.watch.mayStartTasks(), 'no other daemon answers')
+  cell.stop()
 })
 
 // Guards against CONFIG: after a suspension, requests were answered by what the other daemons had known before it.
-test('that the others have no newer configuration holds only for as long as a confirmation does', async t => {
+test('what the other daemons knew before a suspension allows neither answers nor starts after it', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
   await cell.clock.advance(100)
   cell.storeDelayMs = () => Infinity
   cell.arePeersRefused = true
   await cell.clock.advance(2 * APPLY_WITHIN_MS)
-  t.true(await cell.watch.mayAnswer())
+  t.true(cell.watch.mayStartTasks())
   // The monotonic clock stands still while the VM is suspended.
   cell.clock.stepWallClock(APPLY_WITHIN_MS)
+  t.false(cell.watch.mayStartTasks())
   cell.arePeersRefused = false
   cell.publish()
   const mayAnswer = cell.watch.mayAnswer().then(allowed => [allowed, cell.inForce.version()])
@@ -95,6 +108,22 @@
   cell.stop()
 })
 
+// Guards against lost service: after an outage, a daemon refused requests until a read that was sent during it had timed out.
+test('a daemon answers soon after an outage of the store', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
+  await cell.clock.advance(100)
+  cell.storeDelayMs = () => Infinity
+  cell.arePeersRefused = true
+  cell.storeUnavailableMs = 1
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.false(await cell.watch.mayAnswer())
+  cell.storeDelayMs = () => 5
+  cell.storeUnavailableMs = 0
+  await cell.clock.advance(AGE_CHECK_MS + STEP_MS)
+  t.true(await cell.watch.mayAnswer())
+  cell.stop()
+})
+
 // Guards against CONFIG: a read that returns an older version must neither put it in force nor confirm the newer one.
 test('an older version is not put in force and confirms nothing', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => Infinity })
@@ -107,6 +136,18 @@
   t.false(await cell.watch.mayAnswer())
 })
 
+// Guards against lost service and CONFIG: a daemon that the store has never answered does not know the store's clock, and could not tell how old the answers of others are.
+test('a daemon that the store has never answered answers by what others have, for as long as their confirmation holds', async t => {
+  const cell = createCell({ storeDelayMs: () => Infinity, peerDelayMs: () => 20 })
+  cell.isStoreClockKnown = false
+  await cell.clock.advance(APPLY_WITHIN_MS)
+  t.true(await cell.watch.mayAnswer())
+  cell.peerDelayMs = () => Infinity
+  await cell.clock.advance(APPLY_WITHIN_MS)
+  t.false(await cell.watch.mayAnswer())
+  cell.stop()
+})
+
 // Guards against wasted bytes: a large configuration must not travel to a daemon that has no use for it.
 test('only a daemon that has an earlier version is sent the configuration', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
@@ -124,13 +165,14 @@
 test('no odd value of another daemon is taken for its configuration', t => {
   const queue = { ...createQueue(), advice: { decisionMs: 1, perWorkerMs: 1, validityMs: 1 } }
   const config = { version: 3, queues: [queue], limits: { maxBodyBytes: 1 } }
-  const valid = { version: 3, asOfMs: 1, config }
+  const valid = { version: 3, ageMs: 1, config }
   t.deepEqual(decodeKnownConfig(JSON.parse(JSON.stringify(valid))), valid)
   for (const [description, odd] of createOddValues()) {
     if (odd === undefined) continue
     for (const value of spreadOverFields(valid, odd)) t.notThrows(() => decodeKnownConfig(value), description)
     for (const value of spreadOverFields(queue, odd)) t.notThrows(() => decodeKnownConfig({ ...valid, config: { ...config, queues: [value] } }), description)
     t.is(decodeKnownConfig({ ...valid, config: odd }), undefined, description)
+    t.is(decodeKnownConfig({ ...valid, ageMs: -1 }), undefined, 'an age before which there can be no confirmation')
     t.is(decodeKnownConfig({ ...valid, config: { ...config, queues: [{ ...queue, pathPrefix: 7 }] } }), undefined, description)
   }
 })
@@ -148,6 +190,8 @@
   readonly violations: string[]
   /** Whether the other daemons have the first version only, known to be the latest when they started. */
   arePeersRefused: boolean
+  storeUnavailableMs: number
+  isStoreClockKnown: boolean
   /** Version that the store returns. */
   readVersion: () => number
   /** Latest version that was published. */
@@ -162,7 +206,7 @@
   const clock = ManualClock.create()
   const abort = new AbortController()
   const publishedAt: number[] = [0]
-  const now = () => ({ earliest: clock.now(), latest: clock.now() })
+  const now = () => cell.isStoreClockKnown ? { earliest: clock.now(), latest: clock.now() } : undefined
   const inForce = ConfigInForce.create({ storeClock: now, clock, log: silentLog })
   const cell: Cell = {
     ...delays,
@@ -170,6 +214,8 @@
     inForce,
     violations: [],
     arePeersRefused: false,
+    storeUnavailableMs: 0,
+    isStoreClockKnown: true,
     published: () => publishedAt.length,
     publishedBefore: ms => publishedAt.filter(at => at + ms <= clock.now()).length,
     publish: () => { publishedAt.push(clock.now()) },
@@ -193,10 +239,11 @@
         await clock.sleep(Math.min(delayMs, PEER_TIMEOUT_MS))
         if (delayMs > PEER_TIMEOUT_MS) return undefined
         const config = cell.arePeersRefused ? configOf(1) : configOf(publishedAt.length)
-        return { version: config.version, asOfMs: cell.arePeersRefused ? 0 : clock.now(), config }
+        return { version: config.version, ageMs: cell.arePeersRefused ? clock.now() : 0, config }
       }),
-      storeUnavailableMs: () => 0,
+      storeUnavailableMs: () => cell.storeUnavailableMs,
       applyWithinMs: APPLY_WITHIN_MS,
+      extensionMs: EXTENSION_MS,
       clock,
       log: silentLog,
       metrics: MemoryMetrics.create()
--- a/packages/cell/src/__tests__/oldConfiguration.test.ts
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -1,7 +1,8 @@
 import { Failure } from '@citronnotch/base/errors'
 import { Err } from '@citronnotch/base/result'
 import test from 'ava'
-import { CONFIG_APPLY_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
+import { TOO_OLD_FRACTION } from '../constants.js'
+import { CONFIG_APPLY_MS, CONFIG_EXTENSION_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
 import type { TestDaemon } from '../testing/index.js'
 
 const OTHER_SERVICE = 'archive'
@@ -13,6 +14,8 @@
 const READ_TIMEOUT_MS = 900
 /** Time within which a task starts: an interval of scheduling and one of refreshes. */
 const START_WITHIN_MS = 1_000
+/** Time within which a configuration must be in force while the store serves some daemons only. */
+const EXTENDED_MS = CONFIG_APPLY_MS + CONFIG_EXTENSION_MS
 
 // Guards against ROUTE: a leader that held its lease but could learn of no change started tasks at the service of the version before.
 test('a leader starts nothing once its configuration may be outdated, and goes on with other work', async t => {
@@ -54,14 +57,20 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
-// Guards against jobs that wait: neither a slow store nor one that tells nobody of changes may hold up starts.
-test('tasks start while the store answers slowly, and while no daemon can know of a newer configuration', async t => {
+// Guards against jobs that wait: neither a slow store nor one that tells nobody of changes for a while may hold up starts.
+test('tasks start while the store answers slowly, and within the extended bound while no daemon can know of a newer configuration', async t => {
   const { cell, other } = await createCell()
+  const startsWithin = async () => {
+    const jobId = await cell.submit(other, [createStep()])
+    await cell.clock.advance(START_WITHIN_MS)
+    return { jobId, hasStarted: cell.audit.hasStarted(jobId) }
+  }
+  cell.beforeConfigRead = async () => {
+    await cell.clock.sleep(SLOW_MS)
+    return undefined
+  }
+  for (let elapsedMs = 0; elapsedMs < 2 * EXTENDED_MS; elapsedMs += START_WITHIN_MS) t.true((await startsWithin()).hasStarted, `slow, after ${elapsedMs} ms`)
   const faults = {
-    slow: async () => {
-      await cell.clock.sleep(SLOW_MS)
-      return undefined
-    },
     silent: async () => {
       await cell.clock.sleep(READ_TIMEOUT_MS)
       return REFUSED
@@ -69,12 +78,16 @@
     refused: () => REFUSED
   }
   for (const [name, fault] of Object.entries(faults)) {
+    cell.beforeConfigRead = () => undefined
+    await cell.clock.advance(START_WITHIN_MS)
     cell.beforeConfigRead = fault
-    for (let elapsedMs = 0; elapsedMs < 4 * CONFIG_APPLY_MS; elapsedMs += START_WITHIN_MS) {
-      const jobId = await cell.submit(other, [createStep()])
-      await cell.clock.advance(START_WITHIN_MS)
-      t.true(cell.audit.hasStarted(jobId), `${name}, after ${elapsedMs} ms`)
-    }
+    for (let elapsedMs = 0; elapsedMs + START_WITHIN_MS < TOO_OLD_FRACTION * EXTENDED_MS; elapsedMs += START_WITHIN_MS) t.true((await startsWithin()).hasStarted, `${name}, after ${elapsedMs} ms`)
+    await cell.clock.advance(START_WITHIN_MS)
+    const { jobId, hasStarted } = await startsWithin()
+    t.false(hasStarted, `${name}, beyond the extended bound`)
+    cell.beforeConfigRead = () => undefined
+    await cell.clock.advance(CONFIG_APPLY_MS)
+    t.true(cell.audit.hasStarted(jobId), `after ${name}`)
   }
   t.deepEqual(cell.audit.violations, [])
 })
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -7,8 +7,8 @@
 import { supervise } from '@citronnotch/base/supervise'
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
-import { ConfigInForce, decodeKnownConfig } from './configInForce.js'
-import type { KnownConfig } from './configInForce.js'
+import { ConfigInForce } from './configInForce.js'
+import { ConfigPeers } from './configPeers.js'
 import { ConfigWatch } from './configWatch.js'
 import type { ConfigBasis } from './configWatch.js'
 import { PEER_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TASK_LEASE_MS } from './constants.js'
@@ -40,8 +40,6 @@
 
 /** Timeout of a submission or cancellation that is forwarded to the leader. */
 const FORWARD_TIMEOUT_MS = 1_200
-/** Number of other daemons that are asked for their configuration at a time. */
-const CONFIG_PEERS = 4
 
 export interface CellDaemonOptions {
   readonly name: string
@@ -58,6 +56,8 @@
   readonly drainMs: number
   /** Time within which a confirmed configuration must be in force, in milliseconds. */
   readonly configApplyMs: number
+  /** Time by which that is extended while the store serves some daemons only, in milliseconds. */
+  readonly configExtensionMs: number
   readonly store: RowStore
   readonly storeHealth: StoreHealth
   readonly directory: Directory
@@ -94,12 +94,14 @@
     this.store = store
     this.log = logs.for('daemon')
     this.config = ConfigInForce.create({ storeClock: () => store.clockMs(), clock, log: logs.for('config') })
+    const configPeers = ConfigPeers.create({ peerClients: this.peerClients, leaderAddress: () => this.remoteLeaderAddress(), sample: count => this.membership.sample(count), clock })
     this.configWatch = ConfigWatch.create({
       inForce: this.config,
       directory,
-      askPeers: version => this.membership.sample(CONFIG_PEERS).map(({ peerAddress }) => this.askConfig(peerAddress, version)),
+      askPeers: version => configPeers.ask(version),
       storeUnavailableMs: () => storeHealth.unavailableMs(),
       applyWithinMs: options.configApplyMs,
+      extensionMs: options.configExtensionMs,
       clock,
       log: logs.for('config'),
       metrics: this.metrics
@@ -199,7 +201,7 @@
       clients,
       agents: () => this.agents,
       queue: name => this.config.queue(name),
-      isConfigRecent: () => this.configWatch.isRecent(),
+      isConfigRecent: () => this.configWatch.mayStartTasks(),
       configBasis: () => this.configWatch.basis(),
       mayIssueCommands: () => this.lease.isValid(),
       onDeposed: () => this.stopLeading(),
@@ -350,11 +352,6 @@
     }
   }
 
-  private async askConfig (peerAddress: string, version: number): Promise<KnownConfig | undefined> {
-    const res = await this.peerClients.call(peerAddress, 'config', { version }, PEER_TIMEOUT_MS)
-    return res.ok ? decodeKnownConfig(res.val) : undefined
-  }
-
   /** Polls the list of daemons: the leader asks its peers for advice and transfers leadership to a better candidate. */
   private async watchPeers (signal: AbortSignal) {
     const { membership } = this
--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -9,8 +9,8 @@
 /** What a daemon tells another one of the configuration that it has in force. */
 export interface KnownConfig {
   readonly version: number
-  /** Time on the store's monotonic clock at which there was no later version, in milliseconds. */
-  readonly asOfMs: number
+  /** Time for which the version is not known to be the latest, in milliseconds, when the other daemon answered. */
+  readonly ageMs: number
   /** Missing when the other daemon has this version, or a later one, already. */
   readonly config?: CellConfig
 }
@@ -32,6 +32,8 @@
   private asOfMs: number | undefined
   /** Started when the last read that confirmed the configuration was sent. */
   private sinceRead: Stopwatch | undefined
+  /** What another daemon knew last, with a stopwatch that was started when it was asked. */
+  private peerAge: { readonly ageMs: number, readonly sinceRequest: Stopwatch } | undefined
   private source: ConfigSource | undefined
   private confirmedBy: ConfigSource | undefined
   private queuesByName: ReadonlyMap<string, Queue> = new Map()
@@ -56,9 +58,7 @@
 
   /** Time for which the configuration in force is not known to be the latest, in milliseconds; infinite before the first read. */
   ageMs (): number {
-    const now = this.options.storeClock()
-    const byStoreClock = this.asOfMs === undefined || now === undefined ? Infinity : Math.max(0, now.latest - this.asOfMs)
-    return Math.min(byStoreClock, this.sinceRead?.elapsedMs() ?? Infinity)
+    return Math.min(this.ageByStoreMs(), this.ageByPeerMs())
   }
 
   /** Source of the version in force, and of its last confirmation. */
@@ -78,9 +78,10 @@
 
   /** What to tell a daemon that has `theirVersion` in force; undefined when this daemon knows nothing. */
   known (theirVersion: number): KnownConfig | undefined {
-    if (this.config === undefined || this.asOfMs === undefined) return undefined
+    const ageMs = this.ageMs()
+    if (this.config === undefined || ageMs === Infinity) return undefined
     const { version } = this.config
-    return { version, asOfMs: this.asOfMs, ...(version > theirVersion ? { config: this.config } : {}) }
+    return { version, ageMs, ...(version > theirVersion ? { config: this.config } : {}) }
   }
 
   // Commands
@@ -92,19 +93,25 @@
     if (config !== undefined && config.version < this.version()) return
     this.sinceRead = sinceRequest
     this.confirmedBy = source
-    this.confirm(asOfMs)
+    if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
   }
 
-  /** Records what another daemon has in force. */
-  observePeer (known: KnownConfig): void {
-    if (known.config !== undefined) this.apply(known.config, 'peer')
-    if (known.version !== this.version()) return
-    if (known.asOfMs > (this.asOfMs ?? -Infinity)) this.confirmedBy = 'peer'
-    this.confirm(known.asOfMs)
+  /** Records what another daemon has in force. `sinceRequest` was started when it was asked. */
+  observePeer ({ version, ageMs, config }: KnownConfig, sinceRequest: Stopwatch): void {
+    if (config !== undefined) this.apply(config, 'peer')
+    if (version !== this.version() || ageMs + sinceRequest.elapsedMs() >= this.ageMs()) return
+    this.peerAge = { ageMs, sinceRequest }
+    this.confirmedBy = 'peer'
   }
 
-  private confirm (asOfMs: number | undefined) {
-    if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
+  private ageByStoreMs (): number {
+    const now = this.options.storeClock()
+    const byStoreClock = this.asOfMs === undefined || now === undefined ? Infinity : Math.max(0, now.latest - this.asOfMs)
+    return Math.min(byStoreClock, this.sinceRead?.elapsedMs() ?? Infinity)
+  }
+
+  private ageByPeerMs (): number {
+    return this.peerAge === undefined ? Infinity : this.peerAge.ageMs + this.peerAge.sinceRequest.elapsedMs()
   }
 
   private apply (config: CellConfig, source: ConfigSource) {
@@ -126,10 +133,10 @@
 
 /** Returns undefined if the value isn't what a daemon tells of its configuration. */
 export function decodeKnownConfig (value: unknown): KnownConfig | undefined {
-  const { version, asOfMs, config } = recordOf(value)
-  if (!isFiniteNumber(version) || !isFiniteNumber(asOfMs)) return undefined
-  if (config === undefined) return { version, asOfMs }
-  return isConfig(config) && config.version === version ? { version, asOfMs, config } : undefined
+  const { version, ageMs, config } = recordOf(value)
+  if (!isFiniteNumber(version) || !isFiniteNumber(ageMs) || ageMs < 0) return undefined
+  if (config === undefined) return { version, ageMs }
+  return isConfig(config) && config.version === version ? { version, ageMs, config } : undefined
 }
 
 function isConfig (value: unknown): value is CellConfig {
--- /dev/null
+++ b/packages/cell/src/configPeers.ts
@@ -0,0 +1,59 @@
+import type { Clock } from '@citronnotch/base/clock'
+import { decodeKnownConfig } from './configInForce.js'
+import type { KnownConfig } from './configInForce.js'
+import { PEER_TIMEOUT_MS } from './constants.js'
+import type { Peer } from './membership.js'
+import type { PeerClients } from './peers.js'
+
+/** Number of other daemons that are asked for their configuration at a time. */
+const PEERS_PER_REQUEST = 4
+
+export interface ConfigPeersOptions {
+  readonly peerClients: Pick<PeerClients, 'call'>
+  /** Peer address of the leader; undefined if it is unknown or this daemon. */
+  readonly leaderAddress: () => string | undefined
+  /** Up to `count` of the other daemons, chosen at random. */
+  readonly sample: (count: number) => readonly Peer[]
+  readonly clock: Clock
+}
+
+/**
+ * Asks other daemons for their configuration: the leader, as the store serves it, the daemon whose last answer was the
+ * most recent, and some at random. If the store serves only a few daemons, random ones alone would seldom include them.
+ */
+export class ConfigPeers {
+  /** Monotonic time at which the configuration of the daemon was last known to be the latest. */
+  private mostRecent: { readonly address: string, readonly confirmedAt: number } | undefined
+
+  private constructor (private readonly options: ConfigPeersOptions) {}
+
+  static create (options: ConfigPeersOptions): ConfigPeers {
+    return new ConfigPeers(options)
+  }
+
+  /** Addresses to ask now, without duplicates. */
+  addresses (): readonly string[] {
+    const { leaderAddress, sample } = this.options
+    const preferred = [leaderAddress(), this.mostRecent?.address].filter(address => address !== undefined)
+    const others = sample(PEERS_PER_REQUEST).map(({ peerAddress }) => peerAddress)
+    return [...new Set([...preferred, ...others])].slice(0, PEERS_PER_REQUEST)
+  }
+
+  /** Asks for a configuration that is later than `version`; an answer is undefined if the daemon doesn't give one. */
+  ask (version: number): ReadonlyArray<Promise<KnownConfig | undefined>> {
+    return this.addresses().map(address => this.askOne(address, version))
+  }
+
+  private async askOne (address: string, version: number): Promise<KnownConfig | undefined> {
+    const sentAt = this.options.clock.now()
+    const res = await this.options.peerClients.call(address, 'config', { version }, PEER_TIMEOUT_MS)
+    const known = res.ok ? decodeKnownConfig(res.val) : undefined
+    if (known === undefined) {
+      if (this.mostRecent?.address === address) this.mostRecent = undefined
+      return undefined
+    }
+    const confirmedAt = sentAt - known.ageMs
+    if (this.mostRecent === undefined || this.mostRecent.address === address || confirmedAt > this.mostRecent.confirmedAt) this.mostRecent = { address, confirmedAt }
+    return known
+  }
+}
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -28,6 +28,8 @@
   readonly storeUnavailableMs: () => number
   /** Time within which a confirmed version must be in force, in milliseconds. */
   readonly applyWithinMs: number
+  /** Additional time for tasks to start by an earlier version while the store doesn't serve all daemons, in milliseconds. */
+  readonly extensionMs: number
   readonly clock: Clock
   readonly log: Log
   readonly metrics: CellMetrics
@@ -45,7 +47,10 @@
 }
 
 interface FailedRefresh {
-  /** `none-newer`: most of the daemons that were asked have answered, and none has confirmed its configuration in time. */
+  /**
+   * `none-newer`: more than half of the daemons that were asked have answered, and none has confirmed its configuration in
+   * time. That doesn't show that there is no later version: the store may serve the operator and other daemons.
+   */
   readonly outcome: 'none-newer' | 'unanswered'
   /** Started when the daemons were asked. */
   readonly sinceRequest: Stopwatch
@@ -56,7 +61,6 @@
  * reads it and asks other daemons. A daemon that the store refuses learns of a new version from those that it answers.
  */
 export class ConfigWatch {
-  private isWatching = false
   private refreshing: Promise<void> | undefined
   private refreshedAt = -Infinity
   /** Last refresh, unless the configuration has been confirmed by it or since. */
@@ -68,18 +72,27 @@
     return new ConfigWatch(options)
   }
 
-  /** Whether the configuration in force may be acted on: it was confirmed in time, or other daemons don't know a newer one either. */
-  isRecent (): boolean {
-    return !this.isOlderThan(TOO_OLD_FRACTION) || this.lastOutcome() === 'none-newer'
+  /** Whether the configuration in force was the latest within the time in which a change must be in force. */
+  isConfirmed (): boolean {
+    return !this.isOlderThan(TOO_OLD_FRACTION * this.options.applyWithinMs)
+  }
+
+  /**
+   * Whether tasks of admitted jobs may be started by the configuration in force. While no daemon that is asked has a
+   * confirmed one, starts go on for as long as the bound is extended, as a job that was accepted should not wait.
+   */
+  mayStartTasks (): boolean {
+    const { applyWithinMs, extensionMs } = this.options
+    return this.isConfirmed() || (this.lastOutcome() === 'none-newer' && !this.isOlderThan(TOO_OLD_FRACTION * (applyWithinMs + extensionMs)))
   }
 
   /**
-   * Whether requests may be answered by the configuration in force, which is so while it is recent. Waits for the first
-   * refresh of one that is too old, and not for those that follow.
+   * Whether requests may be answered by the configuration in force. Waits for the first refresh of one that is too old,
+   * and not for those that follow.
    */
   async mayAnswer (): Promise<boolean> {
-    if (!this.isRecent() && this.lastOutcome() === undefined) await this.refresh()
-    return this.isRecent()
+    if (!this.isConfirmed() && this.lastOutcome() === undefined) await this.refresh()
+    return this.isConfirmed()
   }
 
   basis (): ConfigBasis {
@@ -108,8 +121,7 @@
         continue
       }
       const sinceRequest = Stopwatch.start(clock)
-      this.isWatching = true
-      const change = await directory.watchConfig(version, CONFIG_WATCH_MS).finally(() => { this.isWatching = false })
+      const change = await directory.watchConfig(version, CONFIG_WATCH_MS)
       // After a failed watch the row itself is read, over another connection.
       if (change.err || change.val === 'history-lost') {
         log.info('Configuration watch interrupted; reading the configuration again.', { reason: change.err ? change.val.reason : 'history lost', inForce: inForce.version() })
@@ -124,19 +136,25 @@
 
   /** Refreshes a configuration that the watch doesn't confirm, and reports its age. */
   async monitor (signal: AbortSignal): Promise<void> {
-    const { inForce, clock, metrics } = this.options
+    const { inForce, clock, metrics, storeUnavailableMs } = this.options
     const report = AgeReport.create(this.options)
+    let wasStoreUnavailable = false
     while (!signal.aborted) {
       await clock.sleep(AGE_CHECK_MS, signal)
       const ageMs = inForce.ageMs()
       if (ageMs < Infinity) metrics.gauge('config_age_ms', Math.round(ageMs))
-      if (!this.isOlderThan(OLD_FRACTION)) {
+      const isStoreUnavailable = storeUnavailableMs() > 0
+      const isStoreBack = wasStoreUnavailable && !isStoreUnavailable
+      wasStoreUnavailable = isStoreUnavailable
+      if (!this.isOld()) {
         this.failedRefresh = undefined
         report.confirmed()
         continue
       }
       if (inForce.current() !== undefined) report.old(ageMs)
-      if (clock.now() - this.refreshedAt >= REFRESH_INTERVAL_MS) await this.refresh()
+      // A refresh that began during an outage may still wait for its timeout.
+      if (isStoreBack) await this.readStore()
+      else if (clock.now() - this.refreshedAt >= REFRESH_INTERVAL_MS) this.refreshInBackground()
     }
   }
 
@@ -147,8 +165,17 @@
     return sinceRequest.elapsedMs() <= TOO_OLD_FRACTION * this.options.applyWithinMs ? outcome : undefined
   }
 
-  private isOlderThan (fraction: number): boolean {
-    return this.options.inForce.ageMs() > fraction * this.options.applyWithinMs
+  private isOlderThan (ms: number): boolean {
+    return this.options.inForce.ageMs() > ms
+  }
+
+  /** Whether the configuration should be refreshed beside the watch. */
+  private isOld (): boolean {
+    return this.isOlderThan(OLD_FRACTION * this.options.applyWithinMs)
+  }
+
+  private refreshInBackground () {
+    this.refresh().catch((err: unknown) => this.options.log.error('Configuration could not be refreshed.', { err }))
   }
 
   /** Resolves when the configuration is confirmed or all that were asked have answered or failed to. */
@@ -165,15 +192,14 @@
     const sinceRequest = Stopwatch.start(clock)
     const answers = askPeers(inForce.version())
     const known = await new Promise<ReadonlyArray<KnownConfig | undefined> | 'confirmed'>((resolve, reject) => {
-      const settleIfConfirmed = () => { if (!this.isOlderThan(OLD_FRACTION)) resolve('confirmed') }
+      const settleIfConfirmed = () => { if (!this.isOld()) resolve('confirmed') }
       const peers = answers.map(async answer => {
         const peer = await answer
-        if (peer !== undefined) inForce.observePeer(peer)
+        if (peer !== undefined) inForce.observePeer(peer, sinceRequest)
         settleIfConfirmed()
         return peer
       })
-      // The watch loop reads the store by itself unless it waits for an answer.
-      const read = this.isWatching ? this.readStore().then(settleIfConfirmed) : Promise.resolve()
+      const read = this.readStore().then(settleIfConfirmed)
       Promise.all([Promise.all(peers), read]).then(([all]) => resolve(all), reject)
     })
     this.failedRefresh = known === 'confirmed' ? undefined : { outcome: hasMajority(known) ? 'none-newer' : 'unanswered', sinceRequest }
@@ -229,5 +255,5 @@
 }
 
 function hasMajority (answers: ReadonlyArray<KnownConfig | undefined>): boolean {
-  return answers.length > 0 && 2 * answers.filter(answer => answer !== undefined).length >= answers.length
+  return 2 * answers.filter(answer => answer !== undefined).length > answers.length
 }
