fix(cell): a leader places no job by a configuration older than the one that admitted it

Callers saw: nothing that was reported; with several services, a job could run at the service of the version before the one that admitted it. Evidence: the test submits a job at a daemon that has the new version while the leader has not heard of it; without the change it starts at the old service (w1). Change: the job's row names the version. The leader holds such a job until that version or a later one is in force, or a read sent after it heard of it has found none, and looks for it at once.

--- a/packages/cell/src/__tests__/oldConfiguration.test.ts
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -37,6 +37,34 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+// Guards against CONFIG: a leader that had not heard of a change yet placed a job that was admitted after it at the service of the version before.
+test('a leader places no job by a configuration older than the one that admitted it', async t => {
+  const { cell, leader, other } = await createCell()
+  cell.beforeConfigRead = daemon => daemon === leader.name ? REFUSED : undefined
+  cell.arePeersReachable = false
+  cell.publishQueues([MOVED_QUEUE])
+  await cell.advanceUntil(() => other.config.version() === 2)
+  const jobId = await cell.submit(other, [createStep()])
+  await cell.clock.advance(CONFIG_APPLY_MS / 2)
+  t.deepEqual(cell.audit.startsOf(jobId), [])
+  cell.arePeersReachable = true
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.startsOf(jobId), ['w2'])
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against jobs that wait: a row with a version that nobody has must not hold up its job, or the others, for long.
+test('a job that names a version that does not exist is held only until the leader has looked for it', async t => {
+  const { cell, other } = await createCell()
+  cell.admittedByVersion = 1e9
+  const jobId = await cell.submit(other, [createStep()])
+  cell.admittedByVersion = undefined
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId)))
+  const next = await cell.submit(other, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(next)))
+  t.deepEqual(cell.audit.violations, [])
+})
+
 // Guards against ROUTE: a leader that had read no configuration yet started tasks at the service that the queue had when they were admitted.
 test('a leader without a configuration starts nothing', async t => {
   const { cell, leader, other } = await createCell()
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -124,7 +124,7 @@
       findSuccessor: () => this.membership.findSuccessor()
     })
     this.agents = [this.localAgent()]
-    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), clock, log: logs.for('jobs'), metrics: this.metrics })
+    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), configVersion: () => this.config.version(), clock, log: logs.for('jobs'), metrics: this.metrics })
   }
 
   static create (options: CellDaemonOptions): CellDaemon {
@@ -202,6 +202,7 @@
       agents: () => this.agents,
       queue: name => this.config.queue(name),
       isConfigRecent: () => this.configWatch.mayStartTasks(),
+      hasConfig: version => this.configWatch.hasVersion(version),
       configBasis: () => this.configWatch.basis(),
       mayIssueCommands: () => this.lease.isValid(),
       onDeposed: () => this.stopLeading(),
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -16,6 +16,8 @@
 const OLD_REPORT_MS = 1_000
 /** Fraction of the time within which a confirmed version must be in force, after which it is looked for elsewhere than in the watch. */
 const OLD_FRACTION = 0.5
+/** Minimum interval between two refreshes that look for a version that another daemon has. */
+const MISSING_REFRESH_INTERVAL_MS = 100
 /** Minimum interval between two refreshes while the configuration stays old. */
 const REFRESH_INTERVAL_MS = 500
 
@@ -63,6 +65,8 @@
 export class ConfigWatch {
   private refreshing: Promise<void> | undefined
   private refreshedAt = -Infinity
+  /** Latest version that another daemon is known to have had in force, if it is not in force here. */
+  private missing: { readonly version: number, readonly sinceHeard: Stopwatch } | undefined
   /** Last refresh, unless the configuration has been confirmed by it or since. */
   private failedRefresh: FailedRefresh | undefined
 
@@ -95,6 +99,22 @@
     return this.isConfirmed()
   }
 
+  /**
+   * Whether a version that another daemon had in force is in force here, or there is a later one. Looks for it if not, and
+   * returns true once a read that was sent after that has found no such version.
+   */
+  hasVersion (version: number): boolean {
+    const { inForce, clock } = this.options
+    if (version <= inForce.version()) return true
+    if (this.missing === undefined || version > this.missing.version) {
+      this.missing = { version, sinceHeard: Stopwatch.start(clock) }
+      this.options.log.info('Another daemon has a later configuration.', { version, inForce: inForce.version() })
+    }
+    if (inForce.ageMs() < this.missing.sinceHeard.elapsedMs()) return true
+    if (clock.now() - this.refreshedAt >= MISSING_REFRESH_INTERVAL_MS) this.refreshInBackground()
+    return false
+  }
+
   basis (): ConfigBasis {
     const { inForce } = this.options
     const ageMs = inForce.ageMs()
--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -11,6 +11,8 @@
   readonly spec: Omit<JobSpec, 'payload'>
   /** Unix time of the admission, in milliseconds. */
   readonly admittedAtMs: number
+  /** Version of the configuration by which the job was admitted; missing in rows of earlier versions. */
+  readonly configVersion?: number
 }
 
 /** Value of the row of a live job. Step fields with their default value are omitted to keep rows small: a new leader reads all of them. */
@@ -21,6 +23,7 @@
   readonly steps: ReadonlyArray<Partial<StepSpec>>
   readonly schedule?: Schedule
   readonly admittedAtMs: number
+  readonly configVersion?: number
 }
 
 /** Priority, maximum attempts, slack factor, target latency in milliseconds and, if the queue has an advice policy, its three times. */
@@ -43,19 +46,19 @@
   maxUnavailable: 0
 }
 
-export function encodeJob ({ queue, service, terms, spec, admittedAtMs }: JobRecord): StoredJob {
+export function encodeJob ({ queue, service, terms, spec, admittedAtMs, configVersion }: JobRecord): StoredJob {
   const { steps, schedule } = spec
-  return { queue, service, ...(terms === undefined ? {} : { terms: encodeTerms(terms) }), steps: steps.map(withoutDefaults), ...(schedule === undefined ? {} : { schedule }), admittedAtMs }
+  return { queue, service, ...(terms === undefined ? {} : { terms: encodeTerms(terms) }), steps: steps.map(withoutDefaults), ...(schedule === undefined ? {} : { schedule }), admittedAtMs, ...(configVersion === undefined ? {} : { configVersion }) }
 }
 
 /** Returns undefined if the value isn't that of a live job. */
 export function decodeJob (value: unknown): JobRecord | undefined {
-  const { queue, service, terms: storedTerms, steps, schedule, admittedAtMs } = recordOf(value)
-  if (!isString(queue) || !isString(service) || !isFiniteNumber(admittedAtMs) || !Array.isArray(steps)) return undefined
+  const { queue, service, terms: storedTerms, steps, schedule, admittedAtMs, configVersion } = recordOf(value)
+  if (!isString(queue) || !isString(service) || !isFiniteNumber(admittedAtMs) || !Array.isArray(steps) || !(configVersion === undefined || isFiniteNumber(configVersion))) return undefined
   const completeSteps = steps.map(step => ({ ...STEP_DEFAULTS, ...recordOf(step) }))
   if (!isListOf(completeSteps, isStep) || !(schedule === undefined || isSchedule(schedule))) return undefined
   const terms = decodeTerms(storedTerms)
-  return { queue, service, ...(terms === undefined ? {} : { terms }), spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs }
+  return { queue, service, ...(terms === undefined ? {} : { terms }), spec: { steps: completeSteps, ...(schedule === undefined ? {} : { schedule }) }, admittedAtMs, ...(configVersion === undefined ? {} : { configVersion }) }
 }
 
 export function termsOf ({ priority, maxAttempts, slackFactor, targetLatencyMs, advice }: Queue): QueueTerms {
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -51,6 +51,8 @@
   readonly store: RowStore
   readonly storeHealth: StoreHealth
   readonly leader: LeaderClient
+  /** Version of the configuration in force. */
+  readonly configVersion: () => number
   readonly clock: Clock
   readonly log: Log
   readonly metrics: CellMetrics
@@ -68,9 +70,9 @@
 
   /** Resolves with Ok once the job is stored. Submitting an id again doesn't create a second job and returns `known`. */
   async submit (jobId: string, queue: Queue, spec: JobSpec, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { clock, storeHealth, leader } = this.options
+    const { clock, storeHealth, leader, configVersion } = this.options
     const { payload, ...specWithoutPayload } = spec
-    const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: specWithoutPayload, admittedAtMs: clock.date().getTime() }
+    const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: specWithoutPayload, admittedAtMs: clock.date().getTime(), configVersion: configVersion() }
     const startedAt = clock.now()
     const result = storeHealth.isUnavailable() ? this.storeUnavailable() : await this.admitInStore(jobId, record, payload, budgetMs)
     if (result.ok || result.val.verdict !== 'not-run' || result.val.code === TRANSACTION_REJECTED) return result
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -57,6 +57,8 @@
   readonly queue: (name: string) => Queue | undefined
   /** Whether tasks may be started by the configuration in force, which says at which service. */
   readonly isConfigRecent: () => boolean
+  /** Whether a version by which a job was admitted, or a later one, is in force here. */
+  readonly hasConfig: (version: number) => boolean
   /** What a start relies on now, for the logs. */
   readonly configBasis: () => ConfigBasis
   readonly mayIssueCommands: () => boolean
@@ -473,11 +475,16 @@
     return this.isLoaded && this.options.mayIssueCommands() && this.workers.isRegistryRecent() && this.options.isConfigRecent() && !this.stopping.signal.aborted
   }
 
-  /** Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back. */
+  /**
+   * Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back.
+   * Without those that were admitted by a later configuration than the one in force, which may name another service.
+   */
   private * dispatchable (): Iterable<Job> {
     const { heldBackJobs } = this
-    const { epochStartVersion, mayPredecessorBeActive } = this.options
+    const { epochStartVersion, mayPredecessorBeActive, hasConfig } = this.options
     for (const job of this.jobs.live()) {
+      const { configVersion } = job.record
+      if (configVersion !== undefined && !hasConfig(configVersion)) continue
       if ((!mayPredecessorBeActive && job.version > epochStartVersion) || (heldBackJobs !== 'all' && !heldBackJobs.has(job.id))) yield job
     }
   }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -100,6 +100,8 @@
   beforeRegistryRead: () => Result<never, Failure> | undefined | Promise<Result<never, Failure>> = () => undefined
   /** Called before each answer about the configuration to a daemon; returns a failure to inject. */
   beforeConfigRead: (daemon: string) => Result<never, Failure> | undefined | Promise<Result<never, Failure> | undefined> = () => undefined
+  /** Version of the configuration that admissions name, in place of the one in force; tests set it. */
+  admittedByVersion: number | undefined
   /** Whether the daemons reach each other to ask for the configuration; tests set it. */
   arePeersReachable = true
   /** Whether connections to a peer address are refused; tests set it. */
@@ -208,6 +210,7 @@
           agents: () => options.agents ?? [],
           queue: name => config.queue(name),
           isConfigRecent: () => configWatch.mayStartTasks(),
+          hasConfig: version => configWatch.hasVersion(version),
           configBasis: () => configWatch.basis(),
           mayIssueCommands: () => lease.isValid(),
           onDeposed: stopLeading,
@@ -229,7 +232,7 @@
       lease,
       config,
       leader: () => leader,
-      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(), clock, log: silentLogs.for('jobs'), metrics }),
+      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(), configVersion: () => this.admittedByVersion ?? config.version(), clock, log: silentLogs.for('jobs'), metrics }),
       kill: () => {
         abortController.abort()
         stopLeading()
