fix(cell): a start that had to wait is not sent at a service that its queue has left

Callers saw: nothing that was reported; a task could start at an old service after its queue had been moved. Cause: the age of the configuration was checked again before a start that had waited for its row is sent, and not that the worker still belongs to the service that it names. Evidence: without the change the test sees the start at the old service (w1). Change: the service is compared again before the send.

--- a/packages/cell/src/__tests__/oldConfiguration.test.ts
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -1,7 +1,7 @@
 import { Failure } from '@citronnotch/base/errors'
 import { Err } from '@citronnotch/base/result'
 import test from 'ava'
-import { TOO_OLD_FRACTION } from '../constants.js'
+import { TABLES, TOO_OLD_FRACTION } from '../constants.js'
 import { CONFIG_APPLY_MS, CONFIG_EXTENSION_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
 import type { TestDaemon } from '../testing/index.js'
 
@@ -53,6 +53,20 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+// Guards against CONFIG: a start that waited for its row was sent at the service that its queue had before it was moved.
+test('a start that had to wait is not sent at a service that its queue has left', async t => {
+  const { cell, other } = await createCell()
+  cell.store.writeFault = tx => tx.puts.some(({ table }) => table === TABLES.progress) ? { kind: 'refused' } : undefined
+  const jobId = await cell.submit(other, [createStep()])
+  await cell.clock.advance(START_WITHIN_MS)
+  cell.publishQueues([MOVED_QUEUE])
+  await cell.clock.advance(START_WITHIN_MS)
+  cell.store.writeFault = () => undefined
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+  t.deepEqual(cell.audit.startsOf(jobId), ['w2'])
+  t.deepEqual(cell.audit.violations, [])
+})
+
 // Guards against jobs that wait: a row with a version that nobody has must not hold up its job, or the others, for long.
 test('a job that names a version that does not exist is held only until the leader has looked for it', async t => {
   const { cell, other } = await createCell()
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -264,8 +264,9 @@
     await this.stage(task.step.job, { isUrgent: true, isBestEffort: !task.crashes().isSuspect() })
   }
 
-  mayStart (link: WorkerLink): boolean {
-    return this.mayStartTasks() && this.workers.isUsable(link) && this.maintenance?.isDraining(link.id) !== true
+  mayStart (link: WorkerLink, { task }: Run): boolean {
+    const isServiceCurrent = task !== undefined && this.queueOf(task.step.job)?.service === link.entry.service
+    return isServiceCurrent && this.mayStartTasks() && this.workers.isUsable(link) && this.maintenance?.isDraining(link.id) !== true
   }
 
   runsSettled (runs: readonly UnsettledRun[]): void {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -54,8 +54,8 @@
 export interface WorkerEvents {
   /** A start is about to be sent. Resolves when it may be. */
   startPlanned (link: WorkerLink, run: Run): Promise<void>
-  /** Whether a start that had to wait may still be sent to the worker. */
-  mayStart (link: WorkerLink): boolean
+  /** Whether a start that had to wait may still be sent to the worker: neither of them, nor the configuration, may have changed. */
+  mayStart (link: WorkerLink, run: Run): boolean
   /** The worker lists a finished run. Resolves when its result is stored and may be acknowledged. */
   runFinished (link: WorkerLink, finishedRun: FinishedRun): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
@@ -408,7 +408,7 @@
     await mayBeSent
     if (!this.isTracked(run)) return
     // The worker, the lease and the configuration may have changed meanwhile.
-    if (run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this)) {
+    if (run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this, run)) {
       this.removeRun(run)
       events.startRefused(this, run, 'withdrawn')
       return
