feat(soak): daemons that the store refuses while those that it serves stand still; a probe that excuses no old answer

Cause: the soak counted an answer by an old configuration only if another daemon had been answering by the later one, so that daemons that were all behind passed, and its faults cut off one daemon after the other. Change: the probe counts each answer that only an older version allows, later than the bound after the write; a refusal is allowed.

--- a/soak/src/configProbe.ts
+++ b/soak/src/configProbe.ts
@@ -6,8 +6,6 @@
 
 /** Time within which a confirmed configuration must be in force: the default of the daemons' settings, in milliseconds. */
 const APPLY_WITHIN_MS = 2_500
-/** Time for which another daemon must have answered by the configuration; probes and refreshes fit into it. */
-const KNOWN_FOR_MS = 2_000
 const REQUEST_TIMEOUT_MS = 3_000
 /** Number of versions after which the route of a version is removed again. */
 const ROUTE_LIFETIME = 2
@@ -18,14 +16,12 @@
 }
 
 /**
- * Writes configurations, each with a route of its own, and asks all daemons for these routes: a daemon must not answer
- * as only an older configuration allows while another one, which it reaches, has been answering by the later one.
+ * Writes configurations, each with a route of its own, and asks all daemons for these routes: whatever the store and the
+ * other daemons do, a daemon must not answer as only an older configuration allows, but may refuse to answer.
  */
 export class ConfigProbe {
   private readonly agent = new Agent({ connections: 1, pipelining: 1 })
   private readonly versions: Version[] = []
-  /** Time since which each daemon has answered every probe by the latest due version, by address. */
-  private readonly upToDateSince = new Map<string, { readonly version: number, readonly since: number }>()
 
   private constructor (
     private readonly addresses: readonly string[], private readonly emulator: Emulator, private readonly host: string, private readonly pathPrefix: string,
@@ -51,15 +47,11 @@
     const sentAt = this.clock.now()
     const due = [...this.versions].reverse().find(({ writtenAt }) => sentAt - writtenAt > APPLY_WITHIN_MS)
     if (due === undefined || this.isOutdated(due)) return
-    const answers = await Promise.all(this.addresses.map(async address => ({ address, isUpToDate: await this.isUpToDate(address, due.number) })))
+    const answers = await Promise.all(this.addresses.map(async address => ({ address, isOld: await this.answersByEarlier(address, due.number) })))
     // A daemon that was suspended may answer by a version that was written after the probe was sent.
     if (this.isOutdated(due)) return
-    const isKnown = [...this.upToDateSince.values()].some(({ version, since }) => version === due.number && sentAt - since >= KNOWN_FOR_MS)
-    for (const { address, isUpToDate } of answers) {
-      if (isUpToDate === false && isKnown) this.audit.violations.push(`${address} answers by a version before ${due.number}, written ${Math.round(sentAt - due.writtenAt)} ms before`)
-      const known = this.upToDateSince.get(address)
-      if (isUpToDate !== true) this.upToDateSince.delete(address)
-      else if (known?.version !== due.number) this.upToDateSince.set(address, { version: due.number, since: sentAt })
+    for (const { address, isOld } of answers) {
+      if (isOld) this.audit.violations.push(`${address} answers by a version before ${due.number}, written ${Math.round(sentAt - due.writtenAt)} ms before`)
     }
   }
 
@@ -72,11 +64,10 @@
     return (this.versions[this.versions.length - 1]?.number ?? 0) >= version.number + ROUTE_LIFETIME
   }
 
-  /** Undefined if the daemon gave no answer, or refused to give one. */
-  private async isUpToDate (address: string, version: number): Promise<boolean | undefined> {
+  /** Whether the daemon answers as only an earlier version allows. */
+  private async answersByEarlier (address: string, version: number): Promise<boolean> {
     const [added, removed] = await Promise.all([this.statusOf(address, version), this.statusOf(address, version - ROUTE_LIFETIME)])
-    if (added === 404 || removed === 200) return false
-    return added === 200 && removed === 404 ? true : undefined
+    return added === 404 || removed === 200
   }
 
   /** Status 0: there was no complete answer. */
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -113,6 +113,42 @@
   configStorm: ({ changeConfig }) => { for (let index = 0; index < 8; index++) setTimeout(changeConfig, 150 * index) }
 }
 
+/** Part of the daemons that the store serves, at least one, in `storeServesFew`. */
+const FEW_FRACTION = 0.25
+/** Duration of `storeServesFew`: well beyond the time within which a configuration must be in force, in milliseconds. */
+const MIN_FEW_MS = 5_000
+const MAX_FEW_MS = 12_000
+
+/** Faults of the shape `refused-daemons`. */
+export const REFUSAL_FAULTS: Readonly<Record<string, Fault>> = {
+  /** The store resets the connections of most daemons. Those that it serves may stand still, so that the others can't learn of a change. */
+  storeServesFew: ({ daemons, storeLinks, changeConfig }, random) => {
+    const durationMs = random.between(MIN_FEW_MS, MAX_FEW_MS)
+    const served = Math.max(1, Math.round(FEW_FRACTION * daemons.length))
+    const first = random.between(0, daemons.length - 1)
+    const isServed = (index: number) => (index - first + daemons.length) % daemons.length < served
+    const standsStill = random.chance(0.7)
+    for (const [index, link] of storeLinks.entries()) if (!isServed(index)) injectReset(link, durationMs)
+    for (const [index, daemon] of daemons.entries()) {
+      if (!isServed(index) || !standsStill) continue
+      daemon.signal('SIGSTOP')
+      setTimeout(() => daemon.signal('SIGCONT'), durationMs)
+    }
+    changeConfig()
+  },
+  ...pickFaults('kill', 'terminate', 'reload', 'pause', 'storeLink', 'storeDown', 'storeLosesHistory', 'rollingRestart', 'configChange', 'configStorm')
+}
+
+export function pickFaults (...names: readonly string[]): Readonly<Record<string, Fault>> {
+  return Object.fromEntries(Object.entries({ ...FAULTS, ...MORE_FAULTS }).filter(([name]) => names.includes(name)))
+}
+
+function injectReset (link: TcpProxy, durationMs: number) {
+  link.fault = 'reset'
+  link.reset()
+  setTimeout(() => { link.fault = 'none' }, durationMs)
+}
+
 /** Time between two changes of a series, and duration of the fault that each begins with, in milliseconds. */
 const CHANGE_INTERVAL_MS = 3_500
 const MIN_CUT_MS = 4_000
--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -1,5 +1,5 @@
 import type { DaemonProcess } from '@citronnotch/platform/testing'
-import { FAULTS, MORE_FAULTS } from './faults.js'
+import { pickFaults } from './faults.js'
 import type { Fault, FaultTargets } from './faults.js'
 import { sourceOf } from './peerProxies.js'
 import type { Random } from './random.js'
@@ -75,10 +75,6 @@
   ...pickFaults('kill', 'terminate', 'reload', 'pause', 'storeLink', 'workerLink', 'storeDown', 'storeLosesAnswers', 'storeLosesHistory', 'workerStalls', 'workerRestarts', 'rollingRestart', 'configChange')
 }
 
-function pickFaults (...names: readonly string[]): Readonly<Record<string, Fault>> {
-  return Object.fromEntries(Object.entries({ ...FAULTS, ...MORE_FAULTS }).filter(([name]) => names.includes(name)))
-}
-
 /** The daemon that the store names as the leader. */
 function leaderOf ({ daemons, store }: FaultTargets) {
   const row = store.get(...LEADER_ROW)?.value as { readonly holder: string } | undefined
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -1,6 +1,6 @@
 import type { MemoryWorkerOptions } from '@citronnotch/cell/testing'
 import type { JobSpec, ResourceVector, TaskId } from '@citronnotch/cell'
-import { FAULTS, MORE_FAULTS } from './faults.js'
+import { FAULTS, MORE_FAULTS, REFUSAL_FAULTS } from './faults.js'
 import type { Fault } from './faults.js'
 import { LEADER_FAULTS } from './leaderFaults.js'
 import type { Random } from './random.js'
@@ -72,4 +72,7 @@
   hasPeerProxies: true
 }
 
-export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED }
+/** Daemons that the store refuses, for long and many at a time, beside changes of the configuration. */
+const REFUSED_DAEMONS: Shape = { ...DEFAULT_SHAPE, faults: REFUSAL_FAULTS, maxPauseMs: 5_000, hasChangeSeries: false }
+
+export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS }
