fix(cell): silence of other daemons allows no starts either, and a read without a row confirms nothing

And a read that found no row counted as a confirmation of the version in force. Change: one condition for answers and starts; the extension and the count of answers are gone. A refresh that has failed is remembered until the configuration is confirmed, so that requests don't wait for the next one while a silent store is read. Tests: 'tasks start while ... no daemon can know of a newer configuration' asked for starts without a confirmation; it now asks for none beyond the bound, for starts within it, and for starts soon after the outage. The property test holds starts to the bound of answers.

--- a/packages/cell/src/__tests__/configWatch.test.ts
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -2,6 +2,7 @@
 import { Failure } from '@citronnotch/base/errors'
 import { silentLog } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
+import { Stopwatch } from '@citronnotch/base/stopwatch'
 import test from 'ava'
 import fc from 'fast-check'
 import { ConfigInForce, decodeKnownConfig } from '../configInForce.js'
@@ -16,7 +17,6 @@
 const READ_TIMEOUT_MS = 900
 const WATCH_TIMEOUT_MS = 1_700
 const PEER_TIMEOUT_MS = 400
-const EXTENSION_MS = 6_000
 /** Time within which a daemon answers again once the store answers it, without a sign of that: a read that waits for its timeout, and a retry. */
 const ANSWER_AGAIN_WITHIN_MS = 2_000
 const AGE_CHECK_MS = 200
@@ -36,7 +36,7 @@
 })
 
 // Guards against CONFIG: whatever the store and the other daemons do, no answer relies on a version older than the bound allows.
-test('an answer relies on a configuration that was the latest within the bound, and a start on one within the extended bound', async t => {
+test('answers and starts rely on a configuration that was the latest within the bound', async t => {
   await fc.assert(fc.asyncProperty(fc.array(fc.record({
     lengthMs: fc.integer({ min: 200, max: 4_000 }),
     storeDelayMs: fc.constantFrom(5, 300, 850, 1_600, Infinity),
@@ -57,7 +57,7 @@
           if (mayAnswer && cell.inForce.version() < dueVersion) throw new Error(`answers by ${cell.inForce.version()} when ${dueVersion} is due`)
         }).catch((err: unknown) => cell.violations.push(String(err)))
         await cell.clock.advance(STEP_MS)
-        if (cell.watch.mayStartTasks() && cell.inForce.version() < cell.publishedBefore(APPLY_WITHIN_MS + EXTENSION_MS)) throw new Error(`starts by ${cell.inForce.version()}`)
+        if (cell.watch.isConfirmed() && cell.inForce.version() < cell.publishedBefore(APPLY_WITHIN_MS)) throw new Error(`starts by ${cell.inForce.version()}`)
       }
       if (cell.violations.length > 0) throw new Error(cell.violations[0])
     }
@@ -67,40 +67,36 @@
 })
 
 // Guards against CONFIG: daemons that the store refused took it from each other that nobody had a later configuration, without an upper bound.
-test('that the others have no later configuration allows no answer, and starts only within the extended bound', async t => {
+test('that the others have no later configuration allows neither answers nor starts', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
   await cell.clock.advance(100)
-  cell.storeDelayMs = () => Infinity
-  cell.arePeersRefused = true
-  await cell.clock.advance(2 * APPLY_WITHIN_MS)
-  t.false(await cell.watch.mayAnswer())
-  t.true(cell.watch.mayStartTasks(), 'jobs that were accepted do not wait')
-  await cell.clock.advance(EXTENSION_MS)
-  t.false(cell.watch.mayStartTasks(), 'beyond the extended bound')
-  cell.storeDelayMs = () => 5
-  await cell.clock.advance(ANSWER_AGAIN_WITHIN_MS)
-  t.true(await cell.watch.mayAnswer())
-  t.true(cell.watch.mayStartTasks())
-  cell.storeDelayMs = () => Infinity
-  cell.peerDelayMs = () => Infinity
-  await cell.clock.advance(2 * APPLY_WITHIN_MS)
-  t.false(await cell.watch.mayAnswer())
-  t.false(cell.watch.mayStartTasks(), 'no other daemon answers')
+  for (const peerDelayMs of [5, Infinity]) {
+    cell.storeDelayMs = () => Infinity
+    cell.peerDelayMs = () => peerDelayMs
+    cell.arePeersRefused = true
+    await cell.clock.advance(APPLY_WITHIN_MS)
+    for (let elapsedMs = 0; elapsedMs < 4 * APPLY_WITHIN_MS; elapsedMs += STEP_MS) {
+      t.false(cell.watch.isConfirmed())
+      t.false(await cell.watch.mayAnswer(), 'without waiting')
+      await cell.clock.advance(STEP_MS)
+    }
+    cell.storeDelayMs = () => 5
+    await cell.clock.advance(ANSWER_AGAIN_WITHIN_MS)
+    t.true(await cell.watch.mayAnswer())
+    t.true(cell.watch.isConfirmed())
+  }
   cell.stop()
 })
 
-// Guards against CONFIG: after a suspension, requests were answered by what the other daemons had known before it.
-test('what the other daemons knew before a suspension allows neither answers nor starts after it', async t => {
+// Guards against CONFIG: after a suspension, requests were answered by what had been confirmed before it.
+test('what was confirmed before a suspension allows neither answers nor starts after it', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
   await cell.clock.advance(100)
+  t.true(cell.watch.isConfirmed())
   cell.storeDelayMs = () => Infinity
-  cell.arePeersRefused = true
-  await cell.clock.advance(2 * APPLY_WITHIN_MS)
-  t.true(cell.watch.mayStartTasks())
   // The monotonic clock stands still while the VM is suspended.
   cell.clock.stepWallClock(APPLY_WITHIN_MS)
-  t.false(cell.watch.mayStartTasks())
-  cell.arePeersRefused = false
+  t.false(cell.watch.isConfirmed())
   cell.publish()
   const mayAnswer = cell.watch.mayAnswer().then(allowed => [allowed, cell.inForce.version()])
   await cell.clock.advance(STEP_MS)
@@ -148,6 +144,19 @@
   cell.stop()
 })
 
+// Guards against CONFIG: a read that found no row confirmed the version that another daemon had given.
+test('a read without a configuration confirms nothing', async t => {
+  const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => Infinity })
+  await cell.clock.advance(100)
+  const version = cell.inForce.version()
+  cell.hasRow = false
+  cell.storeFailsWatches = true
+  await cell.clock.advance(2 * APPLY_WITHIN_MS)
+  t.is(cell.inForce.version(), version)
+  t.false(await cell.watch.mayAnswer())
+  cell.stop()
+})
+
 // Guards against wasted bytes: a large configuration must not travel to a daemon that has no use for it.
 test('only a daemon that has an earlier version is sent the configuration', async t => {
   const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
@@ -192,6 +201,9 @@
   arePeersRefused: boolean
   storeUnavailableMs: number
   isStoreClockKnown: boolean
+  /** Whether a read finds the row of the configuration. */
+  hasRow: boolean
+  storeFailsWatches: boolean
   /** Version that the store returns. */
   readVersion: () => number
   /** Latest version that was published. */
@@ -206,7 +218,10 @@
   const clock = ManualClock.create()
   const abort = new AbortController()
   const publishedAt: number[] = [0]
-  const now = () => cell.isStoreClockKnown ? { earliest: clock.now(), latest: clock.now() } : undefined
+  // Runs on while the VM is suspended.
+  const sinceStart = Stopwatch.start(clock)
+  const storeMs = () => sinceStart.elapsedMs()
+  const now = () => cell.isStoreClockKnown ? { earliest: storeMs(), latest: storeMs() } : undefined
   const inForce = ConfigInForce.create({ storeClock: now, clock, log: silentLog })
   const cell: Cell = {
     ...delays,
@@ -216,6 +231,8 @@
     arePeersRefused: false,
     storeUnavailableMs: 0,
     isStoreClockKnown: true,
+    hasRow: true,
+    storeFailsWatches: false,
     published: () => publishedAt.length,
     publishedBefore: ms => publishedAt.filter(at => at + ms <= clock.now()).length,
     publish: () => { publishedAt.push(clock.now()) },
@@ -228,7 +245,7 @@
         watchConfig: async (version, waitMs) => {
           const deadline = clock.now() + waitMs
           while (cell.readVersion() <= version && clock.now() < deadline) await clock.sleep(STEP_MS)
-          return answer(cell.storeDelayMs(), WATCH_TIMEOUT_MS, waitMs)
+          return answer(cell.storeFailsWatches ? Infinity : cell.storeDelayMs(), WATCH_TIMEOUT_MS, waitMs)
         },
         listWorkers: () => Promise.reject(new Error('not used')),
         listWaves: () => Promise.reject(new Error('not used')),
@@ -243,7 +260,6 @@
       }),
       storeUnavailableMs: () => cell.storeUnavailableMs,
       applyWithinMs: APPLY_WITHIN_MS,
-      extensionMs: EXTENSION_MS,
       clock,
       log: silentLog,
       metrics: MemoryMetrics.create()
@@ -253,7 +269,7 @@
     await clock.sleep(Math.min(delayMs, timeoutMs - Math.min(waitedMs, timeoutMs)))
     if (delayMs + waitedMs > timeoutMs) return Err(Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.'))
     const version = cell.readVersion()
-    return Ok({ config: configOf(version), version, asOfMs: clock.now() })
+    return Ok({ config: cell.hasRow ? configOf(version) : undefined, version, asOfMs: storeMs() })
   }
   for (const run of [cell.watch.run(abort.signal), cell.watch.monitor(abort.signal)]) run.catch((err: unknown) => cell.violations.push(String(err)))
   return cell
--- a/packages/cell/src/__tests__/oldConfiguration.test.ts
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -1,8 +1,8 @@
 import { Failure } from '@citronnotch/base/errors'
 import { Err } from '@citronnotch/base/result'
 import test from 'ava'
-import { TABLES, TOO_OLD_FRACTION } from '../constants.js'
-import { CONFIG_APPLY_MS, CONFIG_EXTENSION_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
+import { TABLES } from '../constants.js'
+import { CONFIG_APPLY_MS, TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
 import type { TestDaemon } from '../testing/index.js'
 
 const OTHER_SERVICE = 'archive'
@@ -14,8 +14,6 @@
 const READ_TIMEOUT_MS = 900
 /** Time within which a task starts: an interval of scheduling and one of refreshes. */
 const START_WITHIN_MS = 1_000
-/** Time within which a configuration must be in force while the store serves some daemons only. */
-const EXTENDED_MS = CONFIG_APPLY_MS + CONFIG_EXTENSION_MS
 
 // Guards against ROUTE: a leader that held its lease but could learn of no change started tasks at the service of the version before.
 test('a leader starts nothing once its configuration may be outdated, and goes on with other work', async t => {
@@ -99,8 +97,8 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
-// Guards against jobs that wait: neither a slow store nor one that tells nobody of changes for a while may hold up starts.
-test('tasks start while the store answers slowly, and within the extended bound while no daemon can know of a newer configuration', async t => {
+// Guards against jobs that wait: a slow store must not hold up starts, and an outage of the configuration not for longer than it lasts.
+test('tasks start while the store answers slowly, within the bound of a confirmation, and soon after it can be read again', async t => {
   const { cell, other } = await createCell()
   const startsWithin = async () => {
     const jobId = await cell.submit(other, [createStep()])
@@ -111,7 +109,7 @@
     await cell.clock.sleep(SLOW_MS)
     return undefined
   }
-  for (let elapsedMs = 0; elapsedMs < 2 * EXTENDED_MS; elapsedMs += START_WITHIN_MS) t.true((await startsWithin()).hasStarted, `slow, after ${elapsedMs} ms`)
+  for (let elapsedMs = 0; elapsedMs < 8 * CONFIG_APPLY_MS; elapsedMs += START_WITHIN_MS) t.true((await startsWithin()).hasStarted, `slow, after ${elapsedMs} ms`)
   const faults = {
     silent: async () => {
       await cell.clock.sleep(READ_TIMEOUT_MS)
@@ -123,12 +121,12 @@
     cell.beforeConfigRead = () => undefined
     await cell.clock.advance(START_WITHIN_MS)
     cell.beforeConfigRead = fault
-    for (let elapsedMs = 0; elapsedMs + START_WITHIN_MS < TOO_OLD_FRACTION * EXTENDED_MS; elapsedMs += START_WITHIN_MS) t.true((await startsWithin()).hasStarted, `${name}, after ${elapsedMs} ms`)
-    await cell.clock.advance(START_WITHIN_MS)
+    t.true((await startsWithin()).hasStarted, `${name}, within the bound`)
+    await cell.clock.advance(2 * CONFIG_APPLY_MS)
     const { jobId, hasStarted } = await startsWithin()
-    t.false(hasStarted, `${name}, beyond the extended bound`)
+    t.false(hasStarted, `${name}, beyond the bound`)
     cell.beforeConfigRead = () => undefined
-    await cell.clock.advance(CONFIG_APPLY_MS)
+    await cell.clock.advance(2 * START_WITHIN_MS)
     t.true(cell.audit.hasStarted(jobId), `after ${name}`)
   }
   t.deepEqual(cell.audit.violations, [])
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -56,8 +56,6 @@
   readonly drainMs: number
   /** Time within which a confirmed configuration must be in force, in milliseconds. */
   readonly configApplyMs: number
-  /** Time by which that is extended while the store serves some daemons only, in milliseconds. */
-  readonly configExtensionMs: number
   readonly store: RowStore
   readonly storeHealth: StoreHealth
   readonly directory: Directory
@@ -101,7 +99,6 @@
       askPeers: version => configPeers.ask(version),
       storeUnavailableMs: () => storeHealth.unavailableMs(),
       applyWithinMs: options.configApplyMs,
-      extensionMs: options.configExtensionMs,
       clock,
       log: logs.for('config'),
       metrics: this.metrics
@@ -201,7 +198,7 @@
       clients,
       agents: () => this.agents,
       queue: name => this.config.queue(name),
-      isConfigRecent: () => this.configWatch.mayStartTasks(),
+      isConfigConfirmed: () => this.configWatch.isConfirmed(),
       hasConfig: version => this.configWatch.hasVersion(version),
       configBasis: () => this.configWatch.basis(),
       mayIssueCommands: () => this.lease.isValid(),
--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -89,8 +89,8 @@
   /** Records an answer of the store. `sinceRequest` was started when the request was sent. */
   observeReading ({ config, asOfMs }: ConfigReading, sinceRequest: Stopwatch, source: Exclude<ConfigSource, 'peer'>): void {
     if (config !== undefined) this.apply(config, source)
-    // A read that returns an older version shows nothing about the one in force.
-    if (config !== undefined && config.version < this.version()) return
+    // A read that returns an older version, or none, shows nothing about the one in force; a watch returns none without a change.
+    if (config === undefined ? source === 'read' : config.version < this.version()) return
     this.sinceRead = sinceRequest
     this.confirmedBy = source
     if (asOfMs !== undefined) this.asOfMs = Math.max(asOfMs, this.asOfMs ?? -Infinity)
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -30,8 +30,6 @@
   readonly storeUnavailableMs: () => number
   /** Time within which a confirmed version must be in force, in milliseconds. */
   readonly applyWithinMs: number
-  /** Additional time for tasks to start by an earlier version while the store doesn't serve all daemons, in milliseconds. */
-  readonly extensionMs: number
   readonly clock: Clock
   readonly log: Log
   readonly metrics: CellMetrics
@@ -45,18 +43,14 @@
   readonly source?: ConfigSource
   readonly confirmedBy?: ConfigSource
   /** Outcome of the last refresh; missing if the configuration has been confirmed by it or since. */
-  readonly refresh?: FailedRefresh['outcome']
+  readonly refresh?: RefreshFailure
 }
 
-interface FailedRefresh {
-  /**
-   * `none-newer`: more than half of the daemons that were asked have answered, and none has confirmed its configuration in
-   * time. That doesn't show that there is no later version: the store may serve the operator and other daemons.
-   */
-  readonly outcome: 'none-newer' | 'unanswered'
-  /** Started when the daemons were asked. */
-  readonly sinceRequest: Stopwatch
-}
+/**
+ * Why a refresh confirmed nothing. `unconfirmed`: other daemons answered, and none has a configuration that is confirmed in
+ * time, which doesn't show that there is no later version. `unanswered`: none of them answered either.
+ */
+type RefreshFailure = 'unconfirmed' | 'unanswered'
 
 /**
  * Keeps the configuration in force up to date: watches it in the store and, when the watch doesn't confirm it in time,
@@ -67,8 +61,8 @@
   private refreshedAt = -Infinity
   /** Latest version that another daemon is known to have had in force, if it is not in force here. */
   private missing: { readonly version: number, readonly sinceHeard: Stopwatch } | undefined
-  /** Last refresh, unless the configuration has been confirmed by it or since. */
-  private failedRefresh: FailedRefresh | undefined
+  /** Outcome of the last refresh, unless the configuration has been confirmed by it or since. */
+  private refreshFailure: RefreshFailure | undefined
 
   private constructor (private readonly options: ConfigWatchOptions) {}
 
@@ -76,18 +70,9 @@
     return new ConfigWatch(options)
   }
 
-  /** Whether the configuration in force was the latest within the time in which a change must be in force. */
+  /** Whether the configuration in force may be acted on: it was the latest within the time in which a change must be in force. */
   isConfirmed (): boolean {
-    return !this.isOlderThan(TOO_OLD_FRACTION * this.options.applyWithinMs)
-  }
-
-  /**
-   * Whether tasks of admitted jobs may be started by the configuration in force. While no daemon that is asked has a
-   * confirmed one, starts go on for as long as the bound is extended, as a job that was accepted should not wait.
-   */
-  mayStartTasks (): boolean {
-    const { applyWithinMs, extensionMs } = this.options
-    return this.isConfirmed() || (this.lastOutcome() === 'none-newer' && !this.isOlderThan(TOO_OLD_FRACTION * (applyWithinMs + extensionMs)))
+    return !this.isOlderThan(TOO_OLD_FRACTION)
   }
 
   /**
@@ -95,7 +80,7 @@
    * and not for those that follow.
    */
   async mayAnswer (): Promise<boolean> {
-    if (!this.isConfirmed() && this.lastOutcome() === undefined) await this.refresh()
+    if (!this.isConfirmed() && this.refreshFailure === undefined) await this.refresh()
     return this.isConfirmed()
   }
 
@@ -118,8 +103,8 @@
   basis (): ConfigBasis {
     const { inForce } = this.options
     const ageMs = inForce.ageMs()
-    const refresh = this.lastOutcome()
-    return { version: inForce.version(), ...(ageMs < Infinity ? { ageMs: Math.round(ageMs) } : {}), ...inForce.sources(), ...(refresh === undefined ? {} : { refresh }) }
+    const { refreshFailure } = this
+    return { version: inForce.version(), ...(ageMs < Infinity ? { ageMs: Math.round(ageMs) } : {}), ...inForce.sources(), ...(refreshFailure === undefined ? {} : { refresh: refreshFailure }) }
   }
 
   /** Watches the configuration in the store. */
@@ -167,7 +152,7 @@
       const isStoreBack = wasStoreUnavailable && !isStoreUnavailable
       wasStoreUnavailable = isStoreUnavailable
       if (!this.isOld()) {
-        this.failedRefresh = undefined
+        this.refreshFailure = undefined
         report.confirmed()
         continue
       }
@@ -178,20 +163,13 @@
     }
   }
 
-  /** Outcome of the last refresh that failed; undefined once it is too old to tell anything. */
-  private lastOutcome (): FailedRefresh['outcome'] | undefined {
-    if (this.failedRefresh === undefined) return undefined
-    const { outcome, sinceRequest } = this.failedRefresh
-    return sinceRequest.elapsedMs() <= TOO_OLD_FRACTION * this.options.applyWithinMs ? outcome : undefined
-  }
-
-  private isOlderThan (ms: number): boolean {
-    return this.options.inForce.ageMs() > ms
+  private isOlderThan (fraction: number): boolean {
+    return this.options.inForce.ageMs() > fraction * this.options.applyWithinMs
   }
 
   /** Whether the configuration should be refreshed beside the watch. */
   private isOld (): boolean {
-    return this.isOlderThan(OLD_FRACTION * this.options.applyWithinMs)
+    return this.isOlderThan(OLD_FRACTION)
   }
 
   private refreshInBackground () {
@@ -222,8 +200,8 @@
       const read = this.readStore().then(settleIfConfirmed)
       Promise.all([Promise.all(peers), read]).then(([all]) => resolve(all), reject)
     })
-    this.failedRefresh = known === 'confirmed' ? undefined : { outcome: hasMajority(known) ? 'none-newer' : 'unanswered', sinceRequest }
-    metrics.count(`config_refreshes_${this.failedRefresh?.outcome ?? 'confirmed'}`)
+    this.refreshFailure = known === 'confirmed' ? undefined : known.some(answer => answer !== undefined) ? 'unconfirmed' : 'unanswered'
+    metrics.count(`config_refreshes_${this.refreshFailure ?? 'confirmed'}`)
   }
 
   private async readStore (): ReturnType<Directory['readConfig']> {
@@ -273,7 +251,3 @@
     this.reportedAt = -Infinity
   }
 }
-
-function hasMajority (answers: ReadonlyArray<KnownConfig | undefined>): boolean {
-  return 2 * answers.filter(answer => answer !== undefined).length > answers.length
-}
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -56,7 +56,7 @@
   readonly agents: () => readonly AdviceAgent[]
   readonly queue: (name: string) => Queue | undefined
   /** Whether tasks may be started by the configuration in force, which says at which service. */
-  readonly isConfigRecent: () => boolean
+  readonly isConfigConfirmed: () => boolean
   /** Whether a version by which a job was admitted, or a later one, is in force here. */
   readonly hasConfig: (version: number) => boolean
   /** What a start relies on now, for the logs. */
@@ -473,7 +473,7 @@
 
   /** Whether tasks may be started by what this leader knows of the workers and the configuration. */
   private mayStartTasks (): boolean {
-    return this.isLoaded && this.options.mayIssueCommands() && this.workers.isRegistryRecent() && this.options.isConfigRecent() && !this.stopping.signal.aborted
+    return this.isLoaded && this.options.mayIssueCommands() && this.workers.isRegistryRecent() && this.options.isConfigConfirmed() && !this.stopping.signal.aborted
   }
 
   /**
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -28,8 +28,6 @@
 export const DRAIN_MS = 2_500
 /** Time within which a confirmed configuration must be in force. */
 export const CONFIG_APPLY_MS = 2_500
-/** Time by which that is extended while the store serves some daemons only, in milliseconds. */
-export const CONFIG_EXTENSION_MS = 6_000
 const CONFIG_POLL_MS = 20
 const silentLogs = LogFactory.create({ levels: { '*': 'fatal' } })
 
@@ -178,7 +176,6 @@
       askPeers: version => this.daemons.filter(daemon => daemon.config !== config).map(async daemon => this.arePeersReachable ? daemon.config.known(version) : undefined),
       storeUnavailableMs: () => 0,
       applyWithinMs: CONFIG_APPLY_MS,
-      extensionMs: CONFIG_EXTENSION_MS,
       clock,
       log: silentLogs.for('config'),
       metrics
@@ -209,7 +206,7 @@
           clients: guardClients(workers, ifAlive),
           agents: () => options.agents ?? [],
           queue: name => config.queue(name),
-          isConfigRecent: () => configWatch.mayStartTasks(),
+          isConfigConfirmed: () => configWatch.isConfirmed(),
           hasConfig: version => configWatch.hasVersion(version),
           configBasis: () => configWatch.basis(),
           mayIssueCommands: () => lease.isValid(),
