perf(cell,platform): the configuration of an answer or start is logged as flat fields, sources only when it is old

Change: two numbers for a line; source, confirmation and refresh only beyond half of the bound, where they tell the hypotheses apart.

--- a/packages/cell/src/configInForce.ts
+++ b/packages/cell/src/configInForce.ts
@@ -62,9 +62,9 @@
   }
 
   /** Source of the version in force, and of its last confirmation. */
-  sources (): { readonly source?: ConfigSource, readonly confirmedBy?: ConfigSource } {
+  sources (): { readonly configSource?: ConfigSource, readonly configConfirmedBy?: ConfigSource } {
     const { source, confirmedBy } = this
-    return { ...(source === undefined ? {} : { source }), ...(confirmedBy === undefined ? {} : { confirmedBy }) }
+    return { ...(source === undefined ? {} : { configSource: source }), ...(confirmedBy === undefined ? {} : { configConfirmedBy: confirmedBy }) }
   }
 
   queue (name: string): Queue | undefined {
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -35,15 +35,15 @@
   readonly metrics: CellMetrics
 }
 
-/** What an answer or a start relies on, for the logs. */
+/** What an answer or a start relies on, as fields of a log line; the sources and the refresh only of a configuration that is old. */
 export interface ConfigBasis {
-  readonly version: number
+  readonly config: number
   /** Time for which the version was not known to be the latest, in milliseconds; missing before the first read. */
-  readonly ageMs?: number
-  readonly source?: ConfigSource
-  readonly confirmedBy?: ConfigSource
+  readonly configAgeMs?: number
+  readonly configSource?: ConfigSource
+  readonly configConfirmedBy?: ConfigSource
   /** Outcome of the last refresh; missing if the configuration has been confirmed by it or since. */
-  readonly refresh?: RefreshFailure
+  readonly configRefresh?: RefreshFailure
 }
 
 /**
@@ -103,8 +103,10 @@
   basis (): ConfigBasis {
     const { inForce } = this.options
     const ageMs = inForce.ageMs()
+    if (ageMs === Infinity) return { config: inForce.version() }
     const { refreshFailure } = this
-    return { version: inForce.version(), ...(ageMs < Infinity ? { ageMs: Math.round(ageMs) } : {}), ...inForce.sources(), ...(refreshFailure === undefined ? {} : { refresh: refreshFailure }) }
+    const fields = { config: inForce.version(), configAgeMs: Math.round(ageMs) }
+    return this.isOld() ? { ...fields, ...inForce.sources(), ...(refreshFailure === undefined ? {} : { configRefresh: refreshFailure }) } : fields
   }
 
   /** Watches the configuration in the store. */
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -340,7 +340,7 @@
       job: step.job.id,
       step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
       ageMs,
-      config: this.options.configBasis(),
+      ...this.options.configBasis(),
       runs: runs.map(({ id, number, worker, fencingToken }) => `${id.index}#${number} ${worker.id} ${fencingToken}`)
     })
   }
