--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -96,10 +96,13 @@
       if (candidate.waitingTasks.length === 0) continue
       const { spec, job } = candidate.step
       if (job.payload === undefined) {
+        candidate.step.waitTimes.note('payload', this.now)
         this.options.requestPayload(job)
         continue
       }
-      const isPlaced = round.capacity.hasRoomFor(candidate.step.need) && (spec.gang ? this.placeGang(candidate, round) : this.placeTasks(candidate, round))
+      const hasRoom = round.capacity.hasRoomFor(candidate.step.need)
+      if (!hasRoom) candidate.step.waitTimes.note('room', this.now)
+      const isPlaced = hasRoom && (spec.gang ? this.placeGang(candidate, round) : this.placeTasks(candidate, round))
       if (isPlaced || !spec.gang || candidate.lateness > 0 || reservingGangs >= MAX_RESERVING_GANGS) continue
       this.reserveWorkers(candidate, round)
       reservingGangs++
@@ -211,11 +214,17 @@
     const { step, queue, waitingTasks } = candidate
     const isEligible = (worker: WorkerLink) => this.isEligible(candidate, worker, round)
     if (queue.advice === undefined) {
+      step.waitTimes.note('room', this.now)
       // A task that avoids a worker waits for another one that may get room, so all of them count.
       return (step.avoidedWorkers.isEmpty() ? capacity.withRoomFor(step.need) : capacity.all()).filter(isEligible)
     }
     const ticketed = advice.workersWithTicket(step, capacity, this.now).filter(isEligible)
-    if (advice.isPending(step) || !advice.hasFreeAgent(queue.advice, this.now)) return ticketed
+    const isPending = advice.isPending(step)
+    if (isPending || !advice.hasFreeAgent(queue.advice, this.now)) {
+      step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
+      return ticketed
+    }
+    step.waitTimes.note('room', this.now)
     const totalSlots = (workers: readonly WorkerLink[]) => slotsOn(step, workers, worker => capacity.freeOn(worker))
     if (totalSlots(ticketed) >= waitingTasks.length) return ticketed
     const isOpen = (worker: WorkerLink) => isEligible(worker) && !advice.isRefused(step, worker)
@@ -223,6 +232,7 @@
     const hasUnticketed = withCapacity.some(worker => advice.ticket(step, worker, this.now) === undefined)
     const neededSlots = step.spec.gang ? waitingTasks.length : 1
     if (!hasUnticketed || totalSlots(withCapacity) < neededSlots) return ticketed
+    step.waitTimes.note('tickets', this.now)
     const approved = withCapacity.filter(worker => advice.isApproved(step, worker))
     advice.request(step, queue.advice, totalSlots(approved) >= neededSlots ? approved : this.rotate(withCapacity, capacity.all().filter(isOpen)))
     return ticketed
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -4,6 +4,7 @@
 import type { JobRecord } from './jobRecord.js'
 import type { JobProgress, StepProgress, StoredOpenRun } from './storedProgress.js'
 import type { JobOutcome, JobQueue, ResourceVector, StepSpec, TaskId } from './types.js'
+import { WaitTimes } from './waitTimes.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Maximum number of runs of one task whose end isn't known; more can only be of workers that have gone for good. */
@@ -231,6 +232,8 @@
   notBefore = 0
   /** Workers on which a run of this step has failed or stalled. */
   readonly avoidedWorkers = AvoidedWorkers.create()
+  /** What the step has waited for since its last start. */
+  readonly waitTimes = WaitTimes.create()
 
   constructor (readonly job: Job, readonly occurrence: number, readonly index: number, readonly spec: StepSpec) {
     this.tasks = Array.from({ length: spec.count }, (_, task) => new Task(this, task))
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -225,7 +225,7 @@
 
   // Worker events
 
-  async runFinished (link: WorkerLink, { task: id, run, status, checkpoint }: FinishedRun): Promise<void> {
+  async runFinished (link: WorkerLink, { task: id, run, status, checkpoint }: FinishedRun, knownRun: Run | undefined): Promise<void> {
     this.options.metrics.count(`runs_${status}`)
     const job = this.jobs.get(id.jobId)
     const task = job?.listedTask(id)
@@ -240,6 +240,7 @@
     // A task that ends by itself has not crashed its worker; only a lasting one is started again after that.
     if (status === 'done' || status === 'failed') task.step.withdrawStart(task, run)
     else task.step.recordEnd(task, run)
+    if (status === 'done' && task.step.spec.gang && !task.isDone) this.recordGangDone(task.step, run, knownRun?.startedAt)
     if (status === 'done') this.taskDone(link, job, task.step, task, run)
     else if (status === 'failed') this.taskFailed(link, job, task.step, task, run)
     await this.stage(job)
@@ -302,6 +303,7 @@
       step.withdrawStart(task, run.number)
       this.stageChange(task)
       step.notBefore = clock.now() + STEP_BACKOFF_MS
+      step.waitTimes.note('backoff', clock.now())
       if (reason === 'ticket-invalid') this.advice.invalidateTicket(step, link)
     }
     if (reason === 'no-room' || reason === 'unhealthy') link.notBefore = clock.now() + WORKER_BACKOFF_MS
@@ -340,11 +342,23 @@
       job: step.job.id,
       step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
       ageMs,
+      waitedMs: step.waitTimes.take(clock.now()),
       ...this.options.configBasis(),
       runs: runs.map(({ id, number, worker, fencingToken }) => `${id.index}#${number} ${worker.id} ${fencingToken}`)
     })
   }
 
+  private recordGangDone (step: Step, run: number, startedAt: number | undefined) {
+    this.log.info('Gang done.', {
+      job: step.job.id,
+      step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
+      run,
+      tasks: step.tasks.length,
+      estimateMs: step.spec.estimateMs,
+      ...(startedAt === undefined ? {} : { ranMs: Math.round(this.options.clock.now() - startedAt) })
+    })
+  }
+
   private taskDone (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
     this.workers.health.recordSuccess(link.id)
     if (step.spec.longRunning || task.isDone) return
--- /dev/null
+++ b/packages/cell/src/waitTimes.ts
@@ -0,0 +1,43 @@
+/**
+ * What a step with tasks to start waits for:
+ * - `payload`: the payload of its job has not been read yet
+ * - `room`: the workers that the placement policy may allow have too little free capacity
+ * - `tickets`: a call to the placement policy service is pending, or the tickets are for too few workers
+ * - `agents`: no agent is free for a call
+ * - `backoff`: a worker refused a start or could not be reached
+ */
+export type WaitCause = 'payload' | 'room' | 'tickets' | 'agents' | 'backoff'
+
+/** Attributes the time that a step waits to its causes: the time from one note to the next counts for the cause of the first. */
+export class WaitTimes {
+  private readonly totalsMs = new Map<WaitCause, number>()
+  private cause: WaitCause | undefined
+  private since = 0
+
+  private constructor () {}
+
+  static create (): WaitTimes {
+    return new WaitTimes()
+  }
+
+  /** Records what the step waits for from now on; `now` is a monotonic time in milliseconds. */
+  note (cause: WaitCause, now: number): void {
+    this.close(now)
+    this.cause = cause
+    this.since = now
+  }
+
+  /** Returns the time spent on each cause since the last call, in whole milliseconds, and starts anew. */
+  take (now: number): Readonly<Partial<Record<WaitCause, number>>> {
+    this.close(now)
+    this.cause = undefined
+    const taken = Object.fromEntries([...this.totalsMs].map(([cause, ms]) => [cause, Math.round(ms)]))
+    this.totalsMs.clear()
+    return taken
+  }
+
+  private close (now: number) {
+    if (this.cause === undefined) return
+    this.totalsMs.set(this.cause, (this.totalsMs.get(this.cause) ?? 0) + now - this.since)
+  }
+}
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -56,8 +56,8 @@
   startPlanned (link: WorkerLink, run: Run): Promise<void>
   /** Whether a start that had to wait may still be sent to the worker: neither of them, nor the configuration, may have changed. */
   mayStart (link: WorkerLink, run: Run): boolean
-  /** The worker lists a finished run. Resolves when its result is stored and may be acknowledged. */
-  runFinished (link: WorkerLink, finishedRun: FinishedRun): Promise<void>
+  /** The worker lists a finished run; `run` is undefined if this leader didn't know of it. Resolves when its result is stored and may be acknowledged. */
+  runFinished (link: WorkerLink, finishedRun: FinishedRun, run: Run | undefined): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
   runLost (link: WorkerLink, run: Run, reason: LossReason): void
   /** An incarnation of a worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
@@ -598,7 +598,7 @@
       if (pendingWrite !== undefined) return pendingWrite.stored
       const run = this.runs.get(runKeyOf(finishedRun.task, finishedRun.run))
       if (run !== undefined) this.removeRun(run)
-      const write = events.runFinished(this, finishedRun)
+      const write = events.runFinished(this, finishedRun, run)
       this.pendingWrites.set(finishedRun.sequence, { jobId: finishedRun.task.jobId, stored: write })
       return write
     })
