--- a/bench/src/decisions.ts
+++ b/bench/src/decisions.ts
@@ -8,13 +8,14 @@
 import { generateArrivals } from './loads.js'
 import type { Arrival, JobKind, Load } from './loads.js'
 
-/** Number of agents that the cell can ask for placement advice. */
-const AGENT_COUNT = 32
 /** Time for active runs to finish after the arrivals end. */
 const DRAIN_MS = 20_000
 /** Time for the daemon to become leader before the first arrival. */
 const WARM_UP_MS = 3_000
 const CLOCK_STEP_MS = 50
+/** Time of the first measurement of the used capacity after the start of the load, and interval between two of them. */
+const FIRST_USE_SAMPLE_MS = 5_000
+const USE_SAMPLE_MS = 500
 /** A job that misses its objective counts as late up to this multiple of the objective, and earns nothing after that. */
 const LATE_LIMIT_FACTOR = 3
 /** Fraction of its payoff that a late job earns. */
@@ -54,6 +55,8 @@
   /** The same for the jobs that arrived in the worst window of two seconds. */
   readonly worstWindowPayoffShare: number
   readonly adviceCalls: number
+  /** Mean fraction of the workers' processor time that tasks hold while jobs arrive, without the first seconds. */
+  readonly usedShare: number
   readonly violations: readonly string[]
 }
 
@@ -78,13 +81,12 @@
       service: createQueue().service, capacity: { milliCores: load.workerMilliCores, memoryMb: load.workerMemoryMb, accelerators: 0 }
     })),
     queues: Object.values(POLICIES).map(({ queue }) => queue),
-    agents: Array.from({ length: AGENT_COUNT }, (_, index) => createAgent(`agent-${index}`, clock, submittedJobs, adviceCount)),
-    behaviour: ({ jobId, step, index }, run) => {
+    agents: Array.from({ length: load.agents }, (_, index) => createAgent(`agent-${index}`, clock, submittedJobs, adviceCount)),
+    behaviour: ({ jobId, step, index }, run, worker) => {
       const arrival = submittedJobs.get(jobId)?.arrival
-      const durationNoise = hashFraction(`${jobId}.${step}.${index}`)
       return {
-        durationMs: Math.round((arrival?.meanTaskMsByStep[step] ?? 100) * (0.85 + 0.3 * durationNoise)),
-        end: hashFraction(`${jobId}.${step}.${index}#${run}`) < (arrival?.kind.failShare ?? 0) ? 'failed' : 'done'
+        durationMs: Math.round((arrival?.meanTaskMsByStep[step] ?? 100) * durationFactor(load, `${jobId}.${step}.${index}`) * (hashFraction(worker.id) < load.slowShare ? load.slowFactor : 1)),
+        end: hashFraction(`${jobId}.${step}.${index}#${run}`) < failShareOf(arrival, step) ? 'failed' : 'done'
       }
     }
   })
@@ -92,6 +94,7 @@
   await clock.advance(WARM_UP_MS)
   const loadStartMs = clock.now()
   let nextArrivalIndex = 0
+  const usedShares: number[] = []
   while (clock.now() < loadStartMs + load.durationSeconds * 1_000 + DRAIN_MS) {
     for (; nextArrivalIndex < arrivals.length && loadStartMs + (arrivals[nextArrivalIndex] as Arrival).atMs <= clock.now(); nextArrivalIndex++) {
       const arrival = arrivals[nextArrivalIndex] as Arrival
@@ -102,12 +105,22 @@
       daemon.jobs.submit(jobId, queueOf(arrival.kind), spec, 3_000).catch((err: unknown) => cell.audit.violations.push(String(err)))
     }
     await clock.advance(CLOCK_STEP_MS)
+    const loadMs = clock.now() - loadStartMs
+    if (loadMs % USE_SAMPLE_MS === 0 && loadMs >= FIRST_USE_SAMPLE_MS && loadMs < load.durationSeconds * 1_000) usedShares.push(usedShareOf(cell, load))
     for (const job of submittedJobs.values()) {
       if (job.completedAt === undefined && daemon.leader()?.stateOf(job.jobId) === 'completed') job.completedAt = clock.now() - loadStartMs
     }
   }
   daemon.kill()
-  return summarize(load, [...submittedJobs.values()], adviceCount.calls, cell.audit.violations)
+  return { ...summarize(load, [...submittedJobs.values()], adviceCount.calls, cell.audit.violations), usedShare: usedShares.reduce((sum, share) => sum + share, 0) / Math.max(1, usedShares.length) }
+}
+
+function usedShareOf (cell: TestCell, load: Load): number {
+  const usedMilliCores = cell.workers.all().flatMap(worker => worker.runningTasks()).reduce((sum, task) => {
+    const [jobId = '', , step] = task.split('.')
+    return sum + (cell.audit.specOf(jobId)?.steps[Number(step)]?.need.milliCores ?? 0)
+  }, 0)
+  return usedMilliCores / (load.workers * load.workerMilliCores)
 }
 
 function createPolicy (name: string, fields: Partial<Queue>, approvedShare: number): QueuePolicy {
@@ -137,15 +150,29 @@
   }
 }
 
+/** The members of a gang fail together. */
+function failShareOf (arrival: Arrival | undefined, step: number): number {
+  if (arrival === undefined) return 0
+  const { count = 1, gang = false } = arrival.steps[step] ?? {}
+  return gang ? arrival.kind.failShare / count : arrival.kind.failShare
+}
+
+/** Log-normal factor with a mean of 1 by which the duration of a task deviates from the mean of its step. */
+function durationFactor ({ unevenness }: Load, task: string): number {
+  const normal = Math.sqrt(-2 * Math.log(1 - hashFraction(task))) * Math.cos(2 * Math.PI * hashFraction(`${task}~`))
+  return Math.exp(unevenness * normal - unevenness * unevenness / 2)
+}
+
 /** Maps a text to a number from 0 to 1, always the same for the same text. */
 function hashFraction (text: string): number {
   return createHash('sha1').update(text).digest().readUInt32BE(0) / 2 ** 32
 }
 
-function earnedShareOf ({ arrival, completedAt }: SubmittedJob): number {
+function earnedShareOf (load: Load, { arrival, jobId, completedAt }: SubmittedJob): number {
   if (completedAt === undefined) return 0
   const { slackFactor, targetLatencyMs, advice } = queueOf(arrival.kind)
-  const idealMs = arrival.meanTaskMsByStep.reduce((sum, ms) => sum + ms + (advice === undefined ? 0 : advice.decisionMs + 30 * advice.perWorkerMs), 0)
+  const longestFactor = (step: number) => Math.max(...Array.from({ length: arrival.steps[step]?.count ?? 1 }, (_, index) => durationFactor(load, `${jobId}.${step}.${index}`)))
+  const idealMs = arrival.meanTaskMsByStep.reduce((sum, ms, step) => sum + ms * longestFactor(step) + (advice === undefined ? 0 : advice.decisionMs + 30 * advice.perWorkerMs), 0)
   const objectiveMs = slackFactor * idealMs + targetLatencyMs
   const turnaroundMs = completedAt - arrival.atMs
   if (turnaroundMs <= objectiveMs) return 1
@@ -156,10 +183,10 @@
   return steps.reduce((sum, { count, need }, index) => sum + count * need.milliCores * (meanTaskMsByStep[index] ?? 0), 0) / 1e6
 }
 
-function summarize (load: Load, jobs: readonly SubmittedJob[], adviceCalls: number, violations: readonly string[]): LoadResult {
+function summarize (load: Load, jobs: readonly SubmittedJob[], adviceCalls: number, violations: readonly string[]): Omit<LoadResult, 'usedShare'> {
   const payoffShareOf = (subset: readonly SubmittedJob[]) => {
     const fullPayoff = subset.reduce((sum, { arrival }) => sum + fullPayoffOf(arrival), 0)
-    return fullPayoff === 0 ? 1 : subset.reduce((sum, job) => sum + earnedShareOf(job) * fullPayoffOf(job.arrival), 0) / fullPayoff
+    return fullPayoff === 0 ? 1 : subset.reduce((sum, job) => sum + earnedShareOf(load, job) * fullPayoffOf(job.arrival), 0) / fullPayoff
   }
   const fullPayoffOf = (arrival: Arrival) => arrival.kind.payoff * Math.min(MAX_PAYOFF_FACTOR, FIXED_PAYOFF_SHARE + (1 - FIXED_PAYOFF_SHARE) * coreSecondsOf(arrival) / (meanCoreSeconds.get(arrival.kind) ?? 1))
   const meanCoreSeconds = new Map(load.kinds.map(kind => {
@@ -173,8 +200,8 @@
     return {
       queue,
       submitted: queueJobs.length,
-      inTime: queueJobs.filter(job => earnedShareOf(job) === 1).length,
-      late: queueJobs.filter(job => earnedShareOf(job) === LATE_PAYOFF_SHARE).length,
+      inTime: queueJobs.filter(job => earnedShareOf(load, job) === 1).length,
+      late: queueJobs.filter(job => earnedShareOf(load, job) === LATE_PAYOFF_SHARE).length,
       payoffShare: payoffShareOf(queueJobs),
       medianMs: turnaroundsMs[Math.floor(turnaroundsMs.length / 2)] ?? 0
     }
--- a/bench/src/index.ts
+++ b/bench/src/index.ts
@@ -8,7 +8,7 @@
 for (const load of LOADS.filter(({ pattern: name }) => name.includes(pattern))) {
   for (const seed of seeds) {
     const result = await simulateLoad(load, seed)
-    console.log(`${load.pattern}, seed ${seed}: payoff ${result.payoffShare.toFixed(3)}, worst window ${result.worstWindowPayoffShare.toFixed(3)}, ${result.adviceCalls} advice calls, ${result.violations.length} violations`)
+    console.log(`${load.pattern}, seed ${seed}: payoff ${result.payoffShare.toFixed(3)}, worst window ${result.worstWindowPayoffShare.toFixed(3)}, ${result.adviceCalls} advice calls, ${result.usedShare.toFixed(3)} of the processor time in use, ${result.violations.length} violations`)
     for (const { queue, submitted, inTime, late, payoffShare, medianMs } of result.queues) {
       console.log(`  ${queue.padEnd(8)} ${String(submitted).padStart(5)} submitted ${String(inTime).padStart(5)} in time ${String(late).padStart(4)} late  payoff ${payoffShare.toFixed(3)}  median ${Math.round(medianMs)} ms`)
     }
--- a/bench/src/loads.ts
+++ b/bench/src/loads.ts
@@ -29,6 +29,13 @@
   readonly workerMemoryMb: number
   readonly durationSeconds: number
   readonly kinds: readonly JobKind[]
+  /** Number of agents that the cell can ask for placement advice. */
+  readonly agents: number
+  /** Fraction of the workers that take `slowFactor` times as long. */
+  readonly slowShare: number
+  readonly slowFactor: number
+  /** Standard deviation of the logarithm of the durations of a step's tasks. */
+  readonly unevenness: number
   /** Multiplier of the arrival rate of a queue in the given second of the load. */
   readonly arrivalFactor: (queue: string, second: number) => number
 }
@@ -81,12 +88,24 @@
 const BATCH_JOBS: JobKind = { queue: 'royalty', arrivalsPerSecond: 2.6, meanSteps: 1.5, meanTasksPerStep: 15, maxTasksPerStep: 76, meanMilliCores: 5_500, meanMemoryMb: 16_000, meanTaskMs: 3_400, gangShare: 0, maxEstimateError: 0.2, failShare: 0.05, payoff: 2.6 }
 const URGENT_JOBS: JobKind = { queue: 'renewal', arrivalsPerSecond: 23, meanSteps: 1, meanTasksPerStep: 3.1, maxTasksPerStep: 19, meanMilliCores: 7_900, meanMemoryMb: 23_000, meanTaskMs: 800, gangShare: 0.3, maxEstimateError: 0.9, failShare: 0.02, payoff: 0.411 }
 
-const COMMON = { workers: 126, workerMilliCores: 32_000, workerMemoryMb: 128_000, durationSeconds: 30, kinds: [GANG_JOBS, BATCH_JOBS, URGENT_JOBS] }
+const COMMON = { workers: 126, workerMilliCores: 32_000, workerMemoryMb: 128_000, durationSeconds: 30, agents: 32, slowShare: 0, slowFactor: 1, unevenness: 0.1, kinds: [GANG_JOBS, BATCH_JOBS, URGENT_JOBS] }
 
-/** Loads for one leader that serves a third of a large deployment. */
+const LARGE = {
+  ...COMMON,
+  workers: 378,
+  agents: 97,
+  durationSeconds: 34,
+  slowShare: 1 / 3,
+  slowFactor: 1.3,
+  unevenness: 0.3,
+  kinds: [{ ...GANG_JOBS, arrivalsPerSecond: 5.83 }, { ...BATCH_JOBS, arrivalsPerSecond: 7.78 }, { ...URGENT_JOBS, arrivalsPerSecond: 69.1 }]
+}
+
+/** Loads for one leader; all but the last serve a third of a large deployment. */
 export const LOADS: readonly Load[] = [
   { ...COMMON, pattern: 'wide gangs among batch and urgent work', arrivalFactor: () => 1 },
   { ...COMMON, pattern: 'burst of gangs', arrivalFactor: (queue, second) => queue === 'typeset' && second >= 8 && second < 12 ? 1.8 : 1 },
   { ...COMMON, pattern: 'outage and the return of its callers', arrivalFactor: (_queue, second) => second >= 8 && second < 12 ? 0 : second === 12 ? 5 : 1 },
-  { ...COMMON, pattern: 'burst of urgent work', arrivalFactor: (queue, second) => queue === 'renewal' && second >= 6 && second < 10 ? 2.2 : 1 }
+  { ...COMMON, pattern: 'burst of urgent work', arrivalFactor: (queue, second) => queue === 'renewal' && second >= 6 && second < 10 ? 2.2 : 1 },
+  { ...LARGE, pattern: 'wide gangs in a large cell of uneven workers', arrivalFactor: () => 1 }
 ]
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -30,8 +30,8 @@
   readonly entry: WorkerEntry
   readonly clock: Clock
   readonly audit: Audit
-  /** Duration of a run in milliseconds, and its finish status. */
-  readonly behaviour: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
+  /** Duration of a run on this worker in milliseconds, and its finish status. */
+  readonly behaviour: (task: TaskId, run: number, worker: WorkerEntry) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   /** Resources that a task needs. Workers start every task they are given and report exceeded capacity to the audit. */
   readonly needOf: (task: TaskId) => ResourceVector
   /** Number of members of the gang that a task belongs to; 0 if it is not a gang member. */
@@ -85,17 +85,21 @@
   stopsAt: number | undefined
 }
 
-/** Gang runs on all workers: members start to work when all have joined, and end as `broken` when one of them ends without success. */
+/**
+ * Gang runs on all workers: members start to work when all have joined, work until the slowest has finished, and end as
+ * `broken` when one of them ends without success.
+ */
 export class GangRegistry {
-  private readonly gangRuns = new Map<string, { readonly members: Set<string>, completeAt: number | undefined, isBroken: boolean }>()
+  private readonly gangRuns = new Map<string, { readonly members: Set<string>, completeAt: number | undefined, durationMs: number, isBroken: boolean }>()
 
   static create (): GangRegistry {
     return new GangRegistry()
   }
 
-  join (task: TaskId, run: number, size: number, now: number): void {
+  join ({ task, run, durationMs }: { readonly task: TaskId, readonly run: number, readonly durationMs: number }, size: number, now: number): void {
     const gang = this.gangOf(task, run)
     gang.members.add(formatTaskId(task))
+    gang.durationMs = Math.max(gang.durationMs, durationMs)
     if (gang.members.size >= size) gang.completeAt ??= now
   }
 
@@ -104,6 +108,11 @@
     return this.gangOf(task, run).completeAt
   }
 
+  /** Duration of the slowest member that has joined, in milliseconds. */
+  durationMs (task: TaskId, run: number): number {
+    return this.gangOf(task, run).durationMs
+  }
+
   isBroken (task: TaskId, run: number): boolean {
     return this.gangOf(task, run).isBroken
   }
@@ -114,7 +123,7 @@
 
   private gangOf ({ jobId, occurrence, step }: TaskId, run: number) {
     const key = `${jobId}.${occurrence}.${step}#${run}`
-    const gang = this.gangRuns.get(key) ?? { members: new Set<string>(), completeAt: undefined, isBroken: false }
+    const gang = this.gangRuns.get(key) ?? { members: new Set<string>(), completeAt: undefined, durationMs: 0, isBroken: false }
     this.gangRuns.set(key, gang)
     return gang
   }
@@ -266,7 +275,7 @@
           task: activeRun.task,
           run: activeRun.run,
           checkpoint: activeRun.checkpoint,
-          percent: this.isStalled ? 0 : Math.min(99, Math.floor(100 * (activeRun.savedMs + Math.max(0, now - this.workStartMs(activeRun))) / activeRun.durationMs))
+          percent: this.isStalled ? 0 : Math.min(99, Math.floor(100 * (activeRun.savedMs + Math.max(0, now - this.workStartMs(activeRun))) / this.durationMs(activeRun)))
         })),
         ended: [...this.finishedRuns]
       }
@@ -288,8 +297,9 @@
     if (!this.isCheckpointOf(task, checkpoint)) audit.violations.push(`${taskName} run ${run} started with the checkpoint of another task`)
     // Recorded first: a member of a broken gang ends as soon as it is among the active runs.
     audit.recordStart(this.entry.id, task, run, payload, this.options.clock.now(), isLate)
-    this.activeRuns.set(taskName, { task, run, startedAt: this.clockMs(), checkpoint, savedMs: savedMsIn(checkpoint), stopsAt: undefined, ...behaviour(task, run), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
-    if (this.isGangMember(task)) this.options.gangs?.join(task, run, this.options.gangSizeOf?.(task) ?? 0, this.options.clock.now())
+    this.activeRuns.set(taskName, { task, run, startedAt: this.clockMs(), checkpoint, savedMs: savedMsIn(checkpoint), stopsAt: undefined, ...behaviour(task, run, this.entry), ...(this.failsEverything ? { end: 'failed' as const } : {}) })
+    const { durationMs } = this.activeRuns.get(taskName) as ActiveRun
+    if (this.isGangMember(task)) this.options.gangs?.join({ task, run, durationMs }, this.options.gangSizeOf?.(task) ?? 0, this.options.clock.now())
     const used = [...this.activeRuns.values()].reduce((sum, activeRun) => add(sum, needOf(activeRun.task)), NO_RESOURCES)
     if (!fits(used, this.entry.capacity)) audit.recordOverCapacity(this.entry.id, task)
     return { accepted: true, clockMs: this.clockMs() }
@@ -352,7 +362,7 @@
     const now = this.clockMs()
     let killedRuns = 0
     for (const activeRun of [...this.activeRuns.values()]) {
-      const endsAt = this.isStalled ? Infinity : this.workStartMs(activeRun) + activeRun.durationMs - activeRun.savedMs
+      const endsAt = this.isStalled ? Infinity : this.workStartMs(activeRun) + this.durationMs(activeRun) - activeRun.savedMs
       this.saveCheckpoint(activeRun, Math.min(now, this.leaseUntilMs, activeRun.stopsAt ?? Infinity))
       if (this.isGangMember(activeRun.task) && this.options.gangs?.isBroken(activeRun.task, activeRun.run) === true) this.finish(activeRun, 'broken')
       else if (endsAt === Infinity && !this.isStalled && now - activeRun.startedAt > GANG_TIMEOUT_MS) this.finish(activeRun, 'alone')
@@ -397,6 +407,11 @@
     return completeAt === undefined ? Infinity : (completeAt - this.bootedAt) * this.rate() + restoreMs
   }
 
+  /** The members of a gang end together, so the slowest one determines the duration of all. */
+  private durationMs ({ task, run, durationMs }: ActiveRun): number {
+    return Math.max(durationMs, this.isGangMember(task) ? this.options.gangs?.durationMs(task, run) ?? 0 : 0)
+  }
+
   private finish (activeRun: ActiveRun, status: FinishStatus) {
     if (status !== 'done' && this.isGangMember(activeRun.task)) this.options.gangs?.markBroken(activeRun.task, activeRun.run)
     const taskName = formatTaskId(activeRun.task)
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -62,7 +62,7 @@
   readonly clock?: TestClock
   readonly workers?: readonly WorkerEntry[]
   readonly queues?: readonly Queue[]
-  readonly behaviour?: (task: TaskId, run: number) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
+  readonly behaviour?: (task: TaskId, run: number, worker: WorkerEntry) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agents?: readonly AdviceAgent[]
   readonly vms?: VmService
   /** Minimum length of job payloads; shorter ones are padded. */
