--- a/packages/cell/src/__tests__/wideGangs.test.ts
+++ b/packages/cell/src/__tests__/wideGangs.test.ts
@@ -63,7 +63,7 @@
 }
 
 // Guards against too little service of wide gangs at scale (issue 50): one call at a time, for 40 workers, never brought enough valid tickets.
-test.failing('a gang that needs most of the workers that the policy allows starts in time on an idle cell', async t => {
+test('a gang that needs most of the workers that the policy allows starts in time on an idle cell', async t => {
   const { clock, dispatcher } = createIdleCell()
   const spec = { steps: [createStep({ count: 110, gang: true, need: WHOLE_WORKER, estimateMs: WORK_MS })] }
   const job = Job.create('00000000000000aa', { queue: QUEUE.name, service: QUEUE.service, admittedAtMs: clock.date().getTime(), spec }, 1)
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -13,8 +13,8 @@
 const MAX_BACKLOG_MS = 60
 /** A call that is expected to take longer than this counts as a long call. */
 const LONG_CALL_MS = 100
-/** Share of the agents that may run long calls at the same time, so that short calls find a free agent. */
-const LONG_CALL_SHARE = 0.6
+/** Share of the agents that may run long calls at the same time; a short call is over in a small part of their time, so that few agents serve many. */
+const LONG_CALL_SHARE = 0.9
 
 /** A daemon that calls the placement policy service. The service handles one call at a time from each VM. */
 export interface AdviceAgent {
@@ -44,7 +44,9 @@
   readonly tickets: Map<string, Ticket>
   /** Ids of the workers that the service has approved or refused. */
   readonly answeredIds: Set<string>
-  isPending: boolean
+  /** Ids of the workers named in calls that have no answer yet. */
+  readonly pendingIds: Set<string>
+  pendingCalls: number
 }
 
 interface AgentLoad {
@@ -72,10 +74,20 @@
   readonly validUntil: number
 }
 
+/** Answers on the workers of one queue's steps so far. */
+interface Answers {
+  approved: number
+  total: number
+}
+
+/** Answers that a queue is taken to have had at first, half of them approvals, so that the first real ones don't decide alone. */
+const ASSUMED_ANSWERS = 20
+
 /** Requests and caches placement tickets for steps whose queue has a placement policy. */
 export class AdviceCache {
   private readonly steps = new Map<Step, StepAdvice>()
   private readonly loads = new Map<string, AgentLoad>()
+  private readonly answers = new Map<string, Answers>()
   /** Agents that would get the next short and the next long call, until the load of an agent changes. */
   private readonly nextAgents = new Map<boolean, NextAgent>()
 
@@ -122,28 +134,46 @@
     const agents = this.options.agents()
     const now = this.options.clock.now()
     const isBusy = (agent: AdviceAgent) => this.loadOf(agent).backlogMs > MAX_BACKLOG_MS || this.loadOf(agent).notBefore > now
-    return { agents: agents.length, busy: agents.filter(isBusy).length, pendingCalls: [...this.steps.values()].filter(({ isPending }) => isPending).length }
+    return { agents: agents.length, busy: agents.filter(isBusy).length, pendingCalls: [...this.steps.values()].reduce((sum, { pendingCalls }) => sum + pendingCalls, 0) }
   }
 
   isPending (step: Step): boolean {
-    return this.steps.get(step)?.isPending === true
+    return (this.steps.get(step)?.pendingCalls ?? 0) > 0
+  }
+
+  /** Whether the worker is named in a call for the step that has no answer yet. */
+  isAsked (step: Step, worker: WorkerLink): boolean {
+    return this.steps.get(step)?.pendingIds.has(worker.id) === true
+  }
+
+  /** Whether the service has approved or refused the worker for this step. */
+  isAnswered (step: Step, worker: WorkerLink): boolean {
+    return this.steps.get(step)?.answeredIds.has(worker.id) === true
   }
 
-  /** Requests tickets for the workers that were not refused, unless a call for the step is pending or all agents are busy. */
+  /** Share of the workers that the service approves for a step of the queue, by its answers so far. */
+  approvalShare (queue: string): number {
+    const { approved, total } = this.answersOf(queue)
+    return approved / total
+  }
+
+  /**
+   * Requests tickets for the workers that were not refused and are not named in a pending call. Many workers are split
+   * among several calls, as far as agents are free.
+   */
   request (step: Step, policy: AdvicePolicy, workers: readonly WorkerLink[]): void {
-    const advice = this.steps.get(step) ?? { tickets: new Map<string, Ticket>(), answeredIds: new Set<string>(), isPending: false }
-    if (advice.isPending) return
-    const requested = workers.filter(worker => !this.isRefused(step, worker)).slice(0, MAX_ADVICE_WORKERS)
-    if (requested.length === 0) return
-    const expectedMs = expectedCallMs(policy, requested.length)
-    const agent = this.nextAgent(isLongCall(expectedMs), this.options.clock.now())
-    if (agent === undefined) return
-    this.steps.set(step, advice)
-    advice.isPending = true
-    this.callAgent(step, policy, requested, advice, agent, expectedMs).finally(() => {
-      advice.isPending = false
-      this.options.onAnswer()
-    })
+    const advice = this.steps.get(step) ?? { tickets: new Map<string, Ticket>(), answeredIds: new Set<string>(), pendingIds: new Set<string>(), pendingCalls: 0 }
+    const requested = workers.filter(worker => !advice.pendingIds.has(worker.id) && !this.isRefused(step, worker))
+    const calls = Math.ceil(requested.length / MAX_ADVICE_WORKERS)
+    const callSize = Math.ceil(requested.length / calls)
+    for (let first = 0; first < requested.length; first += callSize) {
+      const named = requested.slice(first, first + callSize)
+      const expectedMs = expectedCallMs(policy, named.length)
+      const agent = this.nextAgent(isLongCall(expectedMs), this.options.clock.now())
+      if (agent === undefined) return
+      this.steps.set(step, advice)
+      this.callAgent(step, policy, named, advice, agent, expectedMs).finally(() => this.options.onAnswer())
+    }
   }
 
   /** Makes the ticket unusable; the worker still counts as approved. */
@@ -163,9 +193,14 @@
     load.backlogMs += expectedMs
     if (isLongCall(expectedMs)) load.hasLongCall = true
     this.nextAgents.clear()
+    advice.pendingCalls++
+    for (const { id } of requested) advice.pendingIds.add(id)
     const name = formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index })
     const sentAt = clock.now()
-    const res = await agent.approve(name, requested.map(({ id }) => id), load.backlogMs + ADVICE_TIMEOUT_MS)
+    const res = await agent.approve(name, requested.map(({ id }) => id), load.backlogMs + ADVICE_TIMEOUT_MS).finally(() => {
+      advice.pendingCalls--
+      for (const { id } of requested) advice.pendingIds.delete(id)
+    })
     load.backlogMs = Math.max(0, load.backlogMs - expectedMs)
     if (isLongCall(expectedMs)) load.hasLongCall = false
     this.nextAgents.clear()
@@ -175,6 +210,9 @@
       log.warn('Placement advice call failed.', { step: name, agent: agent.name, workers: requested.length, tookMs: Math.round(now - sentAt), verdict: res.val.verdict, reason: res.val.reason })
       return
     }
+    const answers = this.answersOf(step.job.record.queue)
+    answers.approved += res.val.size
+    answers.total += requested.length
     const expiresAt = now + policy.validityMs - TICKET_EXPIRY_MARGIN_MS
     for (const { id, entry } of requested) {
       advice.answeredIds.add(id)
@@ -206,6 +244,12 @@
     return leastLoaded !== undefined && this.loadOf(leastLoaded).backlogMs <= MAX_BACKLOG_MS ? leastLoaded : undefined
   }
 
+  private answersOf (queue: string): Answers {
+    const answers = this.answers.get(queue) ?? { approved: ASSUMED_ANSWERS / 2, total: ASSUMED_ANSWERS }
+    this.answers.set(queue, answers)
+    return answers
+  }
+
   private loadOf (agent: AdviceAgent): AgentLoad {
     const load = this.loads.get(agent.name) ?? { backlogMs: 0, hasLongCall: false, notBefore: 0 }
     this.loads.set(agent.name, load)
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -96,8 +96,8 @@
 export const PEER_TIMEOUT_MS = 400
 /** Subtracted from the validity of a ticket to cover the transfer to the leader and then to the worker. */
 export const TICKET_EXPIRY_MARGIN_MS = 150
-/** Maximum number of workers named in one advice call. */
-export const MAX_ADVICE_WORKERS = 40
+/** Maximum number of workers that the placement policy service takes in one call. */
+export const MAX_ADVICE_WORKERS = 100
 /** Timeout of an advice call, in addition to its expected duration. */
 export const ADVICE_TIMEOUT_MS = 1_500
 /** Pause before a daemon whose advice call failed is asked again. */
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -5,7 +5,7 @@
 import type { Lateness } from './lateness.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { RoundCapacity } from './roundCapacity.js'
-import type { JobQueue, ResourceVector } from './types.js'
+import type { AdvicePolicy, JobQueue, ResourceVector } from './types.js'
 import type { WorkerLink } from './workerLink.js'
 
 export interface DispatcherOptions {
@@ -57,6 +57,10 @@
 const RESERVED_FOR_ALONE = -1
 /** Weight of a lasting run in the choice of a worker to keep free: it may never end. */
 const LASTING_RUN_WEIGHT = 1_000
+/** Factor by which the slots that tickets are requested for exceed those that a gang needs: other steps take some meanwhile. */
+const TICKET_SURPLUS = 1.25
+/** Maximum number of workers named for a step whose tasks start one by one: more tickets would expire unused. */
+const MAX_WORKERS_FOR_SINGLE_TASKS = 40
 /** Offset between the first workers of two consecutive advice calls. */
 const ROTATION_STEP = 7
 
@@ -219,6 +223,10 @@
       return (step.avoidedWorkers.isEmpty() ? capacity.withRoomFor(step.need) : capacity.all()).filter(isEligible)
     }
     const ticketed = advice.workersWithTicket(step, capacity, this.now).filter(isEligible)
+    if (step.spec.gang) {
+      this.requestForGang(candidate, round, queue.advice, ticketed)
+      return ticketed
+    }
     const isPending = advice.isPending(step)
     if (isPending || !advice.hasFreeAgent(queue.advice, this.now)) {
       step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
@@ -230,14 +238,54 @@
     const isOpen = (worker: WorkerLink) => isEligible(worker) && !advice.isRefused(step, worker)
     const withCapacity = capacity.withRoomFor(step.need).filter(worker => isOpen(worker) && slotsWithinLimit(step, worker) > 0)
     const hasUnticketed = withCapacity.some(worker => advice.ticket(step, worker, this.now) === undefined)
-    const neededSlots = step.spec.gang ? waitingTasks.length : 1
-    if (!hasUnticketed || totalSlots(withCapacity) < neededSlots) return ticketed
+    if (!hasUnticketed) return ticketed
     step.waitTimes.note('tickets', this.now)
     const approved = withCapacity.filter(worker => advice.isApproved(step, worker))
-    advice.request(step, queue.advice, totalSlots(approved) >= neededSlots ? approved : this.rotate(withCapacity, capacity.all().filter(isOpen)))
+    const preferred = approved.length > 0 ? approved : this.rotate(withCapacity, capacity.all().filter(isOpen))
+    advice.request(step, queue.advice, preferred.slice(0, MAX_WORKERS_FOR_SINGLE_TASKS))
     return ticketed
   }
 
+  /**
+   * Requests the tickets that a gang lacks, if the cell has room for it: for workers that were approved before, where
+   * these have enough room, and otherwise for as many others as are expected to make up for it. Calls for one gang run
+   * side by side, since its tickets must be valid at the same time.
+   */
+  private requestForGang (candidate: Candidate, round: SchedulingRound, policy: AdvicePolicy, ticketed: readonly WorkerLink[]) {
+    const { advice } = this.options
+    const { capacity } = round
+    const { step, queue } = candidate
+    const freeOn: FreeOn = worker => capacity.freeOn(worker)
+    const slotsOf = (worker: WorkerLink) => slotsOn(step, [worker], freeOn)
+    const width = step.tasks.length
+    step.waitTimes.note('room', this.now)
+    if (slotsOn(step, ticketed, freeOn) >= width) return
+    if (!advice.hasFreeAgent(policy, this.now)) {
+      step.waitTimes.note(advice.isPending(step) ? 'tickets' : 'agents', this.now)
+      return
+    }
+    const open = capacity.withRoomFor(step.need).filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker) && slotsWithinLimit(step, worker) > 0)
+    if (slotsOn(step, open, freeOn) < width) return
+    const approved = open.filter(worker => advice.isApproved(step, worker))
+    const approvedSlots = slotsOn(step, approved, freeOn)
+    const wantedSlots = width * TICKET_SURPLUS
+    if (approvedSlots >= width) {
+      step.waitTimes.note('tickets', this.now)
+      const chosen = takeSlots([...approved].sort((a, b) => slotsOf(b) - slotsOf(a)), slotsOf, wantedSlots)
+      advice.request(step, policy, chosen.filter(worker => advice.ticket(step, worker, this.now) === undefined))
+      return
+    }
+    const unanswered = open.filter(worker => !advice.isAnswered(step, worker))
+    if (unanswered.length === 0) return
+    step.waitTimes.note('tickets', this.now)
+    const share = advice.approvalShare(queue.name)
+    const asked = unanswered.filter(worker => advice.isAsked(step, worker))
+    const unknown = unanswered.filter(worker => !advice.isAsked(step, worker))
+    const missingSlots = wantedSlots - approvedSlots - share * slotsOn(step, asked, freeOn)
+    if (missingSlots <= 0 || unknown.length === 0) return
+    advice.request(step, policy, takeSlots(this.rotate(unknown, []), worker => share * slotsOf(worker), missingSlots))
+  }
+
   /**
    * Workers in order of preference for an advice call, which names as many as its limit allows. Those with free
    * capacity come first, starting at a different one in each call.
@@ -362,6 +410,16 @@
   }
 }
 
+/** Returns the first workers that have this many slots in total; all if they have fewer. */
+function takeSlots (workers: readonly WorkerLink[], slotsOf: (worker: WorkerLink) => number, slots: number): readonly WorkerLink[] {
+  let total = 0
+  const last = workers.findIndex(worker => {
+    total += slotsOf(worker)
+    return total >= slots
+  })
+  return last < 0 ? workers : workers.slice(0, last + 1)
+}
+
 /** Number of tasks of the step that can be started on the workers now. */
 function slotsOn (step: Step, workers: readonly WorkerLink[], freeOn: FreeOn): number {
   return workers.reduce((total, worker) => total + Math.min(maxTasksThatFit(step.need, freeOn(worker) ?? NO_RESOURCES), slotsWithinLimit(step, worker)), 0)
