--- a/packages/cell/src/__tests__/roundCost.test.ts
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -5,10 +5,9 @@
 import type { AdviceAgent } from '../advice.js'
 import { Dispatcher } from '../dispatcher.js'
 import { Job } from '../jobs.js'
-import { createQueue, createStep, createWorkerEntry } from '../testing/index.js'
-import type { WorkerClient } from '../ports.js'
+import { createQueue, createStep } from '../testing/index.js'
+import { createSilentLinks } from '../testing/silentWorkers.js'
 import type { StepSpec } from '../types.js'
-import { WorkerLink } from '../workerLink.js'
 
 const WORKERS = 400
 const AGENTS = 100
@@ -19,14 +18,6 @@
 /** Looks at a property of a worker or an agent that a round may take for each worker, agent and waiting step. */
 const LOOKS_PER_ITEM = 40
 
-/** A worker that accepts all commands and never answers. */
-const silentClient: WorkerClient = {
-  heartbeat: () => new Promise(() => {}),
-  start: () => new Promise(() => {}),
-  stop: () => new Promise(() => {}),
-  close: async () => {}
-}
-
 /** Wraps an object so that each property that is read counts as one look. */
 function countLooks<T extends object> (target: T, looks: { count: number }): T {
   return new Proxy(target, {
@@ -57,22 +48,7 @@
   const looks = { count: 0 }
   const queue = createQueue({ advice: POLICY, slackFactor: 1_000_000 })
   const occupying = createJob(1, { count: WORKERS, need: CAPACITY })
-  const links = Array.from({ length: WORKERS }, (_, index) => {
-    const link = WorkerLink.create({
-      entry: createWorkerEntry(`w${index}`, { capacity: CAPACITY }),
-      clients: { create: () => silentClient },
-      firstToken: 1,
-      taskLeaseMs: 5_000,
-      maxTaskLeaseMs: 6_000,
-      predecessorActiveMs: 0,
-      events: { startPlanned: async () => {}, mayStart: () => true } as never,
-      mayIssueCommands: () => true,
-      jobsLoaded: Promise.resolve(true),
-      mayExtendLeases: () => true,
-      clock,
-      log: silentLog
-    })
-    link.isAdopted = true
+  const links = createSilentLinks({ count: WORKERS, capacity: CAPACITY, clock }).map((link, index) => {
     const task = occupying.task({ jobId: occupying.id, occurrence: 0, step: 0, index })
     if (index >= freeWorkers && task !== undefined) link.start(task, 1, '', '')
     return countLooks(link, looks)
@@ -87,7 +63,7 @@
   }, looks))
   const advice = AdviceCache.create({ agents: () => agents, onAnswer: () => {}, clock, log: silentLog })
   const dispatcher = Dispatcher.create({
-    epoch: 1, workers: () => links, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, clock, onExhausted: () => {}, onStart: () => {}
+    epoch: 1, workers: () => links, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, clock, onExhausted: () => {}, onStart: () => {}
   })
   // Long calls keep all agents busy except those that stay free.
   for (let busy = 0; busy < AGENTS - freeAgents; busy++) {
--- a/packages/cell/src/__tests__/wideGangs.test.ts
+++ b/packages/cell/src/__tests__/wideGangs.test.ts
@@ -6,9 +6,8 @@
 import type { AdviceAgent } from '../advice.js'
 import { Dispatcher } from '../dispatcher.js'
 import { Job } from '../jobs.js'
-import type { WorkerClient } from '../ports.js'
-import { createQueue, createStep, createWorkerEntry } from '../testing/index.js'
-import { WorkerLink } from '../workerLink.js'
+import { createQueue, createStep } from '../testing/index.js'
+import { createSilentLinks } from '../testing/silentWorkers.js'
 
 const WORKERS = 378
 const AGENTS = 97
@@ -20,34 +19,10 @@
 /** The objective of a job of one step whose estimate is right, less its work. */
 const LATEST_START_MS = 2.2 * (WORK_MS + 390 + 30 * 5.6) + 1_200 - WORK_MS
 
-const silentClient: WorkerClient = {
-  heartbeat: () => new Promise(() => {}),
-  start: () => new Promise(() => {}),
-  stop: () => new Promise(() => {}),
-  close: async () => {}
-}
-
 /** Dispatcher of an idle cell whose policy approves every third worker. */
 function createIdleCell () {
   const clock = ManualClock.create()
-  const links = Array.from({ length: WORKERS }, (_, index) => {
-    const link = WorkerLink.create({
-      entry: createWorkerEntry(`w${index}`, { capacity: WHOLE_WORKER }),
-      clients: { create: () => silentClient },
-      firstToken: 1,
-      taskLeaseMs: 5_000,
-      maxTaskLeaseMs: 6_000,
-      predecessorActiveMs: 0,
-      events: { startPlanned: async () => {}, mayStart: () => true } as never,
-      mayIssueCommands: () => true,
-      jobsLoaded: Promise.resolve(true),
-      mayExtendLeases: () => true,
-      clock,
-      log: silentLog
-    })
-    link.isAdopted = true
-    return link
-  })
+  const links = createSilentLinks({ count: WORKERS, capacity: WHOLE_WORKER, clock })
   const agents = Array.from({ length: AGENTS }, (_, index): AdviceAgent => ({
     name: `agent-${index}`,
     approve: async (_step, workerIds) => {
@@ -57,7 +32,7 @@
   }))
   const advice = AdviceCache.create({ agents: () => agents, onAnswer: () => {}, clock, log: silentLog })
   const dispatcher = Dispatcher.create({
-    epoch: 1, workers: () => links, queue: () => QUEUE, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, clock, onExhausted: () => {}, onStart: () => {}
+    epoch: 1, workers: () => links, queue: () => QUEUE, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, clock, onExhausted: () => {}, onStart: () => {}
   })
   return { clock, dispatcher }
 }
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -22,6 +22,7 @@
 import { Membership } from './membership.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer, refusesConnections } from './peers.js'
+import { ProcessorLoad } from './processorLoad.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
@@ -187,6 +188,7 @@
     const { store } = this
     const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, drainMs, maintenance } = this.options
     this.stopLeading()
+    const processorLoad = ProcessorLoad.create(clock)
     this.leader = Leader.create({
       epoch,
       epochStartVersion: version,
@@ -208,6 +210,7 @@
       maxTaskLeaseMs,
       statusRetentionMs,
       drainMs,
+      isProcessorFull: () => processorLoad.isFull(),
       clock,
       logs,
       metrics: this.metrics
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { AdviceCache } from './advice.js'
 import type { Job, Run, Step, Task } from './jobs.js'
-import { latenessOf } from './lateness.js'
+import { canWait, latenessOf } from './lateness.js'
 import type { Lateness } from './lateness.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { RoundCapacity } from './roundCapacity.js'
@@ -20,6 +20,8 @@
   readonly isSuspect: (worker: WorkerLink, now: number) => boolean
   /** Requests the payload of a job that hasn't been loaded yet. */
   readonly requestPayload: (job: Job) => void
+  /** Whether this process has no processor time left, so that work that can wait is put off. */
+  readonly isProcessorFull: () => boolean
   readonly clock: Clock
   /** Called for a task that may not be started again, as too many workers have crashed under it. */
   readonly onExhausted: (task: Task) => void
@@ -90,7 +92,7 @@
   /** Runs one scheduling round: starts the tasks that fit, in order of urgency. */
   runRound (jobs: Iterable<Job>): void {
     this.now = this.options.clock.now()
-    const candidates = this.withoutExhausted(this.findCandidates(jobs))
+    const candidates = this.withoutDeferrable(this.withoutExhausted(this.findCandidates(jobs)))
     if (candidates.length === 0) return
     const usable = [...this.options.workers()].filter(worker => worker.canStart(this.now) && !worker.hasExclusiveRun() && this.options.isUsable(worker, this.now))
     const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: new Map() }
@@ -158,6 +160,21 @@
     return candidates.filter(({ step }) => step.job.outcome === undefined)
   }
 
+  /**
+   * Leaves out the jobs that can wait, while the processor is full: each start that they get now is one that a more
+   * urgent job has to wait for. They go on once there is processor time, or before they become late.
+   */
+  private withoutDeferrable (candidates: readonly Candidate[]): readonly Candidate[] {
+    if (!this.options.isProcessorFull()) return candidates
+    const unixMs = this.options.clock.date().getTime()
+    const highestPriority = Math.min(...candidates.map(({ queue }) => queue.priority))
+    return candidates.filter(({ step, queue }) => {
+      const isDeferred = queue.priority > highestPriority && canWait(step.job, queue, unixMs)
+      if (isDeferred) step.waitTimes.note('processor', this.now)
+      return !isDeferred
+    })
+  }
+
   /** Whether a task has to wait for a worker without other work. */
   private waitsAlone (task: Task): boolean {
     if (!task.crashes().mustRunAlone()) return false
@@ -260,8 +277,11 @@
     const width = step.tasks.length
     step.waitTimes.note('room', this.now)
     if (slotsOn(step, ticketed, freeOn) >= width) return
-    if (!advice.hasFreeAgent(policy, this.now)) {
-      step.waitTimes.note(advice.isPending(step) ? 'tickets' : 'agents', this.now)
+    const isPending = advice.isPending(step)
+    // Further calls for the same gang would take processor time from starts and commits.
+    const mustAwaitAnswer = isPending && this.options.isProcessorFull()
+    if (mustAwaitAnswer || !advice.hasFreeAgent(policy, this.now)) {
+      step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
       return
     }
     const open = capacity.withRoomFor(step.need).filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker) && slotsWithinLimit(step, worker) > 0)
@@ -275,10 +295,10 @@
       advice.request(step, policy, chosen.filter(worker => advice.ticket(step, worker, this.now) === undefined))
       return
     }
+    const share = advice.approvalShare(queue.name)
     const unanswered = open.filter(worker => !advice.isAnswered(step, worker))
-    if (unanswered.length === 0) return
+    if (approvedSlots + share * slotsOn(step, unanswered, freeOn) < width) return
     step.waitTimes.note('tickets', this.now)
-    const share = advice.approvalShare(queue.name)
     const asked = unanswered.filter(worker => advice.isAsked(step, worker))
     const unknown = unanswered.filter(worker => !advice.isAsked(step, worker))
     const missingSlots = wantedSlots - approvedSlots - share * slotsOn(step, asked, freeOn)
--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -8,6 +8,11 @@
 /** The objective of a job allows time for one advice call per step, with this number of workers. */
 const ADVISED_WORKERS_PER_STEP = 30
 
+/** Multiple of its estimated remaining time that a job is given when it is put off. */
+const DEFERRED_DURATION_FACTOR = 2
+/** Fraction of its objective that a job must have left beyond that to be put off. */
+const DEFERRED_LAXITY_SHARE = 0.3
+
 /** 0: the job can still meet its objective; 1: it will be late but can still count; 2: it is too late to count. */
 export type Lateness = 0 | 1 | 2
 
@@ -32,6 +37,14 @@
   return earliestEndMs <= LATE_OBJECTIVE_FACTOR * objectiveMs ? 1 : 2
 }
 
+/** Whether a job can wait and still be on time, even if its remaining work takes much longer than estimated. */
+export function canWait (job: Job, queue: JobQueue, unixMs: number): boolean {
+  if (!isTimed(job)) return false
+  const { objectiveMs } = objectiveOf(job, queue)
+  const laxityMs = objectiveMs - (unixMs - job.record.admittedAtMs) - DEFERRED_DURATION_FACTOR * remainingMs(job)
+  return laxityMs > DEFERRED_LAXITY_SHARE * objectiveMs
+}
+
 /** Time from its admission within which a job should complete, in milliseconds; undefined for scheduled and long-running jobs. */
 export function objectiveMsOf (job: Job, queue: JobQueue): number | undefined {
   return isTimed(job) ? objectiveOf(job, queue).objectiveMs : undefined
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -72,6 +72,8 @@
   readonly statusRetentionMs: number
   /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
   readonly drainMs: number
+  /** Whether this process has no processor time left, so that work that can wait is put off. */
+  readonly isProcessorFull: () => boolean
   readonly clock: Clock
   readonly logs: LogFactory
   readonly metrics: CellMetrics
@@ -144,6 +146,7 @@
       isUsable: (worker, now) => this.workers.isUsable(worker, now) && this.maintenance?.isDraining(worker.id) !== true,
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
       requestPayload: job => this.payloads.request(job),
+      isProcessorFull: options.isProcessorFull,
       clock,
       onExhausted: task => this.giveUp(task),
       onStart: (step, runs) => this.recordStarted(step, runs)
--- /dev/null
+++ b/packages/cell/src/testing/silentWorkers.ts
@@ -0,0 +1,36 @@
+import type { Clock } from '@citronnotch/base/clock'
+import { silentLog } from '@citronnotch/base/logger'
+import type { WorkerClient } from '../ports.js'
+import type { ResourceVector } from '../types.js'
+import { WorkerLink } from '../workerLink.js'
+import { createWorkerEntry } from './testCell.js'
+
+/** A worker that accepts all commands and never answers. */
+const silentClient: WorkerClient = {
+  heartbeat: () => new Promise(() => {}),
+  start: () => new Promise(() => {}),
+  stop: () => new Promise(() => {}),
+  close: async () => {}
+}
+
+/** Creates links to adopted workers `w0`, `w1` and so on that never answer, for tests of single scheduling rounds. */
+export function createSilentLinks ({ count, capacity, clock }: { readonly count: number, readonly capacity: ResourceVector, readonly clock: Clock }): readonly WorkerLink[] {
+  return Array.from({ length: count }, (_, index) => {
+    const link = WorkerLink.create({
+      entry: createWorkerEntry(`w${index}`, { capacity }),
+      clients: { create: () => silentClient },
+      firstToken: 1,
+      taskLeaseMs: 5_000,
+      maxTaskLeaseMs: 6_000,
+      predecessorActiveMs: 0,
+      events: { startPlanned: async () => {}, mayStart: () => true } as never,
+      mayIssueCommands: () => true,
+      jobsLoaded: Promise.resolve(true),
+      mayExtendLeases: () => true,
+      clock,
+      log: silentLog
+    })
+    link.isAdopted = true
+    return link
+  })
+}
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -102,6 +102,8 @@
   admittedByVersion: number | undefined
   /** Whether the daemons reach each other to ask for the configuration; tests set it. */
   arePeersReachable = true
+  /** Whether the leader has no processor time left; tests set it. */
+  isProcessorFull = false
   /** Whether connections to a peer address are refused; tests set it. */
   refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
@@ -216,6 +218,7 @@
           maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
           drainMs: DRAIN_MS,
+          isProcessorFull: () => this.isProcessorFull,
           clock,
           logs: silentLogs,
           metrics
