--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -74,20 +74,20 @@
   readonly validUntil: number
 }
 
-/** Answers on the workers of one queue's steps so far. */
+/** Answers on workers so far, under one policy. */
 interface Answers {
   approved: number
   total: number
 }
 
-/** Answers that a queue is taken to have had at first, half of them approvals, so that the first real ones don't decide alone. */
+/** Answers that a policy is taken to have given at first, half of them approvals, so that the first real ones don't decide alone. */
 const ASSUMED_ANSWERS = 20
 
 /** Requests and caches placement tickets for steps whose queue has a placement policy. */
 export class AdviceCache {
   private readonly steps = new Map<Step, StepAdvice>()
   private readonly loads = new Map<string, AgentLoad>()
-  private readonly answers = new Map<string, Answers>()
+  private readonly answers = new WeakMap<AdvicePolicy, Answers>()
   /** Agents that would get the next short and the next long call, until the load of an agent changes. */
   private readonly nextAgents = new Map<boolean, NextAgent>()
 
@@ -151,9 +151,9 @@
     return this.steps.get(step)?.answeredIds.has(worker.id) === true
   }
 
-  /** Share of the workers that the service approves for a step of the queue, by its answers so far. */
-  approvalShare (queue: string): number {
-    const { approved, total } = this.answersOf(queue)
+  /** Share of the workers that the service approves for a step, by its answers under this policy so far. */
+  approvalShare (policy: AdvicePolicy): number {
+    const { approved, total } = this.answersOf(policy)
     return approved / total
   }
 
@@ -210,7 +210,7 @@
       log.warn('Placement advice call failed.', { step: name, agent: agent.name, workers: requested.length, tookMs: Math.round(now - sentAt), verdict: res.val.verdict, reason: res.val.reason })
       return
     }
-    const answers = this.answersOf(step.job.record.queue)
+    const answers = this.answersOf(policy)
     answers.approved += res.val.size
     answers.total += requested.length
     const expiresAt = now + policy.validityMs - TICKET_EXPIRY_MARGIN_MS
@@ -244,9 +244,9 @@
     return leastLoaded !== undefined && this.loadOf(leastLoaded).backlogMs <= MAX_BACKLOG_MS ? leastLoaded : undefined
   }
 
-  private answersOf (queue: string): Answers {
-    const answers = this.answers.get(queue) ?? { approved: ASSUMED_ANSWERS / 2, total: ASSUMED_ANSWERS }
-    this.answers.set(queue, answers)
+  private answersOf (policy: AdvicePolicy): Answers {
+    const answers = this.answers.get(policy) ?? { approved: ASSUMED_ANSWERS / 2, total: ASSUMED_ANSWERS }
+    this.answers.set(policy, answers)
     return answers
   }
 
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -211,7 +211,7 @@
     const startable = queue.advice === undefined ? empty : empty.filter(worker => advice.ticket(step, worker, this.now) !== undefined)
     const worker = this.bestWorker(step, startable, candidateWorker => round.capacity.freeOn(candidateWorker), task)
     if (worker !== undefined) return worker
-    if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty)
+    if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty.slice(0, MAX_WORKERS_FOR_SINGLE_TASKS))
     const emptiest = minBy(eligible, worker => worker.runs.size + (hostsStep(worker, step => step.spec.longRunning) ? LASTING_RUN_WEIGHT : 0))
     if (emptiest !== undefined) round.reservedFor.set(emptiest, RESERVED_FOR_ALONE)
     return undefined
@@ -271,7 +271,7 @@
   private requestForGang (candidate: Candidate, round: SchedulingRound, policy: AdvicePolicy, ticketed: readonly WorkerLink[]) {
     const { advice } = this.options
     const { capacity } = round
-    const { step, queue } = candidate
+    const { step } = candidate
     const freeOn: FreeOn = worker => capacity.freeOn(worker)
     const slotsOf = (worker: WorkerLink) => slotsOn(step, [worker], freeOn)
     const width = step.tasks.length
@@ -295,7 +295,7 @@
       advice.request(step, policy, chosen.filter(worker => advice.ticket(step, worker, this.now) === undefined))
       return
     }
-    const share = advice.approvalShare(queue.name)
+    const share = advice.approvalShare(policy)
     const unanswered = open.filter(worker => !advice.isAnswered(step, worker))
     if (approvedSlots + share * slotsOn(step, unanswered, freeOn) < width) return
     step.waitTimes.note('tickets', this.now)
