--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -13,8 +13,10 @@
 const MAX_BACKLOG_MS = 60
 /** A call that is expected to take longer than this counts as a long call. */
 const LONG_CALL_MS = 100
-/** Share of the agents that may run long calls at the same time; a short call is over in a small part of their time, so that few agents serve many. */
-const LONG_CALL_SHARE = 0.9
+/** Share of the agents that may run long calls at the same time, so that short calls find a free agent. */
+const LONG_CALL_SHARE = 0.6
+/** Share of the agents with a call from which on they are scarce: each step gets one call at a time, so that all get their turn. */
+const SCARCE_SHARE = 0.5
 
 /** A daemon that calls the placement policy service. The service handles one call at a time from each VM. */
 export interface AdviceAgent {
@@ -130,6 +132,14 @@
     return this.nextAgent(isLongCall(expectedCallMs(policy, 1)), now) !== undefined
   }
 
+  /** Whether so many agents are busy that no step should have several calls at a time. */
+  areAgentsScarce (now: number): boolean {
+    const agents = this.options.agents()
+    let busy = 0
+    for (const agent of agents) if (this.loadOf(agent).backlogMs > 0 || this.loadOf(agent).notBefore > now) busy++
+    return busy >= SCARCE_SHARE * agents.length
+  }
+
   load (): AdviceLoad {
     const agents = this.options.agents()
     const now = this.options.clock.now()
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -61,8 +61,8 @@
 const LASTING_RUN_WEIGHT = 1_000
 /** Factor by which the slots that tickets are requested for exceed those that a gang needs: other steps take some meanwhile. */
 const TICKET_SURPLUS = 1.25
-/** Maximum number of workers named for a step whose tasks start one by one: more tickets would expire unused. */
-const MAX_WORKERS_FOR_SINGLE_TASKS = 40
+/** Maximum number of workers named for a step that has one call at a time. */
+const MAX_WORKERS_IN_SINGLE_CALL = 40
 /** Offset between the first workers of two consecutive advice calls. */
 const ROTATION_STEP = 7
 
@@ -211,7 +211,7 @@
     const startable = queue.advice === undefined ? empty : empty.filter(worker => advice.ticket(step, worker, this.now) !== undefined)
     const worker = this.bestWorker(step, startable, candidateWorker => round.capacity.freeOn(candidateWorker), task)
     if (worker !== undefined) return worker
-    if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty.slice(0, MAX_WORKERS_FOR_SINGLE_TASKS))
+    if (queue.advice !== undefined && empty.length > 0 && !advice.isPending(step) && advice.hasFreeAgent(queue.advice, this.now)) advice.request(step, queue.advice, empty.slice(0, MAX_WORKERS_IN_SINGLE_CALL))
     const emptiest = minBy(eligible, worker => worker.runs.size + (hostsStep(worker, step => step.spec.longRunning) ? LASTING_RUN_WEIGHT : 0))
     if (emptiest !== undefined) round.reservedFor.set(emptiest, RESERVED_FOR_ALONE)
     return undefined
@@ -259,7 +259,7 @@
     step.waitTimes.note('tickets', this.now)
     const approved = withCapacity.filter(worker => advice.isApproved(step, worker))
     const preferred = approved.length > 0 ? approved : this.rotate(withCapacity, capacity.all().filter(isOpen))
-    advice.request(step, queue.advice, preferred.slice(0, MAX_WORKERS_FOR_SINGLE_TASKS))
+    advice.request(step, queue.advice, preferred.slice(0, MAX_WORKERS_IN_SINGLE_CALL))
     return ticketed
   }
 
@@ -278,9 +278,9 @@
     step.waitTimes.note('room', this.now)
     if (slotsOn(step, ticketed, freeOn) >= width) return
     const isPending = advice.isPending(step)
-    // Further calls for the same gang would take processor time from starts and commits.
-    const mustAwaitAnswer = isPending && this.options.isProcessorFull()
-    if (mustAwaitAnswer || !advice.hasFreeAgent(policy, this.now)) {
+    // Further calls for the same gang would take agents from other steps, and processor time from starts and commits.
+    const mayCallSideBySide = !advice.areAgentsScarce(this.now) && !this.options.isProcessorFull()
+    if ((isPending && !mayCallSideBySide) || !advice.hasFreeAgent(policy, this.now)) {
       step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
       return
     }
@@ -288,6 +288,12 @@
     if (slotsOn(step, open, freeOn) < width) return
     const approved = open.filter(worker => advice.isApproved(step, worker))
     const approvedSlots = slotsOn(step, approved, freeOn)
+    if (!mayCallSideBySide) {
+      step.waitTimes.note('tickets', this.now)
+      const isOpen = (worker: WorkerLink) => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker)
+      advice.request(step, policy, (approvedSlots >= width ? approved : this.rotate(open, capacity.all().filter(isOpen))).slice(0, MAX_WORKERS_IN_SINGLE_CALL))
+      return
+    }
     const wantedSlots = width * TICKET_SURPLUS
     if (approvedSlots >= width) {
       step.waitTimes.note('tickets', this.now)
