--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -264,52 +264,57 @@
   }
 
   /**
-   * Requests the tickets that a gang lacks, if the cell has room for it: for workers that were approved before, where
-   * these have enough room, and otherwise for as many others as are expected to make up for it. Calls for one gang run
-   * side by side, since its tickets must be valid at the same time.
+   * Requests the tickets that a gang lacks, if the cell has room for it. Its tickets must be valid at the same time, so
+   * several calls run side by side, unless they would take agents from other steps or processor time from starts and
+   * commits.
    */
   private requestForGang (candidate: Candidate, round: SchedulingRound, policy: AdvicePolicy, ticketed: readonly WorkerLink[]) {
-    const { advice } = this.options
+    const { advice, isProcessorFull } = this.options
     const { capacity } = round
     const { step } = candidate
     const freeOn: FreeOn = worker => capacity.freeOn(worker)
-    const slotsOf = (worker: WorkerLink) => slotsOn(step, [worker], freeOn)
     const width = step.tasks.length
     step.waitTimes.note('room', this.now)
     if (slotsOn(step, ticketed, freeOn) >= width) return
     const isPending = advice.isPending(step)
-    // Further calls for the same gang would take agents from other steps, and processor time from starts and commits.
-    const mayCallSideBySide = !advice.areAgentsScarce(this.now) && !this.options.isProcessorFull()
+    const mayCallSideBySide = !advice.areAgentsScarce(this.now) && !isProcessorFull()
     if ((isPending && !mayCallSideBySide) || !advice.hasFreeAgent(policy, this.now)) {
       step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
       return
     }
-    const open = capacity.withRoomFor(step.need).filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker) && slotsWithinLimit(step, worker) > 0)
+    const isOpen = (worker: WorkerLink) => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker)
+    const open = capacity.withRoomFor(step.need).filter(worker => isOpen(worker) && slotsWithinLimit(step, worker) > 0)
     if (slotsOn(step, open, freeOn) < width) return
     const approved = open.filter(worker => advice.isApproved(step, worker))
-    const approvedSlots = slotsOn(step, approved, freeOn)
-    if (!mayCallSideBySide) {
-      step.waitTimes.note('tickets', this.now)
-      const isOpen = (worker: WorkerLink) => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker)
-      advice.request(step, policy, (approvedSlots >= width ? approved : this.rotate(open, capacity.all().filter(isOpen))).slice(0, MAX_WORKERS_IN_SINGLE_CALL))
-      return
-    }
+    const named = mayCallSideBySide
+      ? this.workersForWidth(step, policy, { open, approved, freeOn })
+      : (slotsOn(step, approved, freeOn) >= width ? approved : this.rotate(open, capacity.all().filter(isOpen))).slice(0, MAX_WORKERS_IN_SINGLE_CALL)
+    if (isPending || named.length > 0) step.waitTimes.note('tickets', this.now)
+    advice.request(step, policy, named)
+  }
+
+  /**
+   * Workers to name so that a gang has tickets for all of its tasks: those without a ticket among the approved ones, if
+   * these have enough room, and otherwise as many new ones as are expected to make up for it.
+   */
+  private workersForWidth (step: Step, policy: AdvicePolicy, { open, approved, freeOn }: { readonly open: readonly WorkerLink[], readonly approved: readonly WorkerLink[], readonly freeOn: FreeOn }): readonly WorkerLink[] {
+    const { advice } = this.options
+    const width = step.tasks.length
     const wantedSlots = width * TICKET_SURPLUS
+    const slotsOf = (worker: WorkerLink) => slotsOn(step, [worker], freeOn)
+    const approvedSlots = slotsOn(step, approved, freeOn)
     if (approvedSlots >= width) {
-      step.waitTimes.note('tickets', this.now)
-      const chosen = takeSlots([...approved].sort((a, b) => slotsOf(b) - slotsOf(a)), slotsOf, wantedSlots)
-      advice.request(step, policy, chosen.filter(worker => advice.ticket(step, worker, this.now) === undefined))
-      return
+      const mostSlotsFirst = [...approved].sort((a, b) => slotsOf(b) - slotsOf(a))
+      return takeSlots(mostSlotsFirst, slotsOf, wantedSlots).filter(worker => advice.ticket(step, worker, this.now) === undefined)
     }
     const share = advice.approvalShare(policy)
     const unanswered = open.filter(worker => !advice.isAnswered(step, worker))
-    if (approvedSlots + share * slotsOn(step, unanswered, freeOn) < width) return
-    step.waitTimes.note('tickets', this.now)
+    if (approvedSlots + share * slotsOn(step, unanswered, freeOn) < width) return []
     const asked = unanswered.filter(worker => advice.isAsked(step, worker))
     const unknown = unanswered.filter(worker => !advice.isAsked(step, worker))
     const missingSlots = wantedSlots - approvedSlots - share * slotsOn(step, asked, freeOn)
-    if (missingSlots <= 0 || unknown.length === 0) return
-    advice.request(step, policy, takeSlots(this.rotate(unknown, []), worker => share * slotsOf(worker), missingSlots))
+    if (missingSlots <= 0 || unknown.length === 0) return []
+    return takeSlots(this.rotate(unknown, []), worker => share * slotsOf(worker), missingSlots)
   }
 
   /**
