--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -215,6 +215,7 @@
     if (isLongCall(expectedMs)) load.hasLongCall = false
     this.nextAgents.clear()
     const now = clock.now()
+    if (res.ok) step.job.hops?.note('ticketed', clock.date().getTime())
     if (res.err) {
       load.notBefore = now + AGENT_BACKOFF_MS
       log.warn('Placement advice call failed.', { step: name, agent: agent.name, workers: requested.length, tookMs: Math.round(now - sentAt), verdict: res.val.verdict, reason: res.val.reason })
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,5 +1,6 @@
 import { AvoidedWorkers } from './avoidedWorkers.js'
 import { CrashRecord } from './crashRecord.js'
+import { HopTimes } from './hopTimes.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
 import type { JobProgress, StepProgress, StoredOpenRun } from './storedProgress.js'
@@ -361,6 +362,8 @@
   progressVersion = 0
   /** Input of the tasks. Undefined until read from the store if this leader wasn't notified of the admission. */
   payload: string | undefined
+  /** Times at which the job passed its stations on this leader; undefined unless the job is followed. */
+  readonly hops: HopTimes | undefined
   /** The queue as it was when the job was admitted; undefined if the job's row doesn't say it. */
   readonly admissionQueue: JobQueue | undefined
 
@@ -371,6 +374,7 @@
     readonly version: number
   ) {
     const { queue: name, service, terms } = record
+    this.hops = HopTimes.create(id, record.admittedAtMs)
     this.admissionQueue = terms === undefined ? undefined : { ...terms, name, service }
   }
 
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -214,6 +214,7 @@
       return
     }
     this.jobs.admit(jobId, record, payload, version)
+    this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
     this.scheduleRound()
   }
 
@@ -333,11 +334,16 @@
     this.scheduleRound()
   }
 
+  private unixMs (): number {
+    return this.options.clock.date().getTime()
+  }
+
   // Decisions
 
   private recordStarted (step: Step, runs: readonly Run[]) {
     const { metrics, clock } = this.options
-    const ageMs = clock.date().getTime() - step.job.record.admittedAtMs
+    const ageMs = this.unixMs() - step.job.record.admittedAtMs
+    step.job.hops?.note('planned', this.unixMs())
     metrics.count('runs_started', runs.length)
     this.loadReport.recordStarts(runs.length)
     metrics.observe('admission_to_start_ms', ageMs)
@@ -439,6 +445,7 @@
     const decidedAt = clock.now()
     const queue = this.queueOf(job)
     job.outcome = outcome
+    job.hops?.note('ended', this.unixMs())
     metrics.count(`jobs_${outcome}`)
     metrics.observe('admission_to_end_ms', clock.date().getTime() - job.record.admittedAtMs)
     for (const run of [...job.runs()]) run.worker.stop(run)
@@ -446,6 +453,8 @@
     this.stage(job).then(() => {
       this.jobs.markOutcomeStored(job, outcome)
       this.log.info('Job ended.', { job: job.id, queue: job.record.queue, outcome, ageMs: clock.date().getTime() - job.record.admittedAtMs, objectiveMs: queue === undefined ? undefined : objectiveMsOf(job, queue), storedAfterMs: Math.round(clock.now() - decidedAt) })
+      job.hops?.note('stored', this.unixMs())
+      if (job.hops !== undefined) this.log.info('Hops of a job.', { job: job.id, queue: job.record.queue, ...job.hops.sinceAdmissionMs() })
     })
   }
 
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -407,6 +407,8 @@
     const { clock, log, events } = this.options
     await mayBeSent
     if (!this.isTracked(run)) return
+    const hops = run.task?.step.job.hops
+    hops?.note('recorded', clock.date().getTime())
     // The worker, the lease and the configuration may have changed meanwhile.
     if (run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this, run)) {
       this.removeRun(run)
@@ -414,6 +416,7 @@
       return
     }
     run.markSent(clock.now())
+    hops?.note('sent', clock.date().getTime())
     const leaseUntilMs = this.nextLeaseUntilMs()
     const res = await this.startHedge.call(() => this.startOnce(run, {
       task: run.id, run: run.number, payload, fencingToken: run.fencingToken, leaseUntilMs, checkpoint: run.checkpoint, ticket
@@ -422,6 +425,7 @@
     if (res.ok) {
       run.confirmedAtMs = res.val
       run.markRunning()
+      hops?.note('confirmed', clock.date().getTime())
       return
     }
     if (res.val.verdict !== 'not-run') {
