fix(cell): a start waits for its row only under a task with a crash, or while the store refuses rows; outcomes are stored first

Cause: each run of a round was held back until its row was stored, for up to 150 ms, on the way of a job that has half a second beyond its work. Callers got their confirmation late. Outcomes queued behind those rows, one transaction at a time. Change: the row of a start is staged and the start goes on. A task under which a worker has crashed, and any task while the store refuses rows, still waits. What is given up: a leader that dies before the row is stored (40 ms and a transaction), together with the worker that has the run, hides one crash; each such pair of deaths allows one start more. Rows of starts are collected for 40 ms instead of 12, without a timer and a promise each; outcomes go into the next transaction however many rows wait.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -79,3 +79,17 @@
   t.is(stored(), undefined)
   stop()
 })
+
+// Guards against SHORT (issue 53): outcomes queued behind the rows of starts, one transaction after another.
+test('outcomes go into the next transaction, however many starts were queued before them', async t => {
+  const { clock, commits, job, stop } = createCommitQueue()
+  const others = Array.from({ length: 200 }, (_, index) => Job.create(`00000000000001${(16 + index).toString(16)}`, job.record, 1))
+  for (const other of others) commits.enqueue(other, 'start')
+  await clock.advance(40)
+  job.outcome = 'completed'
+  let isStored = false
+  commits.stage(job).then(() => { isStored = true }).catch(() => {})
+  await clock.advance(20)
+  t.true(isStored)
+  stop()
+})
--- a/packages/cell/src/__tests__/oldConfiguration.test.ts
+++ b/packages/cell/src/__tests__/oldConfiguration.test.ts
@@ -55,6 +55,9 @@
 test('a start that had to wait is not sent at a service that its queue has left', async t => {
   const { cell, other } = await createCell()
   cell.store.writeFault = tx => tx.puts.some(({ table }) => table === TABLES.progress) ? { kind: 'refused' } : undefined
+  // Starts wait for their rows only from the first refusal on.
+  await cell.submit(other, [createStep()])
+  await cell.clock.advance(START_WITHIN_MS)
   const jobId = await cell.submit(other, [createStep()])
   await cell.clock.advance(START_WITHIN_MS)
   cell.publishQueues([MOVED_QUEUE])
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
-import { COMMIT_BATCH_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
+import { COMMIT_AWAITED_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, COMMIT_START_DELAY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
 import type { Job } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
 import { decodeProgress } from './storedProgress.js'
@@ -30,10 +30,26 @@
 /** `failed`: to be sent again as it is; `rejected`: the store can't take what it contains. */
 type CommitOutcome = 'stored' | 'failed' | 'rejected'
 
+/**
+ * Why a change of a job is stored: a caller or a task waits for it, as for an outcome, a successor has to know of a start
+ * soon, or of other progress at some time.
+ */
+export type ChangeKind = 'awaited' | 'start' | 'progress'
+
+/** Delay before a change is stored, so that others join the transaction, in milliseconds. */
+const DELAYS_MS: Readonly<Record<ChangeKind, number>> = {
+  awaited: COMMIT_AWAITED_DELAY_MS,
+  start: COMMIT_START_DELAY_MS,
+  progress: COMMIT_PROGRESS_DELAY_MS
+}
+
 /** What waits for a job to be stored. */
 export interface StageOptions {
-  /** Whether the job is stored without waiting for further changes that could join the transaction. */
-  readonly isUrgent?: boolean
+  /**
+   * What has changed.
+   * @default `awaited` if the job has an outcome, else `progress`
+   */
+  readonly kind?: ChangeKind
   /** Whether to go on without the row if the store is slow to answer, or rejects what the row contains; not if it refuses the call. */
   readonly isBestEffort?: boolean
 }
@@ -45,7 +61,8 @@
 
 interface StagedJob {
   readonly job: Job
-  isUrgent: boolean
+  /** Monotonic time in milliseconds by which the job is stored, unless other transactions delay it. */
+  dueAt: number
   waiters: Waiter[]
 }
 
@@ -62,6 +79,8 @@
   private isStopped = false
   private wakeUp: (() => void) | undefined
   private endDelay: (() => void) | undefined
+  /** Monotonic time in milliseconds at which the batch that is being collected is stored. */
+  private batchDueAt = Infinity
 
   private constructor (private readonly options: CommitQueueOptions) {}
 
@@ -69,14 +88,15 @@
     return new CommitQueue(options)
   }
 
+  /** Queues the job to be stored, without waiting for it. */
+  enqueue (job: Job, kind: ChangeKind = kindOf(job)): void {
+    this.entryFor(job, kind)
+  }
+
   /** Queues the job to be stored. Resolves when its current state or a newer one is stored. */
-  stage (job: Job, { isUrgent = false, isBestEffort = false }: StageOptions = {}): Promise<void> {
+  stage (job: Job, { kind = kindOf(job), isBestEffort = false }: StageOptions = {}): Promise<void> {
     if (isBestEffort && this.rejectedJobs.has(job)) return Promise.resolve()
-    const entry = this.staged.get(job) ?? { job, isUrgent, waiters: [] }
-    entry.isUrgent ||= isUrgent
-    this.staged.set(job, entry)
-    this.wakeUp?.()
-    if (isUrgentEntry(entry)) this.endDelay?.()
+    const entry = this.entryFor(job, kind)
     return new Promise(resolve => {
       if (!isBestEffort) {
         entry.waiters.push({ resolve, isBestEffort })
@@ -99,6 +119,11 @@
     })
   }
 
+  /** Whether the store has refused the latest transaction, so that rows that are staged now may not be stored soon. */
+  isRefusedByStore (): boolean {
+    return this.isRefused
+  }
+
   /** Number of jobs waiting to be stored, without those in the current transaction. */
   size (): number {
     return this.staged.size
@@ -109,11 +134,12 @@
     signal.addEventListener('abort', () => {
       this.isStopped = true
       this.wakeUp?.()
+      this.endDelay?.()
     }, { once: true })
     while (!signal.aborted) {
       if (this.staged.size === 0) await new Promise<void>(resolve => { this.wakeUp = resolve })
       if (signal.aborted) return
-      await this.delayBatch(signal)
+      await this.delayBatch()
       if (!await this.storeBatch(this.dequeueBatch())) await clock.sleep(COMMIT_RETRY_MS, signal)
     }
   }
@@ -159,36 +185,40 @@
     })
   }
 
-  /**
-   * Waits for further changes that can join the transaction. Callers wait for outcomes, and some starts for their record;
-   * the other changes are needed only by a successor.
-   */
-  private async delayBatch (signal: AbortSignal) {
+  private entryFor (job: Job, kind: ChangeKind): StagedJob {
+    const dueAt = this.options.clock.now() + DELAYS_MS[kind]
+    const entry = this.staged.get(job) ?? { job, dueAt, waiters: [] }
+    entry.dueAt = Math.min(entry.dueAt, dueAt)
+    this.staged.set(job, entry)
+    this.wakeUp?.()
+    if (dueAt < this.batchDueAt) this.endDelay?.()
+    return entry
+  }
+
+  /** Waits for further changes that can join the transaction, until the first one is due. */
+  private async delayBatch () {
     const { clock } = this.options
-    const isUrgent = () => [...this.staged.values()].some(isUrgentEntry)
-    if (!isUrgent()) {
+    for (;;) {
+      this.batchDueAt = Math.min(...[...this.staged.values()].map(({ dueAt }) => dueAt))
+      const remainingMs = this.batchDueAt - clock.now()
+      if (remainingMs <= 0 || this.isStopped) return
       await new Promise<void>(resolve => {
-        const cancel = clock.after(COMMIT_PROGRESS_DELAY_MS, resolve)
+        const cancel = clock.after(remainingMs, resolve)
         this.endDelay = () => {
           cancel()
           resolve()
         }
       })
       this.endDelay = undefined
-      if (!isUrgent()) return
     }
-    await clock.sleep(COMMIT_BATCH_DELAY_MS, signal)
   }
 
+  /** Takes the jobs of the next transaction, those with an outcome first: callers wait for them. */
   private dequeueBatch (): readonly StagedJob[] {
-    const batch: StagedJob[] = []
-    let entries = 0
-    for (const entry of this.staged.values()) {
-      if (entries + ENTRIES_PER_JOB > MAX_TRANSACTION_ENTRIES) break
-      entries += ENTRIES_PER_JOB
-      batch.push(entry)
-      this.staged.delete(entry.job)
-    }
+    const entries = [...this.staged.values()]
+    const batch = [...entries.filter(({ job }) => job.outcome !== undefined), ...entries.filter(({ job }) => job.outcome === undefined)]
+      .slice(0, Math.floor(MAX_TRANSACTION_ENTRIES / ENTRIES_PER_JOB))
+    for (const { job } of batch) this.staged.delete(job)
     return batch
   }
 
@@ -199,7 +229,7 @@
       return
     }
     newer.waiters.push(...entry.waiters)
-    newer.isUrgent ||= entry.isUrgent
+    newer.dueAt = Math.min(newer.dueAt, entry.dueAt)
   }
 
   private async commit (batch: readonly StagedJob[]): Promise<CommitOutcome> {
@@ -239,8 +269,8 @@
   }
 }
 
-function isUrgentEntry ({ job, isUrgent }: StagedJob): boolean {
-  return isUrgent || job.outcome !== undefined
+function kindOf (job: Job): ChangeKind {
+  return job.outcome === undefined ? 'progress' : 'awaited'
 }
 
 function storedProgressOf (job: Job, clock: Clock): StoredProgress {
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -51,9 +51,11 @@
 export const LOAD_TIMEOUT_MS = 4_000
 /** Interval between reads of changes, which find those whose notification was lost. */
 export const CHANGES_POLL_INTERVAL_MS = 1_000
-/** Delay before the leader commits the outcome of a job, so that further changes join the same transaction. */
-export const COMMIT_BATCH_DELAY_MS = 12
-/** The same delay while no outcome is waiting. */
+/** Delay before the leader commits a change that something waits for, so that further changes join the same transaction. */
+export const COMMIT_AWAITED_DELAY_MS = 12
+/** The same for the row of a start: until it is stored, a successor doesn't know of the run. */
+export const COMMIT_START_DELAY_MS = 40
+/** The same for other progress. */
 export const COMMIT_PROGRESS_DELAY_MS = 100
 export const COMMIT_RETRY_MS = 150
 /** Code of the failure of a transaction that the store can't take, whenever it is sent. */
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -265,8 +265,12 @@
     if (task === undefined) return
     const { id: workerId, born } = link.entry
     task.step.recordStart(task, { number, workerId, born, startedAtMs: this.options.clock.date().getTime() })
-    // A successor must know of the run before the worker can crash under it.
-    await this.stage(task.step.job, { isUrgent: true, isBestEffort: !task.crashes().isSuspect() })
+    const { job } = task.step
+    const commitQueue = this.commitQueueOf(job)
+    // Each start of a task with a crash counts against it, so a successor must know of the run before the worker can crash under it.
+    if (task.crashes().isSuspect()) await commitQueue?.stage(job, { kind: 'awaited' })
+    else if (this.commitQueues.some(queue => queue.isRefusedByStore())) await commitQueue?.stage(job, { kind: 'start', isBestEffort: true })
+    else commitQueue?.enqueue(job, 'start')
   }
 
   mayStart (link: WorkerLink, { task }: Run): boolean {
@@ -415,7 +419,7 @@
   /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
   private holdUntilStored (task: Task) {
     task.isHeld = true
-    this.stage(task.step.job, { isUrgent: true })
+    this.stage(task.step.job, { kind: 'awaited' })
       .catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
       .finally(() => {
         task.isHeld = false
@@ -465,12 +469,16 @@
 
   /** Resolves when the current state of the job is stored. */
   private async stage (job: Job, options?: StageOptions): Promise<void> {
-    await this.commitQueues[leaderPartitionOf(job.id)]?.stage(job, options)
+    await this.commitQueueOf(job)?.stage(job, options)
   }
 
   /** Stores a change that a successor should know of, and that nothing waits for. */
   private stageChange ({ isDone, step }: Task) {
-    if (!isDone && step.job.outcome === undefined) this.stage(step.job)
+    if (!isDone && step.job.outcome === undefined) this.commitQueueOf(step.job)?.enqueue(step.job)
+  }
+
+  private commitQueueOf (job: Job): CommitQueue | undefined {
+    return this.commitQueues[leaderPartitionOf(job.id)]
   }
 
   private commitsWaiting (): number {
--- a/packages/cell/src/testing/index.ts
+++ b/packages/cell/src/testing/index.ts
@@ -1,4 +1,5 @@
 export * from './audit.js'
+export * from './busyLoop.js'
 export * from './crashPlan.js'
 export * from './memoryStore.js'
 export * from './memoryVms.js'
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -65,10 +65,18 @@
   readonly behaviour?: (task: TaskId, run: number, worker: WorkerEntry) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agents?: readonly AdviceAgent[]
   readonly vms?: VmService
+  /**
+   * Carries the calls of daemons to the store and to workers; `zone` is that of the worker.
+   * @default calls that take no time on the way
+   */
+  readonly carryCall?: CarryCall
   /** Minimum length of job payloads; shorter ones are padded. */
   readonly minPayloadLength?: number
 }
 
+/** Makes a call of a daemon to the store or a worker, for instance over a simulated network. */
+export type CarryCall = <T>(target: { readonly store: true } | { readonly zone: string }, call: () => Promise<T>) => Promise<T>
+
 /** Daemon of an in-memory cell, without network listeners. */
 export interface TestDaemon {
   readonly name: string
@@ -152,6 +160,7 @@
     const store = HedgedStore.create(unhedgedStore, clock)
     let hasCrashed = false
     const ifAlive = <T>(call: () => Promise<T>) => hasCrashed ? new Promise<T>(() => {}) : call()
+    const carry: CarryCall = options.carryCall ?? (async (_target, call) => call())
     const metrics = MemoryMetrics.create()
     const config = ConfigInForce.create({ storeClock: () => store.clockMs(), clock, log: silentLogs.for('config') })
     const readConfig = async (): Promise<Result<ConfigReading, Failure>> => {
@@ -203,9 +212,9 @@
           mayPredecessorBeActive: isEarly,
           holder: `${name}/${this.daemons.length}`,
           ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
-          store: guardStore(store, ifAlive),
+          store: guardStore(store, call => ifAlive(() => carry({ store: true }, call))),
           directory,
-          clients: guardClients(workers, ifAlive),
+          clients: guardClients(workers, (zone, call) => ifAlive(() => carry({ zone }, call))),
           agents: () => options.agents ?? [],
           queue: name => config.queue(name),
           isConfigConfirmed: () => configWatch.isConfirmed(),
@@ -305,10 +314,11 @@
   }
 }
 
-function guardClients (clients: WorkerClients, guard: Guard): WorkerClients {
+function guardClients (clients: WorkerClients, guardCall: <T>(zone: string, call: () => Promise<T>) => Promise<T>): WorkerClients {
   return {
     create: entry => {
       const client = clients.create(entry)
+      const guard: Guard = call => guardCall(entry.zone, call)
       return {
         heartbeat: (cmd, timeoutMs) => guard(() => client.heartbeat(cmd, timeoutMs)),
         start: (cmd, timeoutMs) => guard(() => client.start(cmd, timeoutMs)),
