fix(cell): the daemon that takes a job asks for its first tickets while the admission is stored

Cause: a short job waited 164 ms of 261 to its first start for tickets, though a call takes 25 ms: the leader was notified, waited for a round, called an agent that may be a region away, and waited for another round, each time behind a busy loop. Callers got their confirmation late. Change: the daemon calls the placement policy service beside its own transaction, for short calls only and only while no other call of it is pending, and hands the answers over with the notification; the leader asks for what is missing as before. It names workers that the leader suggested in its answer to the notification before, those with the most room, other ones each time. Ruled out: doing the same for long calls, which would take agents that the leader counts on.

--- a/packages/cell/src/__tests__/leader.test.ts
+++ b/packages/cell/src/__tests__/leader.test.ts
@@ -300,7 +300,7 @@
   await cell.advanceUntil(() => cell.leader() !== undefined)
   const leader = cell.leader()
   if (leader === undefined) throw new Error('no leader')
-  leader.admitted = () => {}
+  leader.admitted = () => []
   const jobs = [await cell.submit(first, [createStep()])]
   cell.store.loseHistory()
   jobs.push(await cell.submit(first, [createStep()]))
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -3,6 +3,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import type { Result } from '@citronnotch/base/result'
 import { ADVICE_TIMEOUT_MS, AGENT_BACKOFF_MS, MAX_ADVICE_WORKERS, TICKET_EXPIRY_MARGIN_MS } from './constants.js'
+import type { StepAnswers } from './earlyAdvice.js'
 import type { Step } from './jobs.js'
 import type { Approvals } from './ports.js'
 import { formatStepId } from './types.js'
@@ -172,7 +173,7 @@
    * among several calls, as far as agents are free.
    */
   request (step: Step, policy: AdvicePolicy, workers: readonly WorkerLink[]): void {
-    const advice = this.steps.get(step) ?? { tickets: new Map<string, Ticket>(), answeredIds: new Set<string>(), pendingIds: new Set<string>(), pendingCalls: 0 }
+    const advice = this.adviceOf(step)
     const requested = workers.filter(worker => !advice.pendingIds.has(worker.id) && !this.isRefused(step, worker))
     const calls = Math.ceil(requested.length / MAX_ADVICE_WORKERS)
     const callSize = Math.ceil(requested.length / calls)
@@ -186,6 +187,14 @@
     }
   }
 
+  /** Takes over answers that another daemon got, at the monotonic time `answeredAt` in milliseconds. */
+  addAnswers (step: Step, policy: AdvicePolicy, { workerIds, approved }: Pick<StepAnswers, 'workerIds' | 'approved'>, answeredAt: number, workerOf: (id: string) => WorkerLink | undefined): void {
+    const advice = this.adviceOf(step)
+    this.steps.set(step, advice)
+    const known = workerIds.flatMap(id => workerOf(id) ?? [])
+    this.record(advice, policy, known, new Map(approved), answeredAt)
+  }
+
   /** Makes the ticket unusable; the worker still counts as approved. */
   invalidateTicket (step: Step, worker: WorkerLink): void {
     const advice = this.steps.get(step)
@@ -221,16 +230,26 @@
       log.warn('Placement advice call failed.', { step: name, agent: agent.name, workers: requested.length, tookMs: Math.round(now - sentAt), verdict: res.val.verdict, reason: res.val.reason })
       return
     }
+    this.record(advice, policy, requested, res.val, now)
+    log.debug('Advice received.', { step: name, agent: agent.name, workers: requested.length, approved: res.val.size, tookMs: Math.round(now - sentAt) })
+  }
+
+  /** Records which of the named workers were approved; `answeredAt` is a monotonic time in milliseconds. */
+  private record (advice: StepAdvice, policy: AdvicePolicy, named: readonly WorkerLink[], approvals: Approvals, answeredAt: number) {
     const answers = this.answersOf(policy)
-    answers.approved += res.val.size
-    answers.total += requested.length
-    const expiresAt = now + policy.validityMs - TICKET_EXPIRY_MARGIN_MS
-    for (const { id, entry } of requested) {
+    answers.total += named.length
+    const expiresAt = answeredAt + policy.validityMs - TICKET_EXPIRY_MARGIN_MS
+    for (const { id, entry } of named) {
       advice.answeredIds.add(id)
-      const text = res.val.get(id)
-      if (text !== undefined) advice.tickets.set(id, { text, born: entry.born, expiresAt })
+      const text = approvals.get(id)
+      if (text === undefined) continue
+      answers.approved++
+      advice.tickets.set(id, { text, born: entry.born, expiresAt })
     }
-    log.debug('Advice received.', { step: name, agent: agent.name, workers: requested.length, approved: res.val.size, tookMs: Math.round(now - sentAt) })
+  }
+
+  private adviceOf (step: Step): StepAdvice {
+    return this.steps.get(step) ?? { tickets: new Map<string, Ticket>(), answeredIds: new Set<string>(), pendingIds: new Set<string>(), pendingCalls: 0 }
   }
 
   /** Returns the agent with the smallest backlog, or undefined if no agent can take the call. */
@@ -269,10 +288,11 @@
 }
 
 /** Expected duration of a call that names this many workers, in milliseconds. */
-function expectedCallMs ({ decisionMs, perWorkerMs }: AdvicePolicy, workers: number): number {
+export function expectedCallMs ({ decisionMs, perWorkerMs }: AdvicePolicy, workers: number): number {
   return decisionMs + perWorkerMs * workers
 }
 
-function isLongCall (expectedMs: number): boolean {
+/** Whether a call takes its agent for so long that the leader has to decide who makes it. */
+export function isLongCall (expectedMs: number): boolean {
   return expectedMs > LONG_CALL_MS
 }
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -12,6 +12,7 @@
 import { ConfigWatch } from './configWatch.js'
 import type { ConfigBasis } from './configWatch.js'
 import { PEER_TIMEOUT_MS, SUCCESSOR_CALL_TIMEOUT_MS, SUCCESSOR_LOAD_TIMEOUT_MS, TASK_LEASE_MS } from './constants.js'
+import { EarlyAdvice } from './earlyAdvice.js'
 import { JobLoader } from './jobLoader.js'
 import { JobService } from './jobService.js'
 import type { LeaderClient } from './jobService.js'
@@ -22,6 +23,7 @@
 import { Membership } from './membership.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer, refusesConnections } from './peers.js'
+import { PolicyAgent } from './policyAgent.js'
 import { ProcessorLoad } from './processorLoad.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
@@ -83,6 +85,8 @@
   private readonly lease: LeaderLease
   private readonly peerClients = PeerClients.create()
   private readonly stopping = new AbortController()
+  private readonly policyAgent: PolicyAgent
+  private readonly earlyAdvice: EarlyAdvice
   private agents: readonly AdviceAgent[] = []
   private leader: Leader | undefined
   private peerServer: PeerServer | undefined
@@ -121,8 +125,10 @@
       refusesConnections: address => refusesConnections(address, CONNECT_TIMEOUT_MS),
       findSuccessor: () => this.membership.findSuccessor()
     })
-    this.agents = [this.localAgent()]
-    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), configVersion: () => this.config.version(), clock, log: logs.for('jobs'), metrics: this.metrics })
+    this.policyAgent = PolicyAgent.create(name, options.policyService)
+    this.earlyAdvice = EarlyAdvice.create({ agent: this.policyAgent, clock, log: logs.for('advice'), metrics: this.metrics })
+    this.agents = [this.policyAgent]
+    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), earlyAdvice: this.earlyAdvice, configVersion: () => this.config.version(), clock, log: logs.for('jobs'), metrics: this.metrics })
   }
 
   static create (options: CellDaemonOptions): CellDaemon {
@@ -226,9 +232,10 @@
 
   private leaderClient (): LeaderClient {
     return {
-      admitted: (jobId, record, payload, version) => {
-        if (this.leader !== undefined) this.leader.admitted(jobId, record, payload, version)
-        else this.callLeader('admitted', { jobId, record, payload, version })
+      admitted: job => {
+        const { service } = job.record
+        if (this.leader !== undefined) this.earlyAdvice.suggest(service, this.leader.admitted(job))
+        else this.callLeader('admitted', job).then(res => this.earlyAdvice.suggest(service, res?.workerIds ?? []))
       },
       cancelled: jobId => {
         if (this.leader !== undefined) this.leader.cancelled(jobId)
@@ -299,9 +306,9 @@
 
   private peerHandlers (): PeerHandlers {
     return {
-      admitted: ({ jobId, record, payload, version }) => {
-        this.leader?.admitted(jobId, record, payload, version)
-        return {}
+      admitted: job => {
+        const workerIds = this.leader?.admitted(job)
+        return workerIds === undefined ? {} : { workerIds }
       },
       submit: async ({ jobId, record, payload }) => toPeerOutcome(await this.jobs.admitInStore(jobId, record, payload, FORWARD_TIMEOUT_MS)),
       cancel: async ({ jobId }) => toPeerOutcome(await this.jobs.cancelInStore(jobId, FORWARD_TIMEOUT_MS)),
@@ -325,22 +332,12 @@
       },
       takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(holder) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
-        const res = await this.localAgent().approve(step, workerIds, timeoutMs)
+        const res = await this.policyAgent.approve(step, workerIds, timeoutMs)
         return res.ok ? { approved: [...res.val] } : { reason: res.val.reason }
       }
     }
   }
 
-  private localAgent (): AdviceAgent {
-    const { policyService, name } = this.options
-    return {
-      name,
-      approve: async (step, workerIds, timeoutMs) => policyService === undefined
-        ? Err(Failure.notRun('no-policy-service', 'No placement policy service is set.'))
-        : policyService.approve(step, workerIds, timeoutMs)
-    }
-  }
-
   private remoteAgent (name: string, address: string): AdviceAgent {
     return {
       name,
@@ -368,7 +365,7 @@
 
   private updateAgents () {
     const agentsByName = new Map(this.agents.map(agent => [agent.name, agent]))
-    this.agents = [this.localAgent(), ...this.membership.others().map(({ name, peerAddress }) => {
+    this.agents = [this.policyAgent, ...this.membership.others().map(({ name, peerAddress }) => {
       const agentName = `${name} ${peerAddress}`
       return agentsByName.get(agentName) ?? this.remoteAgent(agentName, peerAddress)
     })]
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -6,6 +6,7 @@
 import { STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
 import { encodeJob, termsOf } from './jobRecord.js'
+import type { EarlyAdvice, StepAnswers } from './earlyAdvice.js'
 import type { JobRecord } from './jobRecord.js'
 import type { CellMetrics } from './metrics.js'
 import type { RowStore, StoredRow } from './ports.js'
@@ -27,7 +28,7 @@
 /** Client of the cell's current leader, which may be another daemon. Every call may fail. */
 export interface LeaderClient {
   /** Notifies the leader that an admission is stored. */
-  admitted (jobId: string, record: JobRecord, payload: string, version: number): void
+  admitted (job: AdmittedJob): void
   /** Notifies the leader that a cancellation is stored. */
   cancelled (jobId: string): void
   /** Makes the leader admit a job. Used when this daemon can't reach the store. */
@@ -39,6 +40,17 @@
   pendingOf (queue: string): Promise<number | undefined>
 }
 
+/** A job whose admission is stored. */
+export interface AdmittedJob {
+  readonly jobId: string
+  readonly record: JobRecord
+  readonly payload: string
+  /** Version of the row that admitted the job. */
+  readonly version: number
+  /** Answers of the placement policy service that the daemon has got already. */
+  readonly answers?: readonly StepAnswers[]
+}
+
 /** State of a job according to the store. */
 interface StoredState {
   /** Row that admitted the job; undefined if it was moved to the ended jobs or there is no such job. */
@@ -51,6 +63,7 @@
   readonly store: RowStore
   readonly storeHealth: StoreHealth
   readonly leader: LeaderClient
+  readonly earlyAdvice?: EarlyAdvice
   /** Version of the configuration in force. */
   readonly configVersion: () => number
   readonly clock: Clock
@@ -83,7 +96,8 @@
 
   /** Admits a job through this daemon's connection to the store. */
   async admitInStore (jobId: string, record: JobRecord, payload: string, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { store, leader } = this.options
+    const { store, leader, earlyAdvice, storeHealth } = this.options
+    const early = storeHealth.isUnavailable() ? undefined : earlyAdvice?.ask(jobId, record, record.terms ?? {})
     const res = await this.retryWithinBudget(jobId, 'submit', budgetMs, () => store.transact({
       partition: admissionPartitionOf(jobId),
       expect: [{ table: TABLES.jobs, key: jobId, version: 0 }, { table: TABLES.ended, key: jobId, version: 0 }],
@@ -92,7 +106,10 @@
     }, STORE_TIMEOUT_MS))
     if (res.err) return res
     if (!res.val.committed) return Ok('known')
-    leader.admitted(jobId, record, payload, res.val.version)
+    const job: AdmittedJob = { jobId, record, payload, version: res.val.version }
+    // Nothing can start without tickets, so the leader loses no time; callers get their answer meanwhile.
+    if (early === undefined) leader.admitted(job)
+    else early.then(answers => leader.admitted({ ...job, answers }))
     return Ok('admitted')
   }
 
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -9,13 +9,14 @@
 import { CHANGES_POLL_INTERVAL_MS, LEADER_PARTITIONS, LEASE_TTL_MS, SCHEDULING_INTERVAL_MS, TABLES, TOKENS_PER_EPOCH, WORKER_RETRY_MS } from './constants.js'
 import type { ConfigBasis } from './configWatch.js'
 import { Dispatcher } from './dispatcher.js'
+import type { StepAnswers } from './earlyAdvice.js'
 import { runsToMove } from './evacuation.js'
 import { Janitor } from './janitor.js'
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { Job, Run, Step, Task } from './jobs.js'
-import type { JobRecord } from './jobRecord.js'
+import type { AdmittedJob } from './jobService.js'
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
 import { LoadReport } from './loadReport.js'
@@ -25,6 +26,7 @@
 import { PayloadLoader } from './payloads.js'
 import { RoundPacer } from './roundPacer.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
+import { SuggestedWorkers } from './suggestedWorkers.js'
 import { formatStepId, formatTaskId } from './types.js'
 import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
 import type { LossReason, UnsettledRun, WorkerEvents, WorkerLink } from './workerLink.js'
@@ -91,6 +93,7 @@
   private readonly stopping = new AbortController()
   private readonly janitor: Janitor
   private readonly maintenance: Maintenance | undefined
+  private readonly suggestedWorkers: SuggestedWorkers
   private readonly loader: JobLoader
   private readonly payloads: PayloadLoader
   private readonly loadReport: LoadReport
@@ -138,12 +141,14 @@
         clock,
         log: logs.for('maintenance')
       })
+    const isUsable = (worker: WorkerLink, now: number) => this.workers.isUsable(worker, now) && this.maintenance?.isDraining(worker.id) !== true
+    this.suggestedWorkers = SuggestedWorkers.create({ workers: () => this.workers.all(), isUsable })
     this.dispatcher = Dispatcher.create({
       epoch,
       workers: () => this.workers.all(),
       queue: job => this.queueOf(job),
       advice: this.advice,
-      isUsable: (worker, now) => this.workers.isUsable(worker, now) && this.maintenance?.isDraining(worker.id) !== true,
+      isUsable,
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
       requestPayload: job => this.payloads.request(job),
       isProcessorFull: options.isProcessorFull,
@@ -208,14 +213,19 @@
 
   // Commands
 
-  admitted (jobId: string, record: JobRecord, payload: string, version: number): void {
-    if (!this.isLoaded) {
-      this.deferredNotifications.push(() => this.admitted(jobId, record, payload, version))
-      return
+  /** Returns workers of the job's service that may have room for the next job. */
+  admitted (job: AdmittedJob): readonly string[] {
+    const { jobId, record, payload, version, answers = [] } = job
+    const receivedAt = this.options.clock.now()
+    const admit = () => {
+      this.jobs.admit(jobId, record, payload, version)
+      this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
+      for (const answer of answers) this.addAnswers(jobId, answer, receivedAt)
+      this.scheduleRound()
     }
-    this.jobs.admit(jobId, record, payload, version)
-    this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
-    this.scheduleRound()
+    if (this.isLoaded) admit()
+    else this.deferredNotifications.push(admit)
+    return this.suggestedWorkers.of(record.service, receivedAt)
   }
 
   cancelled (jobId: string): void {
@@ -338,6 +348,16 @@
     this.scheduleRound()
   }
 
+  private addAnswers (jobId: string, answers: StepAnswers, receivedAt: number) {
+    const job = this.jobs.get(jobId)
+    const steps = job?.occurrences.get(0)
+    const step = steps === undefined || steps === 'done' ? undefined : steps[answers.step]
+    const policy = job === undefined ? undefined : this.queueOf(job)?.advice
+    if (step === undefined || step.isDone() || policy === undefined) return
+    job?.hops?.note('ticketed', this.unixMs())
+    this.advice.addAnswers(step, policy, answers, receivedAt - answers.ageMs, id => this.workers.get(id))
+  }
+
   private unixMs (): number {
     return this.options.clock.date().getTime()
   }
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -9,6 +9,7 @@
 import type { Verdict } from '@citronnotch/base/verdict'
 import type { KnownConfig } from './configInForce.js'
 import type { JobRecord } from './jobRecord.js'
+import type { AdmittedJob } from './jobService.js'
 import type { Peer } from './membership.js'
 import type { JobState } from './types.js'
 
@@ -19,8 +20,8 @@
 
 /** Requests and responses between daemons, by method. */
 export interface PeerMethods {
-  /** Notifies the leader of a stored job, so that it doesn't have to wait for its next poll. */
-  admitted: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly payload: string, readonly version: number }, readonly res: Record<string, never> }
+  /** Notifies the leader of a stored job, so that it doesn't have to wait for its next poll. The leader suggests workers for the next job of the service. */
+  admitted: { readonly req: AdmittedJob, readonly res: { readonly workerIds?: readonly string[] } }
   /** Admits or cancels a job on behalf of a daemon that can't reach the store. */
   submit: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly payload: string }, readonly res: PeerOutcome<'admitted' | 'known'> }
   cancel: { readonly req: { readonly jobId: string }, readonly res: PeerOutcome<'cancelled' | 'unknown'> }
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -8,6 +8,7 @@
 import type { AdviceAgent } from '../advice.js'
 import { ConfigInForce } from '../configInForce.js'
 import { ConfigWatch } from '../configWatch.js'
+import { EarlyAdvice } from '../earlyAdvice.js'
 import { HedgedStore } from '../hedgedStore.js'
 import { STEP_DEFAULTS } from '../jobRecord.js'
 import { JobService } from '../jobService.js'
@@ -15,7 +16,8 @@
 import { Leader } from '../leader.js'
 import { LeaderLease } from '../leaderLease.js'
 import { MemoryMetrics } from '../metrics.js'
-import type { ConfigReading, Directory, RowStore, VmService, WorkerClients } from '../ports.js'
+import { PolicyAgent } from '../policyAgent.js'
+import type { ConfigReading, Directory, PolicyService, RowStore, VmService, WorkerClients } from '../ports.js'
 import { StoreHealth } from '../storeHealth.js'
 import type { CellConfig, JobSpec, MaintenanceWave, Queue, StepSpec, TaskId, WorkerEntry } from '../types.js'
 import { Audit } from './audit.js'
@@ -64,6 +66,11 @@
   readonly queues?: readonly Queue[]
   readonly behaviour?: (task: TaskId, run: number, worker: WorkerEntry) => { readonly durationMs: number, readonly end: 'done' | 'failed' }
   readonly agents?: readonly AdviceAgent[]
+  /**
+   * The placement policy service as a daemon reaches it.
+   * @default none
+   */
+  readonly policyServiceOf?: (daemon: string) => PolicyService
   readonly vms?: VmService
   /**
    * Carries the calls of daemons to the store and to workers; `zone` is that of the worker.
@@ -191,6 +198,7 @@
       log: silentLogs.for('config'),
       metrics
     })
+    const earlyAdvice = options.policyServiceOf === undefined ? undefined : EarlyAdvice.create({ agent: PolicyAgent.create(name, options.policyServiceOf(name)), clock, log: silentLogs.for('advice'), metrics })
     let leader: Leader | undefined
     const stopLeading = () => {
       leader?.stop()
@@ -241,7 +249,7 @@
       lease,
       config,
       leader: () => leader,
-      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(), configVersion: () => this.admittedByVersion ?? config.version(), clock, log: silentLogs.for('jobs'), metrics }),
+      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(earlyAdvice), ...(earlyAdvice === undefined ? {} : { earlyAdvice }), configVersion: () => this.admittedByVersion ?? config.version(), clock, log: silentLogs.for('jobs'), metrics }),
       kill: () => {
         abortController.abort()
         stopLeading()
@@ -291,9 +299,12 @@
     return condition()
   }
 
-  private createLeaderClient (): LeaderClient {
+  private createLeaderClient (earlyAdvice: EarlyAdvice | undefined): LeaderClient {
     return {
-      admitted: (jobId, record, payload, version) => this.leader()?.admitted(jobId, record, payload, version),
+      admitted: job => {
+        const workerIds = this.leader()?.admitted(job) ?? []
+        earlyAdvice?.suggest(job.record.service, workerIds)
+      },
       cancelled: jobId => this.leader()?.cancelled(jobId),
       submit: async (jobId, record, payload) => this.daemons[0]?.jobs.admitInStore(jobId, record, payload, 1_000) ?? Promise.reject(new Error('the cell has no daemon; call startDaemon first')),
       cancel: async jobId => this.daemons[0]?.jobs.cancelInStore(jobId, 1_000) ?? Promise.reject(new Error('the cell has no daemon; call startDaemon first')),
