fix(cell): a job that arrives with its tickets starts without a round; work that can wait, or is late already, is put off by the lag of the loop

Cause: a job whose tickets had come with it still waited for the next round, up to 100 ms after the last one. Change: the steps of an arrival are placed on its ticketed workers at once, unless work of a higher priority waits. The mean lag of the event loop over half a second, 15 ms and more, replaces the share of the processor. While it is high, jobs that are late wait as long as others are on time; Leader load. has loopLagMs.

--- a/packages/cell/src/__tests__/deferral.test.ts
+++ b/packages/cell/src/__tests__/deferral.test.ts
@@ -1,3 +1,5 @@
+import { Failure } from '@citronnotch/base/errors'
+import { Err } from '@citronnotch/base/result'
 import test from 'ava'
 import { TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
 
@@ -38,3 +40,27 @@
   cell.isProcessorFull = false
   t.true(await cell.advanceUntil(hasStarted, 500))
 })
+
+// Guards against SHORT (issue 53): after an outage a leader without processor time started jobs that were late already, and those that had just arrived became late by little.
+test('backlog after an outage, leader without processor time: late jobs wait while others are on time, and go on after that', async t => {
+  const cell = TestCell.create({ queues: [BATCH, URGENT], workers: [createWorkerEntry('w1'), createWorkerEntry('w2', { labels: ['b', 'r1'] })], behaviour: ({ step }) => ({ durationMs: step === 0 ? TASK_MS : 60_000, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  // Nothing starts while the registry can't be read.
+  cell.beforeRegistryRead = () => Err(Failure.notRun('store-refused', 'The store refuses the call.'))
+  await cell.clock.advance(3_000)
+  const late = await cell.submit(daemon, [{ ...BATCH_STEP, requiredLabel: 'b' }])
+  await cell.clock.advance(BATCH_OBJECTIVE_MS)
+  cell.isProcessorFull = true
+  const onTimeId = cell.newJobId()
+  const spec = { payload: onTimeId, steps: [{ ...URGENT_STEP, requiredLabel: 'a' }] }
+  cell.audit.expectJob(onTimeId, spec)
+  await cell.advanceUntilSettled(daemon.jobs.submit(onTimeId, URGENT, spec, 3_000))
+  cell.beforeRegistryRead = () => undefined
+  await cell.clock.advance(TASK_MS)
+  t.true(cell.audit.hasStarted(onTimeId))
+  t.false(cell.audit.hasStarted(late))
+  cell.isProcessorFull = false
+  t.true(await cell.advanceUntil(() => cell.audit.hasStarted(late), 500))
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -20,11 +20,11 @@
 import { LeaderLease } from './leaderLease.js'
 import type { GainedLease } from './leaderLease.js'
 import type { VmMaintenance } from './maintenance.js'
+import { LoopLag } from './loopLag.js'
 import { Membership } from './membership.js'
 import { MemoryMetrics } from './metrics.js'
 import { PeerClients, PeerServer, refusesConnections } from './peers.js'
 import { PolicyAgent } from './policyAgent.js'
-import { ProcessorLoad } from './processorLoad.js'
 import type { PeerHandlers, PeerMethods, PeerOutcome } from './peers.js'
 import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
@@ -89,6 +89,7 @@
   private readonly earlyAdvice: EarlyAdvice
   private agents: readonly AdviceAgent[] = []
   private leader: Leader | undefined
+  private readonly loopLag: LoopLag
   private peerServer: PeerServer | undefined
 
   private constructor (private readonly options: CellDaemonOptions) {
@@ -125,6 +126,7 @@
       refusesConnections: address => refusesConnections(address, CONNECT_TIMEOUT_MS),
       findSuccessor: () => this.membership.findSuccessor()
     })
+    this.loopLag = LoopLag.create(clock)
     this.policyAgent = PolicyAgent.create(name, options.policyService)
     this.earlyAdvice = EarlyAdvice.create({ agent: this.policyAgent, clock, log: logs.for('advice'), metrics: this.metrics })
     this.agents = [this.policyAgent]
@@ -194,7 +196,7 @@
     const { store } = this
     const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, drainMs, maintenance } = this.options
     this.stopLeading()
-    const processorLoad = ProcessorLoad.create(clock)
+    this.loopLag.start()
     this.leader = Leader.create({
       epoch,
       epochStartVersion: version,
@@ -216,7 +218,7 @@
       maxTaskLeaseMs,
       statusRetentionMs,
       drainMs,
-      isProcessorFull: () => processorLoad.isFull(),
+      loopLag: this.loopLag,
       clock,
       logs,
       metrics: this.metrics
@@ -226,6 +228,7 @@
   }
 
   private stopLeading () {
+    this.loopLag.stop()
     this.leader?.stop()
     this.leader = undefined
   }
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -11,6 +11,7 @@
 export interface DispatcherOptions {
   readonly epoch: number
   readonly workers: () => Iterable<WorkerLink>
+  readonly worker: (id: string) => WorkerLink | undefined
   /** The queue of a job; undefined if nothing is known of it. */
   readonly queue: (job: Job) => JobQueue | undefined
   readonly advice: AdviceCache
@@ -78,6 +79,10 @@
 /** Places waiting tasks on workers and starts them. */
 export class Dispatcher {
   private rotation = 0
+  /** Workers reserved in the latest round, with the priority of the queue that they are for. */
+  private reservedFor = new Map<WorkerLink, number>()
+  /** Highest priority that waited in the latest round, as a number. */
+  private waitingPriority = Infinity
   /** Monotonic time of the current round in milliseconds; read once, because a round tries many tasks. */
   private now = 0
   /** Time for which tasks wait for a worker without other work; depends on how full the workers were in the last round. */
@@ -93,9 +98,11 @@
   runRound (jobs: Iterable<Job>): void {
     this.now = this.options.clock.now()
     const candidates = this.withoutDeferrable(this.withoutExhausted(this.findCandidates(jobs)))
+    this.waitingPriority = Math.min(Infinity, ...candidates.map(({ queue }) => queue.priority))
     if (candidates.length === 0) return
-    const usable = [...this.options.workers()].filter(worker => worker.canStart(this.now) && !worker.hasExclusiveRun() && this.options.isUsable(worker, this.now))
-    const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: new Map() }
+    const usable = [...this.options.workers()].filter(worker => this.mayStartOn(worker))
+    this.reservedFor = new Map()
+    const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: this.reservedFor }
     this.placeAlone(candidates, usable, round)
     let reservingGangs = 0
     for (const candidate of candidates) {
@@ -115,6 +122,24 @@
     }
   }
 
+  /**
+   * Starts the tasks of a job that has just arrived with its tickets, without waiting for a round, unless more urgent work
+   * waits. A round looks at everything that waits, and rounds are far apart while the processor is full.
+   */
+  placeArrival (job: Job): void {
+    this.now = this.options.clock.now()
+    for (const candidate of this.findCandidates([job])) {
+      const { step, queue, lateness } = candidate
+      if (lateness > 0 || queue.priority > this.waitingPriority || job.payload === undefined || step.hasSuspects) continue
+      const ticketed = this.options.advice.workersWithTicket(step, { get: id => this.options.worker(id) }, this.now)
+      const capacity = RoundCapacity.create(ticketed.filter(worker => this.mayStartOn(worker)))
+      const round: SchedulingRound = { capacity, reservedFor: this.reservedFor }
+      if (!capacity.hasRoomFor(step.need)) continue
+      if (step.spec.gang) this.placeGang(candidate, round)
+      else this.placeTasks(candidate, round)
+    }
+  }
+
   /** Counts the steps that have tasks to start but no worker yet. */
   waitingSteps (jobs: Iterable<Job>): WaitingSteps {
     this.now = this.options.clock.now()
@@ -123,6 +148,10 @@
     return counts
   }
 
+  private mayStartOn (worker: WorkerLink): boolean {
+    return worker.canStart(this.now) && !worker.hasExclusiveRun() && this.options.isUsable(worker, this.now)
+  }
+
   private findCandidates (jobs: Iterable<Job>): readonly Candidate[] {
     const { clock, queue: queueOf } = this.options
     const unixMs = clock.date().getTime()
@@ -162,14 +191,16 @@
 
   /**
    * Leaves out the jobs that can wait, while the processor is full: each start that they get now is one that a more
-   * urgent job has to wait for. They go on once there is processor time, or before they become late.
+   * urgent job has to wait for. They go on once there is processor time, or before they become late. Jobs that are late
+   * already wait as well while others could become so.
    */
   private withoutDeferrable (candidates: readonly Candidate[]): readonly Candidate[] {
     if (!this.options.isProcessorFull()) return candidates
     const unixMs = this.options.clock.date().getTime()
     const highestPriority = Math.min(...candidates.map(({ queue }) => queue.priority))
-    return candidates.filter(({ step, queue }) => {
-      const isDeferred = queue.priority > highestPriority && canWait(step.job, queue, unixMs)
+    const isAnyOnTime = candidates.some(({ lateness }) => lateness === 0)
+    return candidates.filter(({ step, queue, lateness }) => {
+      const isDeferred = lateness > 0 ? isAnyOnTime : queue.priority > highestPriority && canWait(step.job, queue, unixMs)
       if (isDeferred) step.waitTimes.note('processor', this.now)
       return !isDeferred
     })
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -20,6 +20,7 @@
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
 import { LoadReport } from './loadReport.js'
+import type { LoopLag } from './loopLag.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
 import type { VmMaintenance } from './maintenance.js'
@@ -74,8 +75,8 @@
   readonly statusRetentionMs: number
   /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
   readonly drainMs: number
-  /** Whether this process has no processor time left, so that work that can wait is put off. */
-  readonly isProcessorFull: () => boolean
+  /** Lag of the event loop of this process; while it is high, work that can wait is put off. */
+  readonly loopLag: Pick<LoopLag, 'isHigh' | 'meanMs'>
   readonly clock: Clock
   readonly logs: LogFactory
   readonly metrics: CellMetrics
@@ -149,12 +150,13 @@
     this.dispatcher = Dispatcher.create({
       epoch,
       workers: () => this.workers.all(),
+      worker: id => this.workers.get(id),
       queue: job => this.queueOf(job),
       advice: this.advice,
       isUsable,
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
       requestPayload: job => this.payloads.request(job),
-      isProcessorFull: options.isProcessorFull,
+      isProcessorFull: () => options.loopLag.isHigh(),
       clock,
       onExhausted: task => this.giveUp(task),
       onStart: (step, runs) => this.recordStarted(step, runs)
@@ -163,6 +165,7 @@
       waitingSteps: () => this.dispatcher.waitingSteps(this.dispatchable()),
       adviceLoad: () => this.advice.load(),
       commitsWaiting: () => this.commitsWaiting(),
+      loopLagMs: () => options.loopLag.meanMs(),
       clock,
       log: this.log
     })
@@ -224,6 +227,7 @@
       this.jobs.admit(jobId, record, payload, version)
       this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
       for (const answer of answers) this.addAnswers(jobId, answer, receivedAt)
+      if (answers.length > 0) this.placeArrival(jobId)
       this.scheduleRound()
     }
     if (this.isLoaded) admit()
@@ -354,6 +358,12 @@
     this.scheduleRound()
   }
 
+  private placeArrival (jobId: string) {
+    const job = this.jobs.get(jobId)
+    if (job === undefined || !this.mayStartTasks()) return
+    for (const dispatchable of this.dispatchable([job])) this.dispatcher.placeArrival(dispatchable)
+  }
+
   private addAnswers (jobId: string, answers: StepAnswers, receivedAt: number) {
     const job = this.jobs.get(jobId)
     const steps = job?.occurrences.get(0)
@@ -545,11 +555,11 @@
    * Jobs whose runs this leader knows: those that no earlier leader can have started, and others that aren't held back.
    * Without those that were admitted by a later configuration than the one in force, which may name another service.
    */
-  private * dispatchable (): Iterable<Job> {
+  private * dispatchable (jobs: Iterable<Job> = this.jobs.live()): Iterable<Job> {
     const { heldBackJobs } = this
     const { epochStartVersion, mayPredecessorBeActive, hasConfig } = this.options
     let checkedVersion = -Infinity
-    for (const job of this.jobs.live()) {
+    for (const job of jobs) {
       const { configVersion = -Infinity } = job.record
       if (configVersion > checkedVersion) {
         if (!hasConfig(configVersion)) continue
--- a/packages/cell/src/loadReport.ts
+++ b/packages/cell/src/loadReport.ts
@@ -11,6 +11,8 @@
   readonly waitingSteps: () => WaitingSteps
   readonly adviceLoad: () => AdviceLoad
   readonly commitsWaiting: () => number
+  /** Mean lag of the event loop now, in milliseconds. */
+  readonly loopLagMs: () => number
   readonly clock: Clock
   readonly log: Log
 }
@@ -47,13 +49,14 @@
 
   /** Logs what happened since the last report, if that is at least an interval ago. */
   tick (): void {
-    const { clock, log, waitingSteps, adviceLoad, commitsWaiting } = this.options
+    const { clock, log, waitingSteps, adviceLoad, commitsWaiting, loopLagMs } = this.options
     const elapsedMs = clock.now() - this.reportedAt
     if (elapsedMs < REPORT_INTERVAL_MS) return
     const utilization = performance.eventLoopUtilization()
     log.info('Leader load.', {
       elapsedMs: Math.round(elapsedMs),
       busyPercent: Math.round(100 * performance.eventLoopUtilization(utilization, this.utilization).utilization),
+      loopLagMs: Math.round(loopLagMs()),
       rounds: this.rounds,
       roundsMs: Math.round(this.roundsMs),
       longestRoundMs: Math.round(this.longestRoundMs),
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -235,7 +235,7 @@
           maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
           drainMs: DRAIN_MS,
-          isProcessorFull: () => this.isProcessorFull,
+          loopLag: { isHigh: () => this.isProcessorFull, meanMs: () => 0 },
           clock,
           logs: silentLogs,
           metrics
