--- a/bench/src/decisions.ts
+++ b/bench/src/decisions.ts
@@ -5,7 +5,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { EventClock } from './eventClock.js'
-import { generateArrivals } from './loads.js'
+import { TERMS, generateArrivals } from './loads.js'
 import type { Arrival, JobKind, Load } from './loads.js'
 
 /** Time for active runs to finish after the arrivals end. */
@@ -32,11 +32,8 @@
   readonly approvedShare: number
 }
 
-const POLICIES: Readonly<Record<string, QueuePolicy>> = {
-  typeset: createPolicy('typeset', { priority: 1, slackFactor: 2.2, targetLatencyMs: 1_200, advice: { decisionMs: 390, perWorkerMs: 5.6, validityMs: 2_500 } }, 0.35),
-  royalty: createPolicy('royalty', { priority: 2, slackFactor: 4, targetLatencyMs: 3_000, advice: { decisionMs: 140, perWorkerMs: 2, validityMs: 2_500 } }, 0.45),
-  renewal: createPolicy('renewal', { priority: 0, slackFactor: 1.5, targetLatencyMs: 500, advice: { decisionMs: 16, perWorkerMs: 0.23, validityMs: 2_500 } }, 0.7)
-}
+const POLICIES: Readonly<Record<string, QueuePolicy>> = Object.fromEntries(Object.entries(TERMS).map(([name, { approvedShare, ...terms }]) =>
+  [name, { queue: createQueue({ name, pathPrefix: `/${name}/`, ...terms }), approvedShare }]))
 
 /** Result of one queue: numbers of jobs, fraction of the payoff that was earned, and median turnaround time. */
 export interface QueueResult {
@@ -123,10 +120,6 @@
   return usedMilliCores / (load.workers * load.workerMilliCores)
 }
 
-function createPolicy (name: string, fields: Partial<Queue>, approvedShare: number): QueuePolicy {
-  return { queue: createQueue({ name, pathPrefix: `/${name}/`, ...fields }), approvedShare }
-}
-
 function queueOf ({ queue }: JobKind): Queue {
   const found = POLICIES[queue]?.queue
   if (found === undefined) throw new Error(`queue ${queue} has no policy`)
--- a/bench/src/leaderLoad.ts
+++ b/bench/src/leaderLoad.ts
@@ -13,7 +13,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import type { ExpectedJob } from './emulatedWorkers.js'
-import { generateArrivals } from './loads.js'
+import { TERMS, generateArrivals } from './loads.js'
 import type { Arrival, Load } from './loads.js'
 import { summarizeProfile } from './profile.js'
 
@@ -47,7 +47,6 @@
 
 const WORKER_PROCESSES = 3
 const HOST = 'load.example'
-const POLICY_VALIDITY_MS = 2_500
 /** Time for the first daemon to lead and to connect to its workers. */
 const WARM_UP_MS = 4_000
 const REGISTER_INTERVAL_MS = 1_500
@@ -93,9 +92,20 @@
   const policyAddress = await emulator.servePolicy(() => true)
   emulator.putConfig({
     version: 1,
-    routes: load.kinds.map(({ queue }, priority) => ({
-      name: queue, host: HOST, path_prefix: `/${queue}/`, service: 'dispatch', priority, max_attempts: 3, slack_factor: 2, target_latency_ms: 1_000, placement_advice: { decision_ms: 5, per_item_ms: 0.1, validity_ms: POLICY_VALIDITY_MS }
-    }))
+    routes: load.kinds.map(({ queue }) => {
+      const { priority, maxAttempts, slackFactor, targetLatencyMs, advice } = termsOf(queue)
+      return {
+        name: queue,
+        host: HOST,
+        path_prefix: `/${queue}/`,
+        service: 'dispatch',
+        priority,
+        max_attempts: maxAttempts,
+        slack_factor: slackFactor,
+        target_latency_ms: targetLatencyMs,
+        placement_advice: { decision_ms: advice.decisionMs, per_item_ms: advice.perWorkerMs, validity_ms: advice.validityMs }
+      }
+    })
   })
 
   const startDaemon = (index: number, nodeArgs: readonly string[]) => {
@@ -157,6 +167,12 @@
   }
 }
 
+function termsOf (queue: string): NonNullable<typeof TERMS[string]> {
+  const terms = TERMS[queue]
+  if (terms === undefined) throw new Error(`queue ${queue} has no terms`)
+  return terms
+}
+
 function summarizeWrites (transactions: readonly Transaction[], starts: number): LeaderLoadResult['writesPerStart'] {
   const totals: Record<string, [number, number, number]> = {}
   for (const { puts, removes } of transactions) {
--- a/bench/src/loads.ts
+++ b/bench/src/loads.ts
@@ -1,6 +1,13 @@
-import type { StepSpec } from '@citronnotch/cell'
+import type { QueueTerms, StepSpec } from '@citronnotch/cell'
 import { createStep } from '@citronnotch/cell/testing'
 
+/** Terms of the queues, and the fraction of the workers that the placement policy approves for a step. */
+export const TERMS: Readonly<Record<string, Required<QueueTerms> & { readonly approvedShare: number }>> = {
+  typeset: { priority: 1, maxAttempts: 3, slackFactor: 2.2, targetLatencyMs: 1_200, advice: { decisionMs: 390, perWorkerMs: 5.6, validityMs: 2_500 }, approvedShare: 0.35 },
+  royalty: { priority: 2, maxAttempts: 3, slackFactor: 4, targetLatencyMs: 3_000, advice: { decisionMs: 140, perWorkerMs: 2, validityMs: 2_500 }, approvedShare: 0.45 },
+  renewal: { priority: 0, maxAttempts: 3, slackFactor: 1.5, targetLatencyMs: 500, advice: { decisionMs: 16, perWorkerMs: 0.23, validityMs: 2_500 }, approvedShare: 0.7 }
+}
+
 /** Kind of job in a load. Numbers whose names start with `mean` are means of log-normal samples. */
 export interface JobKind {
   readonly queue: string
