fix(cell): while messages wait for the leader, rounds take half of their share, and the lowest priority waits for as long as it can

Change: from a lag of 15 ms on rounds take at most a tenth; from 60 ms on the jobs of the lowest priority that waits are put off until their work fits one and a half times, not twice with 30% to spare. Late jobs wait while jobs of the highest priority are on time, not while any are. An early call for tickets that throws is logged, and the leader is notified without it.

--- a/packages/cell/src/__tests__/arrivals.test.ts
+++ b/packages/cell/src/__tests__/arrivals.test.ts
@@ -28,6 +28,7 @@
     isSuspect: () => false,
     requestPayload: () => {},
     isProcessorFull: () => false,
+    isProcessorOverloaded: () => false,
     clock,
     onExhausted: () => {},
     onStart: () => {}
--- a/packages/cell/src/__tests__/deferral.test.ts
+++ b/packages/cell/src/__tests__/deferral.test.ts
@@ -13,11 +13,11 @@
 
 /** Creates a cell in which urgent work waits, and submits a batch job to it. */
 async function createBusyCell () {
-  const cell = TestCell.create({ queues: [BATCH, URGENT], workers: [createWorkerEntry('w1', { capacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 } }), createWorkerEntry('w2', { labels: ['b', 'r1'] })], behaviour: ({ step }) => ({ durationMs: step === 0 ? TASK_MS : 60_000, end: 'done' }) })
+  const cell = TestCell.create({ queues: [BATCH, URGENT], workers: [createWorkerEntry('w1', { capacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 } }), createWorkerEntry('w2', { labels: ['b', 'r1'] })], behaviour: task => ({ durationMs: task.jobId === jobId ? 60_000 : TASK_MS, end: 'done' }) })
+  const jobId = cell.newJobId()
   const daemon = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
   cell.isProcessorFull = true
-  const jobId = cell.newJobId()
   const spec = { payload: jobId, steps: [{ ...URGENT_STEP, requiredLabel: 'a' }] }
   cell.audit.expectJob(jobId, spec)
   await cell.advanceUntilSettled(daemon.jobs.submit(jobId, URGENT, spec, 3_000))
@@ -64,3 +64,12 @@
   cell.isProcessorFull = false
   t.true(await cell.advanceUntil(() => cell.audit.hasStarted(late), 500))
 })
+
+// Guards against SHORT (issue 53): under a leader that was busy all the time, batch work that could wait for some seconds more was started before the most urgent class was on time again.
+test('overloaded leader: work of the lowest priority is put off for as long as it can wait', async t => {
+  const { cell, hasStarted } = await createBusyCell()
+  cell.isProcessorOverloaded = true
+  await cell.clock.advance(BATCH_OBJECTIVE_MS - 4 * TASK_MS)
+  t.false(hasStarted())
+  t.true(await cell.advanceUntil(hasStarted, 2 * TASK_MS))
+})
--- a/packages/cell/src/__tests__/lateness.test.ts
+++ b/packages/cell/src/__tests__/lateness.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { Job } from '../jobs.js'
-import { latenessOf } from '../lateness.js'
+import { canWait, canWaitBriefly, latenessOf } from '../lateness.js'
 import { createQueue, createStep } from '../testing/index.js'
 import type { StepSpec } from '../types.js'
 
@@ -40,3 +40,14 @@
   t.is(latenessOf(createJob(), advised, 6_500 + 1_600), 0)
   t.is(latenessOf(createJob(), advised, 6_500 + 1_601), 1)
 })
+
+test('leader without processor time: a job can wait while its work fits twice, and briefly while it fits one and a half times', t => {
+  const job = createJob()
+  const batch = createQueue({ slackFactor: 4, targetLatencyMs: 4_000 })
+  // An objective of 20 s, of which 6 s or 2 s have to be left beyond 8 s or 6 s.
+  t.true(canWait(job, batch, 5_999))
+  t.false(canWait(job, batch, 6_000))
+  t.true(canWaitBriefly(job, batch, 11_999))
+  t.false(canWaitBriefly(job, batch, 12_000))
+  t.false(canWaitBriefly(createJob({ longRunning: true }), batch, 0))
+})
--- a/packages/cell/src/__tests__/roundCost.test.ts
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -63,7 +63,7 @@
   }, looks))
   const advice = AdviceCache.create({ agents: () => agents, onAnswer: () => {}, clock, log: silentLog })
   const dispatcher = Dispatcher.create({
-    epoch: 1, workers: () => links, worker: () => undefined, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, clock, onExhausted: () => {}, onStart: () => {}
+    epoch: 1, workers: () => links, worker: () => undefined, queue: () => queue, advice, isUsable: () => true, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, isProcessorOverloaded: () => false, clock, onExhausted: () => {}, onStart: () => {}
   })
   // Long calls keep all agents busy except those that stay free.
   for (let busy = 0; busy < AGENTS - freeAgents; busy++) {
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { AdviceCache } from './advice.js'
 import type { Job, Run, Step, Task } from './jobs.js'
-import { canWait, latenessOf } from './lateness.js'
+import { canWait, canWaitBriefly, latenessOf } from './lateness.js'
 import type { Lateness } from './lateness.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { RoundCapacity } from './roundCapacity.js'
@@ -23,6 +23,8 @@
   readonly requestPayload: (job: Job) => void
   /** Whether this process has no processor time left, so that work that can wait is put off. */
   readonly isProcessorFull: () => boolean
+  /** Whether messages wait for this process so long that urgent work is late by that alone. */
+  readonly isProcessorOverloaded: () => boolean
   readonly clock: Clock
   /** Called for a task that may not be started again, as too many workers have crashed under it. */
   readonly onExhausted: (task: Task) => void
@@ -192,15 +194,19 @@
   /**
    * Leaves out the jobs that can wait, while the processor is full: each start that they get now is one that a more
    * urgent job has to wait for. They go on once there is processor time, or before they become late. Jobs that are late
-   * already wait as well while others could become so.
+   * already wait as well while the most urgent ones could become so. While the processor is overloaded, the jobs of the
+   * lowest priority wait for as long as they can.
    */
   private withoutDeferrable (candidates: readonly Candidate[]): readonly Candidate[] {
     if (!this.options.isProcessorFull()) return candidates
     const unixMs = this.options.clock.date().getTime()
     const highestPriority = Math.min(...candidates.map(({ queue }) => queue.priority))
-    const isAnyOnTime = candidates.some(({ lateness }) => lateness === 0)
+    const lowestPriority = Math.max(...candidates.map(({ queue }) => queue.priority))
+    const isOverloaded = this.options.isProcessorOverloaded()
+    const isUrgentOnTime = candidates.some(({ queue, lateness }) => lateness === 0 && queue.priority === highestPriority)
     return candidates.filter(({ step, queue, lateness }) => {
-      const isDeferred = lateness > 0 ? isAnyOnTime : queue.priority > highestPriority && canWait(step.job, queue, unixMs)
+      const canBeDeferred = isOverloaded && queue.priority === lowestPriority ? canWaitBriefly : canWait
+      const isDeferred = lateness > 0 ? isUrgentOnTime : queue.priority > highestPriority && canBeDeferred(step.job, queue, unixMs)
       if (isDeferred) step.waitTimes.note('processor', this.now)
       return !isDeferred
     })
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -96,7 +96,7 @@
 
   /** Admits a job through this daemon's connection to the store. */
   async admitInStore (jobId: string, record: JobRecord, payload: string, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { store, leader, earlyAdvice, storeHealth } = this.options
+    const { store, leader, earlyAdvice, storeHealth, log } = this.options
     const early = storeHealth.isUnavailable() ? undefined : earlyAdvice?.ask(jobId, record, record.terms ?? {})
     const res = await this.retryWithinBudget(jobId, 'submit', budgetMs, () => store.transact({
       partition: admissionPartitionOf(jobId),
@@ -109,7 +109,12 @@
     const job: AdmittedJob = { jobId, record, payload, version: res.val.version }
     // Nothing can start without tickets, so the leader loses no time; callers get their answer meanwhile.
     if (early === undefined) leader.admitted(job)
-    else early.then(answers => leader.admitted({ ...job, answers }))
+    else {
+      early.then(answers => leader.admitted({ ...job, answers }), (err: unknown) => {
+        log.error('Early placement advice failed unexpectedly.', { job: jobId, err })
+        leader.admitted(job)
+      })
+    }
     return Ok('admitted')
   }
 
--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -12,6 +12,9 @@
 const DEFERRED_DURATION_FACTOR = 2
 /** Fraction of its objective that a job must have left beyond that to be put off. */
 const DEFERRED_LAXITY_SHARE = 0.3
+/** The same for a job that is put off because the processor is far too busy. */
+const BRIEFLY_DEFERRED_DURATION_FACTOR = 1.5
+const BRIEFLY_DEFERRED_LAXITY_SHARE = 0.1
 
 /** 0: the job can still meet its objective; 1: it will be late but can still count; 2: it is too late to count. */
 export type Lateness = 0 | 1 | 2
@@ -39,10 +42,19 @@
 
 /** Whether a job can wait and still be on time, even if its remaining work takes much longer than estimated. */
 export function canWait (job: Job, queue: JobQueue, unixMs: number): boolean {
+  return hasLaxity(job, queue, unixMs, DEFERRED_DURATION_FACTOR, DEFERRED_LAXITY_SHARE)
+}
+
+/** Whether a job can wait a little and still be on time, if its remaining work takes about as long as estimated. */
+export function canWaitBriefly (job: Job, queue: JobQueue, unixMs: number): boolean {
+  return hasLaxity(job, queue, unixMs, BRIEFLY_DEFERRED_DURATION_FACTOR, BRIEFLY_DEFERRED_LAXITY_SHARE)
+}
+
+function hasLaxity (job: Job, queue: JobQueue, unixMs: number, durationFactor: number, laxityShare: number): boolean {
   if (!isTimed(job)) return false
   const { objectiveMs } = objectiveOf(job, queue)
-  const laxityMs = objectiveMs - (unixMs - job.record.admittedAtMs) - DEFERRED_DURATION_FACTOR * remainingMs(job)
-  return laxityMs > DEFERRED_LAXITY_SHARE * objectiveMs
+  const laxityMs = objectiveMs - (unixMs - job.record.admittedAtMs) - durationFactor * remainingMs(job)
+  return laxityMs > laxityShare * objectiveMs
 }
 
 /** Time from its admission within which a job should complete, in milliseconds; undefined for scheduled and long-running jobs. */
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -76,7 +76,7 @@
   /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
   readonly drainMs: number
   /** Lag of the event loop of this process; while it is high, work that can wait is put off. */
-  readonly loopLag: Pick<LoopLag, 'isHigh' | 'meanMs'>
+  readonly loopLag: Pick<LoopLag, 'isHigh' | 'isVeryHigh' | 'meanMs'>
   readonly clock: Clock
   readonly logs: LogFactory
   readonly metrics: CellMetrics
@@ -157,6 +157,7 @@
       isSuspect: (worker, now) => this.workers.health.isSuspect(worker.id, now),
       requestPayload: job => this.payloads.request(job),
       isProcessorFull: () => options.loopLag.isHigh(),
+      isProcessorOverloaded: () => options.loopLag.isVeryHigh(),
       clock,
       onExhausted: task => this.giveUp(task),
       onStart: (step, runs) => this.recordStarted(step, runs)
@@ -529,7 +530,7 @@
   private scheduleRound () {
     if (this.isRoundScheduled || this.stopping.signal.aborted) return
     this.isRoundScheduled = true
-    this.options.clock.sleep(this.pacer.delayMs(this.options.clock.now()), this.stopping.signal).then(() => {
+    this.options.clock.sleep(this.pacer.delayMs(this.options.clock.now(), this.options.loopLag.isHigh()), this.stopping.signal).then(() => {
       this.isRoundScheduled = false
       this.runRound()
     }).catch((err: unknown) => this.log.error('Scheduling round failed.', { err }))
--- a/packages/cell/src/loopLag.ts
+++ b/packages/cell/src/loopLag.ts
@@ -10,6 +10,9 @@
  */
 const MAX_LAG_MS = 15
 
+/** Mean lag from which on urgent jobs are late by it alone, in milliseconds: most of the half second is lost. */
+const OVERLOADED_LAG_MS = 60
+
 /** How late the event loop of this process is: the time for which a message that has arrived waits for it. */
 export class LoopLag {
   private readonly lags: number[] = []
@@ -32,6 +35,10 @@
     return this.meanMs() >= MAX_LAG_MS
   }
 
+  isVeryHigh (): boolean {
+    return this.meanMs() >= OVERLOADED_LAG_MS
+  }
+
   // Commands
 
   /** Samples until `stop` is called. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -117,8 +117,9 @@
   admittedByVersion: number | undefined
   /** Whether the daemons reach each other to ask for the configuration; tests set it. */
   arePeersReachable = true
-  /** Whether the leader has no processor time left; tests set it. */
+  /** Whether the leader has no processor time left, and whether it is overloaded; tests set them. */
   isProcessorFull = false
+  isProcessorOverloaded = false
   /** Whether connections to a peer address are refused; tests set it. */
   refusesConnections: (peerAddress: string) => boolean = () => false
   private registry: readonly WorkerEntry[]
@@ -235,7 +236,7 @@
           maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
           drainMs: DRAIN_MS,
-          loopLag: { isHigh: () => this.isProcessorFull, meanMs: () => 0 },
+          loopLag: { isHigh: () => this.isProcessorFull, isVeryHigh: () => this.isProcessorOverloaded, meanMs: () => 0 },
           clock,
           logs: silentLogs,
           metrics
