fix(cell): early answers keep their age while the admission is stored; jobs count as own only after a read of the store once earlier leaders are fenced

Cause, by reading the change once more: tickets that waited for a slow admission counted as just issued, so that starts would have been rejected. After an early takeover, a job that an earlier leader had heard of and this one had not could have counted as this leader's own, so that a start nobody stored would not have been presumed. Change: the daemon sends the age of the answers; the bound between own and earlier jobs is the version of the first read of changes that was sent after all workers were adopted.

--- a/packages/cell/src/__tests__/earlyAdvice.test.ts
+++ b/packages/cell/src/__tests__/earlyAdvice.test.ts
@@ -7,11 +7,14 @@
 import { EarlyAdvice } from '../earlyAdvice.js'
 import { Job } from '../jobs.js'
 import type { JobRecord } from '../jobRecord.js'
+import { JobService } from '../jobService.js'
+import type { AdmittedJob, LeaderClient } from '../jobService.js'
 import { MemoryMetrics } from '../metrics.js'
 import { PolicyAgent } from '../policyAgent.js'
+import { StoreHealth } from '../storeHealth.js'
 import { SuggestedWorkers } from '../suggestedWorkers.js'
 import { createSilentLinks } from '../testing/silentWorkers.js'
-import { createStep } from '../testing/index.js'
+import { MemoryStore, createQueue, createStep } from '../testing/index.js'
 import type { StepSpec } from '../types.js'
 
 const JOB_ID = '00000000000000aa'
@@ -46,7 +49,7 @@
   const answers = early.ask(JOB_ID, createRecord(), { advice: SHORT })
   await clock.advance(20)
   t.is(calls[0]?.length, 30)
-  t.deepEqual((await answers)?.map(({ step, workerIds, approved }) => [step, workerIds.length, approved.length]), [[0, 30, 15]])
+  t.deepEqual((await answers)?.answers.map(({ step, workerIds, approved }) => [step, workerIds.length, approved.length]), [[0, 30, 15]])
 })
 
 test('jobs that arrive one after another name different workers', async t => {
@@ -64,7 +67,7 @@
   const answers = early.ask(JOB_ID, createRecord(), { advice: SHORT })
   t.is(early.ask(JOB_ID, createRecord(), { advice: SHORT }), undefined)
   await clock.advance(20)
-  t.is((await answers)?.length, 1)
+  t.is((await answers)?.answers.length, 1)
 })
 
 for (const [kind, record, policy] of [
@@ -88,7 +91,7 @@
   const { clock, early } = createDaemon({ isFailing: true })
   const answers = early.ask(JOB_ID, createRecord(), { advice: SHORT })
   await clock.advance(20)
-  t.deepEqual(await answers, [])
+  t.deepEqual((await answers)?.answers, [])
 })
 
 test('the leader uses the answers of another daemon until the tickets expire, and asks for no refused worker again', t => {
@@ -123,3 +126,16 @@
   t.is(new Set(ids).size, 100)
   t.deepEqual(suggested.of('another service', clock.now()), [])
 })
+
+// Guards against starts that are rejected: tickets that had waited for a slow admission counted as just issued.
+test('the age of early answers that waited for a slow admission reaches the leader', async t => {
+  const { clock, early } = createDaemon()
+  const store = MemoryStore.create({ clock, latencyMs: 900 })
+  const admitted: AdmittedJob[] = []
+  const leader = { admitted: (job: AdmittedJob) => admitted.push(job) } as unknown as LeaderClient
+  const jobs = JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLog), leader, earlyAdvice: early, configVersion: () => 1, clock, log: silentLog, metrics: MemoryMetrics.create() })
+  const submitted = jobs.submit(JOB_ID, createQueue({ advice: SHORT }), { payload: '', steps: [createStep({ count: 3 })] }, 3_000)
+  await clock.advance(1_000)
+  t.true((await submitted).ok)
+  t.deepEqual(admitted.map(({ answers }) => answers?.map(({ ageMs }) => ageMs)), [[900 - SHORT.decisionMs]])
+})
--- a/packages/cell/src/earlyAdvice.ts
+++ b/packages/cell/src/earlyAdvice.ts
@@ -29,6 +29,12 @@
   readonly ageMs: number
 }
 
+/** Answers that a daemon got at the monotonic time `answeredAt`, in milliseconds. */
+export interface EarlyAnswers {
+  readonly answers: ReadonlyArray<Omit<StepAnswers, 'ageMs'>>
+  readonly answeredAt: number
+}
+
 export interface EarlyAdviceOptions {
   readonly agent: PolicyAgent
   readonly clock: Clock
@@ -64,7 +70,7 @@
   }
 
   /** Undefined if no call is made for the job; resolves with no answers if the call fails. */
-  ask (jobId: string, { service, spec }: JobRecord, { advice: policy }: Pick<JobQueue, 'advice'>): Promise<readonly StepAnswers[]> | undefined {
+  ask (jobId: string, { service, spec }: JobRecord, { advice: policy }: Pick<JobQueue, 'advice'>): Promise<EarlyAnswers> | undefined {
     const { agent, clock } = this.options
     const step = spec.steps.findIndex(({ after }) => after.length === 0)
     const { count, requiredLabel } = spec.steps[step] ?? { count: 0, requiredLabel: '' }
@@ -76,15 +82,15 @@
     return isLongCall(expectedMs) ? undefined : this.call(jobId, step, workerIds, expectedMs + PATIENCE_MS)
   }
 
-  private async call (jobId: string, step: number, workerIds: readonly string[], timeoutMs: number): Promise<readonly StepAnswers[]> {
+  private async call (jobId: string, step: number, workerIds: readonly string[], timeoutMs: number): Promise<EarlyAnswers> {
     const { agent, clock, log, metrics } = this.options
     const name = formatStepId({ jobId, occurrence: 0, step })
     const sentAt = clock.now()
     const res = await agent.approve(name, workerIds, timeoutMs)
     metrics.count(res.ok ? 'early_advice_answered' : 'early_advice_failed')
-    if (res.ok) return [{ step, workerIds, approved: [...res.val], ageMs: 0 }]
+    if (res.ok) return { answers: [{ step, workerIds, approved: [...res.val] }], answeredAt: clock.now() }
     log.info('Early placement advice call failed.', { step: name, workers: workerIds.length, tookMs: Math.round(clock.now() - sentAt), verdict: res.val.verdict, reason: res.val.reason })
-    return []
+    return { answers: [], answeredAt: clock.now() }
   }
 
   /** Picks workers, starting at a different one in each call, so that jobs that arrive together don't compete for the same ones. */
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -96,7 +96,7 @@
 
   /** Admits a job through this daemon's connection to the store. */
   async admitInStore (jobId: string, record: JobRecord, payload: string, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { store, leader, earlyAdvice, storeHealth, log } = this.options
+    const { store, leader, earlyAdvice, storeHealth, clock, log } = this.options
     const early = storeHealth.isUnavailable() ? undefined : earlyAdvice?.ask(jobId, record, record.terms ?? {})
     const res = await this.retryWithinBudget(jobId, 'submit', budgetMs, () => store.transact({
       partition: admissionPartitionOf(jobId),
@@ -110,7 +110,11 @@
     // Nothing can start without tickets, so the leader loses no time; callers get their answer meanwhile.
     if (early === undefined) leader.admitted(job)
     else {
-      early.then(answers => leader.admitted({ ...job, answers }), (err: unknown) => {
+      early.then(({ answers, answeredAt }) => {
+        // The transaction may have taken much longer than the answers.
+        const ageMs = clock.now() - answeredAt
+        leader.admitted({ ...job, answers: answers.map(answer => ({ ...answer, ageMs })) })
+      }, (err: unknown) => {
         log.error('Early placement advice failed unexpectedly.', { job: jobId, err })
         leader.admitted(job)
       })
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -44,13 +44,6 @@
     return this.jobs.size
   }
 
-  /** Latest version of the rows that admitted the live jobs. */
-  latestVersion (): number {
-    let latest = 0
-    for (const { version } of this.jobs.values()) latest = Math.max(latest, version)
-    return latest
-  }
-
   get (jobId: string): Job | undefined {
     return this.jobs.get(jobId)
   }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -108,6 +108,8 @@
   private readonly deferredNotifications: Array<() => void> = []
   /** Latest version of the jobs that an earlier leader may have started. */
   private earlierJobsUntil: number
+  /** Whether no earlier leader can start anything any more. */
+  private areEarlierLeadersFenced = false
   /** Jobs admitted before this epoch that may have unknown runs and must not be scheduled yet. */
   private heldBackJobs: ReadonlySet<string> | 'all' = 'all'
   private isRoundScheduled = false
@@ -625,6 +627,7 @@
     const { clock, store } = this.options
     while (!signal.aborted) {
       await clock.sleep(CHANGES_POLL_INTERVAL_MS, signal)
+      const { areEarlierLeadersFenced } = this
       const res = await store.changes(TABLES.jobs, this.changesVersion, 0)
       if (res.err) {
         this.log.warn('Changes of jobs could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
@@ -637,6 +640,8 @@
         for (const jobId of this.jobs.applyChanges(res.val.rows)) this.cancelled(jobId)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
+      // A job that an earlier leader knew was stored before this read.
+      if (areEarlierLeadersFenced) this.earlierJobsUntil = Math.min(this.earlierJobsUntil, this.changesVersion)
       this.scheduleRound()
     }
   }
@@ -654,8 +659,7 @@
         this.scheduleRound()
       }
       if (sizeOf(heldBackJobs) === 0) {
-        // From now on no earlier leader can start anything.
-        this.earlierJobsUntil = Math.min(this.earlierJobsUntil, this.jobs.latestVersion())
+        this.areEarlierLeadersFenced = true
         return
       }
       await clock.sleep(10, signal)
