--- a/packages/cell/src/__tests__/busyLeader.test.ts
+++ b/packages/cell/src/__tests__/busyLeader.test.ts
@@ -43,40 +43,35 @@
   return WORK_MS * Math.exp(UNEVENNESS * (2 * share - 1))
 }
 
+/** The placement policy service as one VM sees it: answers one call after another, and approves a share of the workers for each step. */
+function createPolicyService (clock: ManualClock): PolicyService {
+  let freeAt = 0
+  return {
+    approve: async (step, workerIds) => {
+      freeAt = Math.max(freeAt, clock.now()) + POLICY.decisionMs + POLICY.perWorkerMs * workerIds.length
+      await clock.sleep(freeAt - clock.now())
+      const jobNumber = Number.parseInt(step.slice(12, 16), 16)
+      return Ok(new Map(workerIds.filter(id => (Number(id.slice(1)) + jobNumber) % APPROVED_INTERVAL === 0).map(id => [id, `${step}/${id}`])))
+    },
+    close: async () => {}
+  }
+}
+
 /** Plays urgent jobs from three regions beside batch work, under a leader in region `a` whose loop takes `messageMs` a message. */
 async function playBusyLeader (messageMs: number) {
   const clock = ManualClock.create()
   const loop = BusyLoop.create({ clock, messageMs })
   const carryCall: CarryCall = (target, call) => loop.call('zone' in target ? oneWayMs(target.zone) : ZONE_MS, call)
-  const approve = (step: string, workerIds: readonly string[]) => new Map(workerIds.filter(id => (Number(id.slice(1)) + Number.parseInt(step.slice(12, 16), 16)) % APPROVED_INTERVAL === 0).map(id => [id, `${step}/${id}`]))
   const agents = Array.from({ length: AGENTS }, (_, index): AdviceAgent => {
-    let freeAt = 0
-    return {
-      name: `agent-${index}`,
-      approve: (step, workerIds) => loop.call(oneWayMs(REGIONS[index % REGIONS.length] ?? ''), async () => {
-        freeAt = Math.max(freeAt, clock.now()) + POLICY.decisionMs + POLICY.perWorkerMs * workerIds.length
-        await clock.sleep(freeAt - clock.now())
-        return Ok(approve(step, workerIds))
-      })
-    }
+    const service = createPolicyService(clock)
+    return { name: `agent-${index}`, approve: (step, workerIds, timeoutMs) => loop.call(oneWayMs(REGIONS[index % REGIONS.length] ?? ''), () => service.approve(step, workerIds, timeoutMs)) }
   })
-  const policyServiceOf = (): PolicyService => {
-    let freeAt = 0
-    return {
-      approve: async (step, workerIds) => {
-        freeAt = Math.max(freeAt, clock.now()) + POLICY.decisionMs + POLICY.perWorkerMs * workerIds.length
-        await clock.sleep(freeAt - clock.now())
-        return Ok(approve(step, workerIds))
-      },
-      close: async () => {}
-    }
-  }
   const starts = new Map<string, number>()
   const cell = TestCell.create({
     clock,
     carryCall,
     agents,
-    policyServiceOf,
+    policyServiceOf: () => createPolicyService(clock),
     queues: [URGENT, BATCH],
     workers: Array.from({ length: WORKERS }, (_, index) => createWorkerEntry(`w${index}`, { zone: REGIONS[index % REGIONS.length] ?? '', capacity: { milliCores: 32_000, memoryMb: 128_000, accelerators: 0 } })),
     behaviour: ({ jobId, index }) => {
--- a/packages/cell/src/testing/busyLoop.ts
+++ b/packages/cell/src/testing/busyLoop.ts
@@ -27,11 +27,6 @@
     return this.busyMs
   }
 
-  /** Time until a message that arrives now is handled, in milliseconds. */
-  lagMs (): number {
-    return Math.max(0, this.freeAt - this.options.clock.now())
-  }
-
   // Commands
 
   /** Resolves once a message that arrives now has been handled. */
