--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -4,6 +4,9 @@
 const READ_MS = 4
 const TRANSACTION_MS = 5
 const ROWS_PER_PAGE = 500
+/** The settings' `row_bytes`, of the value before its encoding. */
+const ROW_BYTES = 65_536
+const MAX_ENTRIES = 100
 const ENDS_PER_ANSWER = 500
 
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
@@ -100,6 +103,7 @@
   async transact ({ expected_revision: expected = [], puts = [], remove = [] }) {
     const part = [...puts, ...remove, ...expected][0]?.part ?? ''
     if ([...puts, ...remove].some(({ table }) => table === 'op' || table === 'servers')) return { status: 403 }
+    if (puts.some(({ value }) => Buffer.from(value, 'base64').length > ROW_BYTES) || puts.length + remove.length + expected.length > MAX_ENTRIES) return { status: 400 }
     const startsAt = Math.max(performance.now(), this.partBusyUntil.get(part) ?? 0)
     this.partBusyUntil.set(part, startsAt + TRANSACTION_MS)
     await sleep(startsAt + TRANSACTION_MS - performance.now())
