--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -30,6 +30,10 @@
     }
     await sleep(SETTLE_MS)
     await play(cell)
+  } catch (err) {
+    console.error(err)
+    process.exitCode = 2
+    break
   } finally {
     await cell.close()
   }
@@ -39,15 +43,15 @@
 const shown = violations.length
 record({ what: 'result', rule: 'TWICE', broken: shown > 0, violations: shown })
 console.log(shown > 0 ? `TWICE is broken: ${JSON.stringify(violations[0])}` : 'TWICE held')
-if (process.exitCode !== 2) process.exit(shown > 0 ? 1 : 0)
+process.exit(process.exitCode === 2 ? 2 : Number(shown > 0))
 
 async function play (cell) {
   const jobs = []
-  const until1 = performance.now() + TRAFFIC_MS
+  const trafficEnd = performance.now() + TRAFFIC_MS
   const pending = []
   const cutting = HAS_TROUBLE ? sleep(CUT_AFTER_MS).then(() => cutOff(cell)) : Promise.resolve()
   let index = 0
-  while (performance.now() < until1) {
+  while (performance.now() < trafficEnd) {
     const id = jobId()
     jobs.push(id)
     pending.push(submit(cell.daemons[0], id))
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -28,6 +28,8 @@
 try {
   if (await cell.start({ workersOf: { 'suva-a': 4, 'labasa-a': 2, 'lakeba-a': 2 }, durationOf: () => TASK_MS })) exitCode = await play()
   else record({ what: 'not started' })
+} catch (err) {
+  console.error(err)
 } finally {
   isClosing = true
   await cell.close()
