--- a/review/lib-2/cell.mjs
+++ b/review/lib-2/cell.mjs
@@ -140,16 +140,23 @@
   }
 }
 
-/** TCP proxy in the place of a daemon's listener for its peers. While `isRefusing`, it resets its channels and refuses new ones. */
+/** Pauses of TCP between the sending of a segment and its repetitions, each twice the one before, as times since the first. */
+const RETRANSMISSIONS_MS = [200, 600, 1_400, 3_000, 6_200, 12_600]
+
+/**
+ * TCP proxy in the place of a daemon's listener for its peers. `isCut(source)` tells whether the way between the daemon and
+ * a source is cut silently: what is sent then arrives with the first repetition after the cut, also if the sender has
+ * closed the channel meanwhile; a channel that is opened meanwhile carries nothing.
+ */
 export class PeerProxy {
   sockets = new Set()
 
-  constructor (ip, port, target) {
-    Object.assign(this, { ip, port, target })
+  constructor (ip, port, target, isCut = () => false) {
+    Object.assign(this, { ip, port, target, isCut })
   }
 
   async start () {
-    this.server = createServer(client => this.relay(client))
+    this.server = createServer({ allowHalfOpen: true }, client => this.relay(client))
     await new Promise((resolve, reject) => {
       this.server.once('error', reject)
       this.server.listen(this.port, this.ip, resolve)
@@ -157,6 +164,7 @@
     return this
   }
 
+  /** Resets the channels and refuses new ones. */
   async refuse () {
     const closed = new Promise(resolve => this.server.close(resolve))
     for (const socket of this.sockets) socket.resetAndDestroy()
@@ -164,7 +172,7 @@
   }
 
   /** Resets the channels from one address, open and new ones. */
-  async refuseFrom (source) {
+  refuseFrom (source) {
     this.refusedSource = source
     for (const socket of this.sockets) if (socket.remoteAddress === source) socket.resetAndDestroy()
   }
@@ -175,17 +183,42 @@
   }
 
   relay (client) {
-    if (client.remoteAddress === this.refusedSource) return client.resetAndDestroy()
-    const upstream = connect(this.target, this.ip)
-    for (const [from, to] of [[client, upstream], [upstream, client]]) {
-      this.sockets.add(from)
-      from.on('data', data => to.write(data))
-      from.on('error', () => to.destroy())
-      from.on('close', () => {
-        this.sockets.delete(from)
-        to.destroy()
-      })
+    const source = client.remoteAddress
+    client.on('error', () => {})
+    this.sockets.add(client)
+    client.on('close', () => this.sockets.delete(client))
+    if (source === this.refusedSource) return client.resetAndDestroy()
+    if (this.isCut(source)) return client.resume()
+    const upstream = connect({ host: this.ip, port: this.target, allowHalfOpen: true })
+    this.sockets.add(upstream)
+    upstream.on('close', () => this.sockets.delete(upstream))
+    upstream.on('error', () => client.destroy())
+    this.forward(source, client, upstream)
+    this.forward(source, upstream, client)
+  }
+
+  forward (source, from, to) {
+    const held = []
+    let attempts
+    const deliver = () => {
+      if (this.isCut(source)) return retry()
+      attempts = undefined
+      for (const data of held.splice(0)) data === undefined ? to.end() : to.write(data)
     }
+    const retry = () => {
+      const next = attempts.times.shift()
+      if (next !== undefined) setTimeout(deliver, attempts.startedAt + next - performance.now())
+    }
+    const send = data => {
+      held.push(data)
+      if (attempts !== undefined) return
+      if (!this.isCut(source)) return deliver()
+      attempts = { startedAt: performance.now(), times: [...RETRANSMISSIONS_MS] }
+      retry()
+    }
+    from.on('data', send)
+    // The end of a channel is sent after what was sent before it.
+    from.on('end', () => send(undefined))
   }
 }
 
--- a/review/lib-2/platform.mjs
+++ b/review/lib-2/platform.mjs
@@ -48,12 +48,14 @@
   waiting = new Set()
   fronts = []
 
-  /** Serves the store at an address of its own. `oneWayMs` is the way between the caller and the store. */
-  async serve (oneWayMs = () => 0) {
+  /** Serves the store at an address of its own. `oneWayMs` is the way between the caller and the store, `healed` resolves while that isn't cut. */
+  async serve (oneWayMs = () => 0, healed = async () => {}) {
     const front = await listen(async req => {
+      await healed()
       await sleep(oneWayMs())
       const reply = await this.handle(req)
       await sleep(oneWayMs())
+      await healed()
       return reply
     })
     this.fronts.push(front)
--- a/review/lib-2/region-cell.mjs
+++ b/review/lib-2/region-cell.mjs
@@ -1,7 +1,7 @@
 /** A cell of three daemons in three regions, with a proxy on each way between two of them. */
 import { rm } from 'node:fs/promises'
 import { Daemon, PeerProxy, freePorts, send, settingsOf, temporaryFolder, until } from './cell.mjs'
-import { Store, Worker } from './platform.mjs'
+import { Store, Worker, sleep } from './platform.mjs'
 
 const ZONES = { 'suva-a': 'viti-levu', 'labasa-a': 'vanua-levu', 'lakeba-a': 'lau' }
 /** One way between two regions and within one, as the sheets give it. */
@@ -17,6 +17,8 @@
   proxies = []
   workers = []
   store = new Store()
+  /** Addresses of the daemons that are cut off. */
+  cutOff = new Set()
 
   constructor (record) {
     this.record = record
@@ -25,7 +27,7 @@
   }
 
   /** `workersOf`: number of workers by zone. The store stands in the first zone. */
-  async start ({ workersOf, durationOf, cloudOf }) {
+  async start ({ workersOf, durationOf, cloudOf, cores = [1, 1, 1] }) {
     const zones = Object.keys(ZONES)
     this.zoneOfSource = new Map(zones.map((zone, index) => [`${this.net}.${10 + index}`, zone]))
     this.store.put('op', '', 'config', { version: 7, routes: [ROUTE], services: [{ name: 'dispatch', admission_check: false }], limits: { max_body_bytes: 262_144 } })
@@ -35,9 +37,9 @@
       const ip = `${this.net}.${10 + index}`
       const ports = await freePorts(6, ip)
       const internalPorts = ports.slice(3, 5)
-      const storeAddress = await this.store.serve(() => this.wayMs(zone, zones[0]))
-      const settings = settingsOf({ name: `d${index + 1}`, ip, zone, zones: ZONES, ports, internalPorts, storeAddress, cloudAddress })
-      this.proxies.push(await new PeerProxy(ip, internalPorts[0], ports[5]).start())
+      const storeAddress = await this.store.serve(() => this.wayMs(zone, zones[0]), () => this.healed(ip))
+      const settings = settingsOf({ name: `d${index + 1}`, ip, zone, zones: ZONES, ports, internalPorts, storeAddress, cloudAddress, cores: cores[index] })
+      this.proxies.push(await new PeerProxy(ip, internalPorts[0], ports[5], source => this.cutOff.has(ip) || this.cutOff.has(source)).start())
       this.daemons.push(new Daemon(settings, this.temporary.folder, { NODE_OPTIONS: `--import=${new URL('link.mjs', import.meta.url).href}`, REVIEW_PEER_PORT: internalPorts[0], REVIEW_PEER_PORT_MOVED: ports[5], REVIEW_SOURCE: ip }))
       // The first daemon leads from the start.
       if (index === 0) await until(() => this.leader() === this.daemons[0], 10_000)
@@ -61,6 +63,17 @@
     return this.daemons.find(({ name }) => holder?.startsWith(`${name}/`))
   }
 
+  /** Cuts a daemon off from the others and from the store, silently; it keeps the workers and its clients. */
+  cutSilently (daemon, durationMs) {
+    this.cutOff.add(daemon.settings.ip)
+    setTimeout(() => this.cutOff.delete(daemon.settings.ip), durationMs)
+  }
+
+  /** Resolves once an address isn't cut off. */
+  async healed (ip) {
+    while (this.cutOff.has(ip)) await sleep(20)
+  }
+
   /** Cuts the first daemon off from the others, with refusals; both sides keep the store, the workers and their clients. */
   async cut () {
     await Promise.all(this.proxies.map((proxy, index) => index === 0 ? proxy.refuse() : proxy.refuseFrom(this.proxies[0].ip)))
