--- a/review/9/case.mjs
+++ b/review/9/case.mjs
@@ -23,6 +23,7 @@
 let running = 0
 let idleSince = performance.now()
 let longestIdleMs = 0
+const runs = { started: 0, ended: 0 }
 let isClosing = false
 let exitCode = 2
 try {
@@ -38,6 +39,7 @@
 
 async function play () {
   cell.daemons.forEach(keepRunning)
+  setInterval(() => record({ what: 'runs', ...runs, running }), 1_000)
   const small = []
   for (let index = 0; index < LARGE_JOBS; index++) {
     const id = jobId()
@@ -67,8 +69,9 @@
   return isBroken ? 1 : 0
 }
 
-/** Counts the runs; there are too many to record each. */
+/** Counts the runs, which are recorded each second: there are too many to record each. */
 function observeRun ({ what }) {
+  if (what in runs) runs[what]++
   if (what === 'started' && running++ === 0) longestIdleMs = Math.max(longestIdleMs, performance.now() - idleSince)
   if (what === 'ended' && --running === 0) idleSince = performance.now()
 }
