fix(cell): an end of an unread job is acknowledged only after a read of the store; jobs are read once the epoch is stored

After an early takeover the new leader acknowledged ends of jobs that it had not read, and read the jobs before its epoch fenced the earlier leader's writes. Change: fence first if the earlier leader may be active; ends of unread jobs wait for a read of the changes; rows of an earlier leader are continued after a conflict.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -8,14 +8,15 @@
 
 const PARTITION = 'leader-0'
 
-function createCommitQueue () {
+function createCommitQueue (prepare: (store: MemoryStore) => void = () => {}) {
   const clock = ManualClock.create()
   const store = MemoryStore.create({ clock })
+  prepare(store)
   store.put('leader', PARTITION, 'epoch', { epoch: 1 })
   const epochVersion = store.get('leader', PARTITION, 'epoch')?.version ?? 0
   const stopping = new AbortController()
   let isDeposed = false
-  const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayIssueCommands: () => true, onDeposed: () => { isDeposed = true }, onRefused: () => {}, clock, log: silentLog })
+  const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayIssueCommands: () => true, onDeposed: () => { isDeposed = true }, onEarlierProgress: (job, progress) => { if ('occurrences' in progress) job.restore(progress.occurrences, job.progressVersion) }, onRefused: () => {}, clock, log: silentLog })
   commits.run(stopping.signal).catch(() => {})
   const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { steps: [createStep({ count: 2 })] } }, 1)
   const finish = (index: number) => {
@@ -69,6 +70,16 @@
   stop()
 })
 
+// Guards against TWICE (issue 58): a row of an earlier leader that was not read was taken for an own one and overwritten.
+test('a progress row of an earlier leader is continued, not overwritten', async t => {
+  const { clock, commits, job, finish, stored, stop } = createCommitQueue(store => store.put('progress', PARTITION, '00000000000000aa', { occurrences: { 0: [{ done: '10' }] } }))
+  finish(1)
+  commits.stage(job).catch(() => {})
+  await clock.advance(2_000)
+  t.deepEqual(stored(), { occurrences: { 0: [{ done: '11' }] } })
+  stop()
+})
+
 test('a deposed leader stores nothing', async t => {
   const { clock, store, commits, job, finish, stored, isDeposed, stop } = createCommitQueue()
   store.put('leader', PARTITION, 'epoch', { epoch: 2 })
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -21,6 +21,8 @@
   /** True while this daemon holds a valid leader lease. */
   readonly mayIssueCommands: () => boolean
   readonly onDeposed: () => void
+  /** Called when the progress row of a job turns out to be that of an earlier leader; the job takes over what it says. */
+  readonly onEarlierProgress: (job: Job, progress: StoredProgress) => void
   /** Called when the store has refused a transaction. */
   readonly onRefused: () => void
   readonly clock: Clock
@@ -232,6 +234,12 @@
     newer.dueAt = Math.min(newer.dueAt, entry.dueAt)
   }
 
+  private takeOverProgress (job: Job, row: StoredRow | undefined) {
+    const progress = decodeProgress(row?.value)
+    this.options.log.warn('The progress row of a job is of an earlier leader.', { job: job.id, version: job.progressVersion, isReadable: progress !== undefined })
+    if (progress !== undefined) this.options.onEarlierProgress(job, progress)
+  }
+
   private async commit (batch: readonly StagedJob[]): Promise<CommitOutcome> {
     const { store, partition, log, onDeposed } = this.options
     const epochVersion = this.options.epochVersion()
@@ -261,7 +269,11 @@
       return 'failed'
     }
     // An earlier transaction whose answer was lost has been applied, possibly with the same values as this one.
-    for (const { job, key } of writes) job.progressVersion = currentVersionOf(currentRows, key)
+    for (const { job, key } of writes) {
+      job.progressVersion = currentVersionOf(currentRows, key)
+      // Since the epoch row was written, only this leader stores progress.
+      if (job.progressVersion > 0 && job.progressVersion < epochVersion) this.takeOverProgress(job, currentRows.get(`${key.table}/${key.key}`))
+    }
     const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(decodeProgress(currentRows.get(`${key.table}/${key.key}`)?.value)) === JSON.stringify(value))
     if (isAlreadyStored) return 'stored'
     log.info('Versions of progress rows refreshed after a conflict.', { jobs: batch.length })
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -48,6 +48,11 @@
     return this.jobs.get(jobId)
   }
 
+  /** Whether the table has the job, or its outcome. */
+  isTracked (jobId: string): boolean {
+    return this.jobs.has(jobId) || this.recentOutcomes.has(jobId)
+  }
+
   /** State of a job; undefined if the table has neither the job nor its outcome. */
   stateOf (jobId: string): JobState | undefined {
     const job = this.jobs.get(jobId)
@@ -114,10 +119,6 @@
     }
   }
 
-  private isTracked (jobId: string): boolean {
-    return this.jobs.has(jobId) || this.recentOutcomes.has(jobId)
-  }
-
   private restoreJob (row: StoredRow, progress: StoredRow | undefined) {
     const { janitor, log } = this.options
     const stored = decodeProgress(progress?.value)
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -463,7 +463,7 @@
   /** Restores the progress that an earlier leader stored. */
   restore (progress: JobProgress, version: number): void {
     this.progressVersion = version
-    this.hasStarted = Object.values(progress).some(steps => steps === 'done' || steps.some(hasBegun))
+    this.hasStarted ||= Object.values(progress).some(steps => steps === 'done' || steps.some(hasBegun))
     for (const [key, storedSteps] of Object.entries(progress)) {
       const occurrence = Number(key)
       if (storedSteps === 'done') {
@@ -515,7 +515,7 @@
     task.ownCrashes.restore(crashes)
     step.hasSuspects ||= task.ownCrashes.isSuspect()
     for (const [number, workerId, born, startedAtMs] of stored.open?.[index] ?? []) task.addOpenRun({ number, workerId, born, startedAtMs })
-    task.checkpoint = stored.checkpoints?.[index] ?? ''
-    task.lastRunNumber = Math.max(0, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
+    task.checkpoint = stored.checkpoints?.[index] ?? task.checkpoint
+    task.lastRunNumber = Math.max(task.lastRunNumber, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
   })
 }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -27,6 +27,8 @@
 import { PayloadLoader } from './payloads.js'
 import { RoundPacer } from './roundPacer.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
+import { UnreadJobs } from './unreadJobs.js'
+import type { StoredProgress } from './storedProgress.js'
 import { SuggestedWorkers } from './suggestedWorkers.js'
 import { formatStepId, formatTaskId } from './types.js'
 import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
@@ -104,6 +106,11 @@
   private epochVersions: readonly number[] = []
   private isLoaded = false
   private finishLoading: (isLoaded: boolean) => void = () => {}
+  /** Resolve once a read of the job changes that began after them has succeeded. */
+  private changeWaiters: Array<() => void> = []
+  private readChangesNow: (() => void) | undefined
+  /** Jobs of which workers have listed runs, or ends of runs, before this leader read them; they aren't started meanwhile. */
+  private readonly unreadJobs = UnreadJobs.create()
   /** Notifications received while the state was being loaded. */
   private readonly deferredNotifications: Array<() => void> = []
   /** Latest version of the jobs that an earlier leader may have started. */
@@ -121,7 +128,7 @@
     this.log = logs.for('leader')
     this.earlierJobsUntil = options.mayPredecessorBeActive ? Infinity : options.epochStartVersion
     this.commitQueues = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
-      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersion(index), mayIssueCommands, onDeposed, onRefused: options.onRefused, clock, log: logs.for('commits')
+      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersion(index), mayIssueCommands, onDeposed, onEarlierProgress: (job, progress) => this.takeOverProgress(job, progress), onRefused: options.onRefused, clock, log: logs.for('commits')
     }))
     this.advice = AdviceCache.create({ agents: options.agents, onAnswer: () => this.scheduleRound(), clock, log: logs.for('advice') })
     this.janitor = Janitor.create({
@@ -249,11 +256,23 @@
 
   // Worker events
 
-  async runFinished (link: WorkerLink, { task: id, run, status, checkpoint }: FinishedRun, knownRun: Run | undefined): Promise<void> {
+  async runFinished (link: WorkerLink, finishedRun: FinishedRun, knownRun: Run | undefined): Promise<void> {
+    const { task: id, run, status } = finishedRun
     this.options.metrics.count(`runs_${status}`)
+    this.scheduleRound()
+    if (!this.jobs.isTracked(id.jobId)) {
+      // An earlier leader may have admitted and run the job after this one read the jobs.
+      this.unreadJobs.add(id, run, link.id)
+      await this.changesRead()
+    }
+    this.unreadJobs.remove(id, run, link.id)
+    await this.applyEnd(link, finishedRun, knownRun)
+  }
+
+  /** Resolves once what follows from the end is stored, or when the job isn't live. */
+  private async applyEnd (link: WorkerLink, { task: id, run, status, checkpoint }: FinishedRun, knownRun: Run | undefined): Promise<void> {
     const job = this.jobs.get(id.jobId)
     const task = job?.listedTask(id)
-    this.scheduleRound()
     if (job === undefined || task === undefined) return
     job.hasStarted = true
     task.step.saveCheckpoint(task, checkpoint)
@@ -273,6 +292,7 @@
   runLost (link: WorkerLink, run: Run, reason: LossReason): void {
     this.log.info('Run lost.', { task: formatTaskId(run.id), run: run.number, worker: link.id, reason })
     this.options.metrics.count('runs_lost')
+    this.unreadJobs.remove(run.id, run.number, link.id)
     if (run.task !== undefined) {
       RECORD_LOSS[reason](run.task, run.number)
       this.stageChange(run.task)
@@ -345,7 +365,11 @@
   adoptRun (link: WorkerLink, listed: RunningTask): Run | undefined {
     const job = this.jobs.get(listed.task.jobId)
     const task = job?.listedTask(listed.task)
-    if (job === undefined || task === undefined || job.outcome !== undefined || task.isDone) return undefined
+    if (job === undefined || task === undefined) {
+      this.unreadJobs.add(listed.task, listed.run, link.id)
+      return undefined
+    }
+    if (job.outcome !== undefined || task.isDone) return undefined
     const isSpeculative = task.step.spec.speculative
     if (task.runs.length > 0 && !isSpeculative) return undefined
     job.hasStarted = true
@@ -501,6 +525,21 @@
     })
   }
 
+  /** Continues a job, of which this leader has stored nothing yet, from the progress that an earlier one has stored. */
+  private takeOverProgress (job: Job, progress: StoredProgress) {
+    if ('outcome' in progress) {
+      if (job.outcome === undefined) this.endJob(job, progress.outcome)
+      return
+    }
+    job.restore(progress.occurrences, job.progressVersion)
+    for (const run of [...job.runs()]) if (run.task?.isDone === true) run.worker.stop(run)
+    for (const occurrence of job.occurrences.keys()) {
+      if (!job.compactOccurrence(occurrence)) continue
+      this.endJob(job, 'completed')
+      return
+    }
+  }
+
   /** The queue of a job as configured now or, once the configuration has dropped it, as it was when the job was admitted. */
   private queueOf (job: Job): JobQueue | undefined {
     return this.options.queue(job.record.queue) ?? job.admissionQueue
@@ -563,6 +602,7 @@
     const { epochStartVersion, mayPredecessorBeActive, hasConfig } = this.options
     let checkedVersion = -Infinity
     for (const job of jobs) {
+      if (this.unreadJobs.has(job.id)) continue
       const { configVersion = -Infinity } = job.record
       if (configVersion > checkedVersion) {
         if (!hasConfig(configVersion)) continue
@@ -578,9 +618,8 @@
     const { clock } = this.options
     const startedAt = clock.now()
     while (!signal.aborted) {
-      // Only job progress has to be read after the epoch is written: leaders don't write admissions or cancellations.
-      const [jobs, isFenced] = await Promise.all([this.loader.readJobs(), this.fence()])
-      if (jobs !== undefined && isFenced && (await Promise.all([this.workers.load(), this.loadJobs(jobs)])).every(isDone => isDone)) break
+      const jobs = await this.fenceAndReadJobs()
+      if (jobs !== undefined && (await Promise.all([this.workers.load(), this.loadJobs(jobs)])).every(isDone => isDone)) break
       await clock.sleep(WORKER_RETRY_MS, signal)
     }
     if (signal.aborted) return
@@ -590,6 +629,16 @@
     this.log.info('State loaded.', { jobs: this.jobs.size(), version: this.changesVersion, rosterWorkers: this.workers.rosterSize(), tookMs: Math.round(clock.now() - startedAt) })
   }
 
+  /**
+   * Resolves with undefined when a call failed. Progress has to be read after the epoch is written. So have jobs, if the
+   * previous leader may be active: it may still admit jobs, and store the progress of those that this leader would not know.
+   */
+  private async fenceAndReadJobs (): Promise<LoadedRows | undefined> {
+    if (this.options.mayPredecessorBeActive) return await this.fence() ? this.loader.readJobs() : undefined
+    const [jobs, isFenced] = await Promise.all([this.loader.readJobs(), this.fence()])
+    return isFenced ? jobs : undefined
+  }
+
   private * earlierRuns (): Iterable<EarlierRun> {
     const { clock } = this.options
     for (const job of this.jobs.live()) {
@@ -624,28 +673,53 @@
 
   /** Polls the store for job changes, since notifications may be lost. */
   private async watchChanges (signal: AbortSignal) {
-    const { clock, store } = this.options
+    const { store } = this.options
     while (!signal.aborted) {
-      await clock.sleep(CHANGES_POLL_INTERVAL_MS, signal)
+      await this.pauseBeforeChanges(signal)
       const { areEarlierLeadersFenced } = this
+      const waiters = this.changeWaiters.splice(0)
       const res = await store.changes(TABLES.jobs, this.changesVersion, 0)
       if (res.err) {
         this.log.warn('Changes of jobs could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
+        this.changeWaiters.push(...waiters)
         continue
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('Store no longer has the job changes since the last read; reading all jobs.', { version: this.changesVersion })
-        await this.loadJobs(await this.loader.readJobs())
+        if (!await this.loadJobs(await this.loader.readJobs())) {
+          this.changeWaiters.push(...waiters)
+          continue
+        }
       } else {
         for (const jobId of this.jobs.applyChanges(res.val.rows)) this.cancelled(jobId)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
       // A job that an earlier leader knew was stored before this read.
       if (areEarlierLeadersFenced) this.earlierJobsUntil = Math.min(this.earlierJobsUntil, this.changesVersion)
+      for (const resolve of waiters) resolve()
       this.scheduleRound()
     }
   }
 
+  /** Resolves when all jobs that were admitted before now, and are live, have been read. */
+  private changesRead (): Promise<void> {
+    return new Promise(resolve => {
+      this.changeWaiters.push(resolve)
+      this.readChangesNow?.()
+    })
+  }
+
+  /** Waits until the next read of the changes is due, or wanted. After a failed one it is due only after the retry pause. */
+  private async pauseBeforeChanges (signal: AbortSignal) {
+    const pause = new AbortController()
+    const end = () => pause.abort()
+    signal.addEventListener('abort', end, { once: true })
+    if (this.changeWaiters.length === 0) this.readChangesNow = end
+    await this.options.clock.sleep(this.changeWaiters.length > 0 ? WORKER_RETRY_MS : CHANGES_POLL_INTERVAL_MS, pause.signal)
+    this.readChangesNow = undefined
+    signal.removeEventListener('abort', end)
+  }
+
   /** Enables scheduling of the jobs from earlier epochs, each once this leader knows its runs or their leases have expired. */
   private async enableEarlierJobs (signal: AbortSignal) {
     const { clock } = this.options
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -113,6 +113,8 @@
   beforeRegistryRead: () => Result<never, Failure> | undefined | Promise<Result<never, Failure>> = () => undefined
   /** Called before each answer about the configuration to a daemon; returns a failure to inject. */
   beforeConfigRead: (daemon: string) => Result<never, Failure> | undefined | Promise<Result<never, Failure> | undefined> = () => undefined
+  /** Called before a leader gets rows of a table, or sends a call to a worker (target `workers`); tests delay it. */
+  beforeLeaderCall: (daemon: string, target: string) => Promise<void> = async () => {}
   /** Version of the configuration that admissions name, in place of the one in force; tests set it. */
   admittedByVersion: number | undefined
   /** Whether the daemons reach each other to ask for the configuration; tests set it. */
@@ -221,9 +223,12 @@
           mayPredecessorBeActive: isEarly,
           holder: `${name}/${this.daemons.length}`,
           ...(options.vms === undefined ? {} : { maintenance: { vms: options.vms, orderGapMs: 3_000, maintenanceMs: 2_000 } }),
-          store: guardStore(store, call => ifAlive(() => carry({ store: true }, call))),
+          store: delayReads(guardStore(store, call => ifAlive(() => carry({ store: true }, call))), table => this.beforeLeaderCall(name, table)),
           directory,
-          clients: guardClients(workers, (zone, call) => ifAlive(() => carry({ zone }, call))),
+          clients: guardClients(workers, (zone, call) => ifAlive(async () => {
+            await this.beforeLeaderCall(name, 'workers')
+            return carry({ zone }, call)
+          })),
           agents: () => options.agents ?? [],
           queue: name => config.queue(name),
           isConfigConfirmed: () => configWatch.isConfirmed(),
@@ -326,6 +331,19 @@
   }
 }
 
+function delayReads (store: RowStore, beforeAnswer: (table: string) => Promise<void>): RowStore {
+  return {
+    transact: (tx, timeoutMs) => store.transact(tx, timeoutMs),
+    range: async (query, timeoutMs) => {
+      const res = await store.range(query, timeoutMs)
+      await beforeAnswer(query.table)
+      return res
+    },
+    changes: (table, version, waitMs) => store.changes(table, version, waitMs),
+    clockMs: () => store.clockMs()
+  }
+}
+
 function guardClients (clients: WorkerClients, guardCall: <T>(zone: string, call: () => Promise<T>) => Promise<T>): WorkerClients {
   return {
     create: entry => {
