fix(cell): a notice of an admission counts only if its row is newer than what the leader has read

A notice that a cut held up for 12 s reached a daemon that led again; it added the job though its read of the store showed none. Evidence: lateMessages.test.ts fails before in both variants ('run 1001 started on w1 after it was done'). Change: the version in the notice is compared with that of the latest read; older notices of unknown jobs are ignored.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -234,6 +234,11 @@
     const { jobId, record, payload, version, answers = [] } = job
     const receivedAt = this.options.clock.now()
     const admit = () => {
+      // The row that admitted the job was read before, so that an unknown job has ended.
+      if (version <= this.changesVersion && !this.jobs.isTracked(jobId)) {
+        this.log.info('Late notice of an admission ignored.', { job: jobId, version, readUntil: this.changesVersion })
+        return
+      }
       this.jobs.admit(jobId, record, payload, version)
       this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
       for (const answer of answers) this.addAnswers(jobId, answer, receivedAt)
