--- a/packages/cell/src/__tests__/lateMessages.test.ts
+++ b/packages/cell/src/__tests__/lateMessages.test.ts
@@ -2,8 +2,9 @@
 import { TABLES } from '../constants.js'
 import type { AdmittedJob } from '../jobService.js'
 import { admissionPartitionOf, leaderPartitionName, leaderPartitionOf } from '../jobs.js'
-import { decodeJob } from '../jobRecord.js'
-import { TestCell, createStep } from '../testing/index.js'
+import { decodeJob, termsOf } from '../jobRecord.js'
+import type { JobRecord } from '../jobRecord.js'
+import { TestCell, createQueue, createStep } from '../testing/index.js'
 
 /** Time after which the rows of an ended job have been moved, in milliseconds. */
 const MOVED_AFTER_MS = 8_000
@@ -37,3 +38,31 @@
     t.is(cell.audit.startsOf(notice.jobId).length, 1)
   })
 }
+
+const ADVICE = { decisionMs: 16, perWorkerMs: 0.23, validityMs: 2_500 }
+
+for (const [age, transitMs, starts] of [['fresh', 0, 1], ['expired', 3_000, 0]] as const) {
+  // Guards against starts that are refused (issue 58): the time that a notice took was in no age, so its old tickets counted as fresh.
+  test(`tickets are ${age} that come with a notice which took ${transitMs} ms`, async t => {
+    const queue = createQueue({ advice: ADVICE })
+    const cell = TestCell.create({ queues: [queue], behaviour: () => ({ durationMs: 20, end: 'done' }) })
+    const daemon = cell.startDaemon('d1')
+    await cell.advanceUntil(() => daemon.leader()?.pendingOf(queue.name) === 0)
+    await cell.clock.advance(1_000)
+    const jobId = cell.newJobId()
+    const steps = [createStep()]
+    const payload = `payload of ${jobId}`
+    cell.audit.expectJob(jobId, { payload, steps })
+    const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: { steps }, admittedAtMs: 0 }
+    daemon.leader()?.admitted({
+      jobId,
+      record,
+      payload,
+      version: Infinity,
+      answers: [{ step: 0, workerIds: ['w1'], approved: [['w1', 'ticket']], ageMs: 50 }],
+      sentByMs: (cell.store.clockMs()?.latest ?? 0) - transitMs
+    })
+    await cell.clock.advance(1_000)
+    t.is(cell.audit.startsOf(jobId).length, starts)
+  })
+}
--- a/packages/cell/src/__tests__/leaderLease.test.ts
+++ b/packages/cell/src/__tests__/leaderLease.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from '@citronnotch/base/clock'
 import { silentLog } from '@citronnotch/base/logger'
 import { LeaderLease } from '../leaderLease.js'
+import type { TakeoverRequest } from '../leaderLease.js'
 import { MemoryStore } from '../testing/index.js'
 
 /** Creates lease holders that share one store; each may have its own clock. */
@@ -171,7 +172,7 @@
   const second = start('b')
   await clock.advance(3_100)
   const released = first.lease.release(0)
-  const taken = second.lease.takeOverFrom('a')
+  const taken = second.lease.takeOverFrom({ holder: 'a', epoch: 1, renewals: 100 })
   await clock.advance(5_000)
   await Promise.all([released, taken])
   t.deepEqual(second.epochs, [2])
@@ -183,7 +184,7 @@
   const { clock, store, start, stop } = createHolders()
   let isSuccessorAble = false
   const first = start('a', clock, {
-    findSuccessor: async () => isSuccessorAble ? { peerAddress: 'b:1', takeOver: holder => second.lease.takeOverFrom(holder) } : undefined
+    findSuccessor: async () => isSuccessorAble ? { peerAddress: 'b:1', takeOver: req => second.lease.takeOverFrom(req) } : undefined
   })
   await clock.advance(1_000)
   const second = start('b')
@@ -254,3 +255,35 @@
   t.is(asked, 0)
   stop()
 })
+
+// Guards against two leaders that both take themselves for the only one (issue 58): a request that a cut held up deposed a live holder.
+test('a request to take over that arrives after a later renewal, or in a later epoch of the same holder, has no effect', async t => {
+  const { clock, start, stop } = createHolders()
+  const requests: TakeoverRequest[] = []
+  const first = start('a', clock, {
+    findSuccessor: async () => ({
+      peerAddress: 'b:1',
+      takeOver: async req => {
+        requests.push(req)
+        return false
+      }
+    })
+  })
+  await clock.advance(1_000)
+  const second = start('b')
+  await clock.advance(1_000)
+  await first.lease.transferLeadership()
+  await clock.advance(1_000)
+  t.true(first.lease.isValid())
+  const [req] = requests
+  if (req === undefined) throw new Error('no request')
+  const late = second.lease.takeOverFrom(req)
+  await clock.advance(500)
+  t.false(await late)
+  const ofEarlierEpoch = second.lease.takeOverFrom({ ...req, epoch: req.epoch - 1, renewals: 100 })
+  await clock.advance(500)
+  t.false(await ofEarlierEpoch)
+  t.deepEqual(second.epochs, [])
+  t.true(first.lease.isValid())
+  stop()
+})
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -83,7 +83,7 @@
   private readonly holder: string
   private readonly membership: Membership
   private readonly lease: LeaderLease
-  private readonly peerClients = PeerClients.create()
+  private readonly peerClients: PeerClients
   private readonly stopping = new AbortController()
   private readonly policyAgent: PolicyAgent
   private readonly earlyAdvice: EarlyAdvice
@@ -96,6 +96,7 @@
     const { clock, logs, directory, storeHealth, peerAddress, name } = options
     const store = HedgedStore.create(options.store, clock)
     this.store = store
+    this.peerClients = PeerClients.create(() => store.clockMs())
     this.log = logs.for('daemon')
     this.config = ConfigInForce.create({ storeClock: () => store.clockMs(), clock, log: logs.for('config') })
     const configPeers = ConfigPeers.create({ peerClients: this.peerClients, leaderAddress: () => this.remoteLeaderAddress(), sample: count => this.membership.sample(count), clock })
@@ -140,7 +141,7 @@
   /** Rejects when the peer address can't be bound. */
   async start (): Promise<void> {
     const { signal } = this.stopping
-    this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), this.options.logs.for('peers'))
+    this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), () => this.store.clockMs(), this.options.logs.for('peers'))
     this.supervise('config', () => this.configWatch.run(signal))
     this.supervise('config age', () => this.configWatch.monitor(signal))
     this.supervise('lease', () => this.lease.run(signal))
@@ -333,7 +334,7 @@
         const readTimeMs = await this.takeOverReadTimeMs()
         return readTimeMs === undefined ? {} : { readTimeMs }
       },
-      takeOver: async ({ holder }) => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(holder) }),
+      takeOver: async req => ({ isTaken: !this.options.storeHealth.isUnavailable() && await this.lease.takeOverFrom(req) }),
       advise: async ({ step, workerIds, timeoutMs }) => {
         const res = await this.policyAgent.approve(step, workerIds, timeoutMs)
         return res.ok ? { approved: [...res.val] } : { reason: res.val.reason }
--- a/packages/cell/src/earlyAdvice.ts
+++ b/packages/cell/src/earlyAdvice.ts
@@ -25,7 +25,7 @@
   readonly workerIds: readonly string[]
   /** Pairs of worker id and ticket. */
   readonly approved: ReadonlyArray<readonly [string, string]>
-  /** Time since the answer was received, in milliseconds. */
+  /** Time from the answer of the service until the leader was notified, in milliseconds. */
   readonly ageMs: number
 }
 
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -49,6 +49,8 @@
   readonly version: number
   /** Answers of the placement policy service that the daemon has got already. */
   readonly answers?: readonly StepAnswers[]
+  /** Latest time at which the notice was sent, on the store's clock in milliseconds; missing if that isn't known. */
+  readonly sentByMs?: number
 }
 
 /** State of a job according to the store. */
@@ -113,7 +115,8 @@
       early.then(({ answers, answeredAt }) => {
         // The transaction may have taken much longer than the answers.
         const ageMs = clock.now() - answeredAt
-        leader.admitted({ ...job, answers: answers.map(answer => ({ ...answer, ageMs })) })
+        const sentByMs = store.clockMs()?.latest
+        leader.admitted({ ...job, answers: answers.map(answer => ({ ...answer, ageMs })), ...(sentByMs === undefined ? {} : { sentByMs }) })
       }, (err: unknown) => {
         log.error('Early placement advice failed unexpectedly.', { job: jobId, err })
         leader.admitted(job)
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -231,8 +231,9 @@
 
   /** Returns workers of the job's service that may have room for the next job. */
   admitted (job: AdmittedJob): readonly string[] {
-    const { jobId, record, payload, version, answers = [] } = job
+    const { jobId, record, payload, version, answers = [], sentByMs = Infinity } = job
     const receivedAt = this.options.clock.now()
+    const transitMs = Math.max(0, (this.options.store.clockMs()?.earliest ?? -Infinity) - sentByMs)
     const admit = () => {
       // The row that admitted the job was read before, so that an unknown job has ended.
       if (version <= this.changesVersion && !this.jobs.isTracked(jobId)) {
@@ -241,7 +242,7 @@
       }
       this.jobs.admit(jobId, record, payload, version)
       this.jobs.get(jobId)?.hops?.note('known', this.unixMs())
-      for (const answer of answers) this.addAnswers(jobId, answer, receivedAt)
+      for (const answer of answers) this.addAnswers(jobId, answer, receivedAt - transitMs - answer.ageMs)
       if (answers.length > 0) this.placeArrival(jobId)
       this.scheduleRound()
     }
@@ -396,14 +397,14 @@
     for (const dispatchable of this.dispatchable([job])) this.dispatcher.placeArrival(dispatchable)
   }
 
-  private addAnswers (jobId: string, answers: StepAnswers, receivedAt: number) {
+  private addAnswers (jobId: string, answers: StepAnswers, answeredAt: number) {
     const job = this.jobs.get(jobId)
     const steps = job?.occurrences.get(0)
     const step = steps === undefined || steps === 'done' ? undefined : steps[answers.step]
     const policy = job === undefined ? undefined : this.queueOf(job)?.advice
     if (step === undefined || step.isDone() || policy === undefined) return
     job?.hops?.note('ticketed', this.unixMs())
-    this.advice.addAnswers(step, policy, answers, receivedAt - answers.ageMs, id => this.workers.get(id))
+    this.advice.addAnswers(step, policy, answers, answeredAt, id => this.workers.get(id))
   }
 
   private unixMs (): number {
--- a/packages/cell/src/leaderLease.ts
+++ b/packages/cell/src/leaderLease.ts
@@ -30,11 +30,19 @@
   readonly version: number
 }
 
+/** What a request to take over says of the holder that issues no more commands. */
+export interface TakeoverRequest {
+  readonly holder: string
+  readonly epoch: number
+  /** Number of renewals that the holder has sent in this epoch. Any later one withdraws the request. */
+  readonly renewals: number
+}
+
 /** A daemon that can take the lease over from this one. */
 export interface Successor {
   readonly peerAddress: string
   /** Resolves with whether the daemon has taken the lease over; after `false` it may still do so. */
-  takeOver (holder: string): Promise<boolean>
+  takeOver (req: TakeoverRequest): Promise<boolean>
 }
 
 /** A lease that this daemon has gained. */
@@ -137,7 +145,7 @@
    * another daemon that the store still answers is asked to take over.
    */
   renewNow (): void {
-    if (this.held !== undefined && this.options.clock.now() - this.renewedAt > MIN_PAUSE_MS) this.renew()
+    if (this.held !== undefined && !this.isTransferring && this.options.clock.now() - this.renewedAt > MIN_PAUSE_MS) this.renew()
   }
 
   /**
@@ -165,7 +173,7 @@
       }, LEASE_READ_TIMEOUT_MS)
       if (res.ok) {
         // After a conflict, either an earlier attempt was applied or another daemon has taken over.
-        if (await successor?.takeOver(held.value.holder) === true) log.info('Leadership handed over.', { successor: successor?.peerAddress })
+        if (await successor?.takeOver(this.takeoverRequest(held)) === true) log.info('Leadership handed over.', { successor: successor?.peerAddress })
         await this.observe()
         return
       }
@@ -174,10 +182,13 @@
   }
 
   /** Takes over from a holder that issues no more commands. Resolves with whether this daemon now leads. */
-  async takeOverFrom (holder: string): Promise<boolean> {
+  async takeOverFrom (req: TakeoverRequest): Promise<boolean> {
     if (this.isStopping || this.held !== undefined) return false
     const state = await this.readState(LEASE_READ_TIMEOUT_MS)
-    if (state?.value?.holder === holder) await this.acquire(state)
+    if (state !== undefined) {
+      if (isCurrent(req, state)) await this.acquire(state)
+      else this.options.log.info('Late request to take over ignored.', { ...req, currentHolder: state.value?.holder, currentEpoch: state.value?.epoch, currentRenewals: state.renewal.count })
+    }
     return this.held !== undefined
   }
 
@@ -213,7 +224,7 @@
     this.isSeekingSuccessor = false
     if (successor === undefined || this.held !== held || this.isTransferring || this.isStopping) return
     this.isTransferring = true
-    const isTaken = await successor.takeOver(held.value.holder)
+    const isTaken = await successor.takeOver(this.takeoverRequest(held))
     this.isTransferring = false
     if (this.held !== held) return
     if (isTaken) {
@@ -231,7 +242,13 @@
 
   // Holder
 
+  private takeoverRequest ({ value: { holder, epoch } }: HeldLease): TakeoverRequest {
+    return { holder, epoch, renewals: this.renewalCount }
+  }
+
   private renewIfDue () {
+    // A renewal would withdraw the request to take over.
+    if (this.isTransferring) return
     if (this.options.clock.now() - this.renewedAt >= this.intervalMs() - MIN_PAUSE_MS) this.renew()
     if ((this.sinceRenewal?.elapsedMs() ?? Infinity) > LEASE_SUSPECT_MS) this.transferLeadership()
   }
@@ -377,3 +394,9 @@
     return isOverdue ? LEASE_OBSERVE_OVERDUE_MS : LEASE_OBSERVE_MS
   }
 }
+
+/** Whether the holder that sent the request still issues no commands. */
+function isCurrent ({ holder, epoch, renewals }: TakeoverRequest, { value, renewal }: LeaseState): boolean {
+  if (value?.holder !== holder || value.epoch !== epoch) return false
+  return value.released || renewal.epoch !== epoch || renewal.count <= renewals
+}
--- a/packages/cell/src/membership.ts
+++ b/packages/cell/src/membership.ts
@@ -155,8 +155,8 @@
     const { peerAddress } = successor
     return {
       peerAddress,
-      takeOver: async holder => {
-        const res = await peerClients.call(peerAddress, 'takeOver', { holder }, TAKEOVER_TIMEOUT_MS)
+      takeOver: async req => {
+        const res = await peerClients.call(peerAddress, 'takeOver', req, TAKEOVER_TIMEOUT_MS)
         return res.ok && res.val.isTaken
       }
     }
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -1,7 +1,8 @@
 import { connect } from 'node:net'
-import { Client, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
+import { Client, Metadata, Server, ServerCredentials, credentials, status } from '@grpc/grpc-js'
 import type { MethodDefinition, ServiceDefinition, UntypedServiceImplementation, sendUnaryData, ServerUnaryCall } from '@grpc/grpc-js'
 import { Failure } from '@citronnotch/base/errors'
+import type { ClockBounds } from '@citronnotch/base/remoteClock'
 import type { Log } from '@citronnotch/base/logger'
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
@@ -11,6 +12,7 @@
 import type { JobRecord } from './jobRecord.js'
 import type { AdmittedJob } from './jobService.js'
 import type { Peer } from './membership.js'
+import type { TakeoverRequest } from './leaderLease.js'
 import type { JobState } from './types.js'
 
 /** Result of a call that one daemon makes on behalf of another. */
@@ -36,7 +38,7 @@
   /** Asks a daemon whether it could lead, and in what time it reads the lease; the time is missing when it could not. */
   canTakeOver: { readonly req: Record<string, never>, readonly res: { readonly readTimeMs?: number } }
   /** Asks a daemon to take over from a leader that issues no more commands. */
-  takeOver: { readonly req: { readonly holder: string }, readonly res: { readonly isTaken: boolean } }
+  takeOver: { readonly req: TakeoverRequest, readonly res: { readonly isTaken: boolean } }
   /** Asks the placement policy service on behalf of the leader; `approved` holds pairs of worker id and ticket. */
   advise: {
     readonly req: { readonly step: string, readonly workerIds: readonly string[], readonly timeoutMs: number }
@@ -48,6 +50,14 @@
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
 const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'daemons', 'canTakeOver', 'takeOver', 'advise']
+/** Requests that are not carried out once their sender has given up waiting: a cut may hold them up for any time. */
+const EXPIRING_METHODS: ReadonlySet<PeerMethod> = new Set<PeerMethod>(['submit', 'cancel', 'canTakeOver', 'takeOver', 'advise'])
+/** Metadata with the time until which the sender waits for the answer, on the store's clock in milliseconds. */
+const WAITS_UNTIL_KEY = 'waits-until-ms'
+
+/** Bounds of the store's clock, which all daemons read; undefined before the store's first answer. */
+export type SharedClock = () => ClockBounds | undefined
+
 const MAX_MESSAGE_BYTES = 1024 * 1024
 /** Ping interval and ping timeout: a dead connection is closed within twice this time. */
 const KEEPALIVE_MS = 1_000
@@ -70,9 +80,9 @@
   private constructor (private readonly server: Server) {}
 
   /** Rejects when the address can't be bound. */
-  static async create (listen: string, handlers: PeerHandlers, log: Log): Promise<PeerServer> {
+  static async create (listen: string, handlers: PeerHandlers, sharedClock: SharedClock, log: Log): Promise<PeerServer> {
     const server = new Server({ 'grpc.max_receive_message_length': MAX_MESSAGE_BYTES })
-    const implementation: UntypedServiceImplementation = Object.fromEntries(METHODS.map(name => [name, unaryHandler(name, handlers[name] as Handler, log)]))
+    const implementation: UntypedServiceImplementation = Object.fromEntries(METHODS.map(name => [name, unaryHandler(name, handlers[name] as Handler, sharedClock, log)]))
     server.addService(service, implementation)
     await new Promise<void>((resolve, reject) => {
       server.bindAsync(listen, ServerCredentials.createInsecure(), err => err ? reject(err) : resolve())
@@ -87,8 +97,14 @@
 
 type Handler = (req: unknown) => unknown
 
-function unaryHandler (name: string, handle: Handler, log: Log) {
+function unaryHandler (name: PeerMethod, handle: Handler, sharedClock: SharedClock, log: Log) {
   return async (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<unknown>) => {
+    const lateMs = EXPIRING_METHODS.has(name) ? latenessMs(call.metadata, sharedClock()) : 0
+    if (lateMs > 0) {
+      log.info('Late peer request ignored.', { method: name, lateMs: Math.round(lateMs) })
+      callback({ code: status.DEADLINE_EXCEEDED, details: `${name} came too late` })
+      return
+    }
     try {
       callback(null, await handle(call.request))
     } catch (err) {
@@ -98,14 +114,20 @@
   }
 }
 
+/** Time for which the sender has certainly given up, in milliseconds; not above 0 if it may be waiting still. */
+function latenessMs (metadata: Metadata, now: ClockBounds | undefined): number {
+  const waitsUntilMs = Number(metadata.get(WAITS_UNTIL_KEY)[0] ?? Infinity)
+  return now === undefined || !Number.isFinite(waitsUntilMs) ? 0 : now.earliest - waitsUntilMs
+}
+
 /** gRPC clients for calls to other daemons, one connection per address. */
 export class PeerClients {
   private readonly clients = new Map<string, Client>()
 
-  private constructor () {}
+  private constructor (private readonly sharedClock: SharedClock) {}
 
-  static create (): PeerClients {
-    return new PeerClients()
+  static create (sharedClock: SharedClock): PeerClients {
+    return new PeerClients(sharedClock)
   }
 
   call<M extends PeerMethod> (address: string, method: M, req: PeerMethods[M]['req'], timeoutMs: number): Promise<Result<PeerMethods[M]['res'], Failure>> {
@@ -114,7 +136,7 @@
     if (!isSocketAddress(address)) return Promise.resolve(Err(Failure.notRun('peer-unreachable', 'The daemon has no usable address.')))
     return new Promise(resolve => {
       this.client(address).makeUnaryRequest<PeerMethods[M]['req'], PeerMethods[M]['res']>(
-        definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, { deadline: Date.now() + timeoutMs },
+        definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, this.metadata(timeoutMs), { deadline: Date.now() + timeoutMs },
         (err, res) => {
           if (err === null && res !== undefined) resolve(Ok(res))
           else resolve(Err(peerFailure(address, err?.details ?? 'no response')))
@@ -126,6 +148,13 @@
     for (const client of this.clients.values()) client.close()
   }
 
+  private metadata (timeoutMs: number): Metadata {
+    const metadata = new Metadata()
+    const now = this.sharedClock()
+    if (now !== undefined) metadata.set(WAITS_UNTIL_KEY, String(Math.ceil(now.latest + timeoutMs)))
+    return metadata
+  }
+
   private client (address: string): Client {
     let client = this.clients.get(address)
     if (client === undefined) {
