fix(cell): the progress of a job is divided into rows that always fit into the store

A job's progress was one row, which grew with its tasks, attempts, open runs and checkpoints. The store rejected it, no end of the job was acknowledged, and as ends are acknowledged in order, none behind them either. Change: a job whose worst case exceeds a row has a row for each range of its tasks, sized by the worst case of a task; open runs and checkpoints are left out as far as they don't fit. Rows of earlier versions are converted.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -3,7 +3,7 @@
 import { silentLog } from '@citronnotch/base/logger'
 import { CommitQueue } from '../commitQueue.js'
 import { Job } from '../jobs.js'
-import type { StoredProgress } from '../storedProgress.js'
+import type { JobProgress, StoredProgress } from '../storedProgress.js'
 import { MemoryStore, createStep } from '../testing/index.js'
 
 const PARTITION = 'leader-0'
@@ -16,7 +16,8 @@
   const epochVersion = store.get('leader', PARTITION, 'epoch')?.version ?? 0
   const stopping = new AbortController()
   let isDeposed = false
-  const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayIssueCommands: () => true, onDeposed: () => { isDeposed = true }, onEarlierProgress: (job, progress) => { if ('occurrences' in progress) job.restore(progress.occurrences, job.progressVersion) }, onRefused: () => {}, clock, log: silentLog })
+  const rejected: string[] = []
+  const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayIssueCommands: () => true, onDeposed: () => { isDeposed = true }, onEarlierProgress: (row, value) => row.job.restore((value as { readonly occurrences: JobProgress }).occurrences, row.progressVersion), onRejected: job => rejected.push(job.id), onRefused: () => {}, clock, log: silentLog })
   commits.run(stopping.signal).catch(() => {})
   const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { steps: [createStep({ count: 2 })] } }, 1)
   const finish = (index: number) => {
@@ -24,7 +25,7 @@
     if (task !== undefined) task.step.markDone(task)
   }
   const stored = () => store.get('progress', PARTITION, job.id)?.value as StoredProgress | undefined
-  return { clock, store, commits, job, finish, stored, isDeposed: () => isDeposed, stop: () => stopping.abort() }
+  return { clock, store, commits, job, finish, stored, isDeposed: () => isDeposed, rejected, stop: () => stopping.abort() }
 }
 
 test('a transaction that is applied late does not undo a later one', async t => {
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -1,17 +1,15 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
 import { COMMIT_AWAITED_DELAY_MS, COMMIT_PROGRESS_DELAY_MS, COMMIT_RETRY_MS, COMMIT_START_DELAY_MS, MAX_TRANSACTION_ENTRIES, STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
-import type { Job } from './jobs.js'
+import type { Job, ProgressRow } from './jobs.js'
 import type { RowKey, RowStore, StoredRow, Transaction } from './ports.js'
-import { decodeProgress } from './storedProgress.js'
-import type { StoredProgress } from './storedProgress.js'
 
 /** Pause before a job whose progress the store has rejected is stored again, in milliseconds. */
 const REJECTED_RETRY_MS = 5_000
 /** Time after which a store that has not refused the row yet is slow: many times that of a transaction and its batch, in milliseconds. */
 const SLOW_STORE_MS = 150
-/** Each job needs one expected version and one write. */
-const ENTRIES_PER_JOB = 2
+/** Each row needs one expected version and one write. */
+const ENTRIES_PER_ROW = 2
 
 export interface CommitQueueOptions {
   readonly store: RowStore
@@ -21,8 +19,10 @@
   /** True while this daemon holds a valid leader lease. */
   readonly mayIssueCommands: () => boolean
   readonly onDeposed: () => void
-  /** Called when the progress row of a job turns out to be that of an earlier leader; the job takes over what it says. */
-  readonly onEarlierProgress: (job: Job, progress: StoredProgress) => void
+  /** Called when a row turns out to be that of an earlier leader; its job takes over what it says. */
+  readonly onEarlierProgress: (row: ProgressRow, value: unknown) => void
+  /** Called when the store has rejected a row again, though a job's rows always fit: its job can't go on. */
+  readonly onRejected: (job: Job) => void
   /** Called when the store has refused a transaction. */
   readonly onRefused: () => void
   readonly clock: Clock
@@ -61,9 +61,9 @@
   readonly isBestEffort: boolean
 }
 
-interface StagedJob {
-  readonly job: Job
-  /** Monotonic time in milliseconds by which the job is stored, unless other transactions delay it. */
+interface StagedRow {
+  readonly row: ProgressRow
+  /** Monotonic time in milliseconds by which the row is stored, unless other transactions delay it. */
   dueAt: number
   waiters: Waiter[]
 }
@@ -73,9 +73,9 @@
  * version of its row, so that a transaction that is applied late, after its answer was lost, can't undo a newer one.
  */
 export class CommitQueue {
-  private staged = new Map<Job, StagedJob>()
-  /** Jobs whose latest row the store has rejected. */
-  private readonly rejectedJobs = new WeakSet<Job>()
+  private staged = new Map<ProgressRow, StagedRow>()
+  /** Rows that the store has rejected since they were last stored. */
+  private readonly rejectedRows = new WeakSet<ProgressRow>()
   /** Whether the store refused the latest transaction. */
   private isRefused = false
   private isStopped = false
@@ -90,15 +90,15 @@
     return new CommitQueue(options)
   }
 
-  /** Queues the job to be stored, without waiting for it. */
-  enqueue (job: Job, kind: ChangeKind = kindOf(job)): void {
-    this.entryFor(job, kind)
+  /** Queues the row to be stored, without waiting for it. A job stands for its first row. */
+  enqueue (row: ProgressRow, kind: ChangeKind = kindOf(row)): void {
+    this.entryFor(row, kind)
   }
 
-  /** Queues the job to be stored. Resolves when its current state or a newer one is stored. */
-  stage (job: Job, { kind = kindOf(job), isBestEffort = false }: StageOptions = {}): Promise<void> {
-    if (isBestEffort && this.rejectedJobs.has(job)) return Promise.resolve()
-    const entry = this.entryFor(job, kind)
+  /** Queues the row to be stored. Resolves when its current state or a newer one is stored. */
+  stage (row: ProgressRow, { kind = kindOf(row), isBestEffort = false }: StageOptions = {}): Promise<void> {
+    if (isBestEffort && this.rejectedRows.has(row)) return Promise.resolve()
+    const entry = this.entryFor(row, kind)
     return new Promise(resolve => {
       if (!isBestEffort) {
         entry.waiters.push({ resolve, isBestEffort })
@@ -126,7 +126,7 @@
     return this.isRefused
   }
 
-  /** Number of jobs waiting to be stored, without those in the current transaction. */
+  /** Number of rows waiting to be stored, without those in the current transaction. */
   size (): number {
     return this.staged.size
   }
@@ -148,9 +148,9 @@
 
   /**
    * Stores a batch or stages it again, and resolves with whether to go on at once. A batch that the store rejects is split,
-   * so that a job whose progress the store can't take doesn't keep the others from being stored.
+   * so that a row that the store can't take doesn't keep the others from being stored.
    */
-  private async storeBatch (batch: readonly StagedJob[]): Promise<boolean> {
+  private async storeBatch (batch: readonly StagedRow[]): Promise<boolean> {
     let outcome: CommitOutcome = 'failed'
     try {
       if (this.options.mayIssueCommands()) outcome = await this.commit(batch)
@@ -168,30 +168,37 @@
     return areStored.every(isStored => isStored)
   }
 
-  private release ({ job, waiters }: StagedJob) {
-    this.rejectedJobs.delete(job)
+  private release ({ row, waiters }: StagedRow) {
+    this.rejectedRows.delete(row)
     for (const { resolve } of waiters) resolve()
   }
 
-  /** Stages jobs again only after a while. */
-  private setAside (batch: readonly StagedJob[]) {
+  /**
+   * Stages rows again only after a while. A row that is rejected for the second time ends its job: the ends of its runs
+   * could never be acknowledged, and would keep the workers from listing others.
+   */
+  private setAside (batch: readonly StagedRow[]) {
+    const { log, clock, onRejected } = this.options
     for (const entry of batch) {
-      this.rejectedJobs.add(entry.job)
+      const { row } = entry
+      if (this.rejectedRows.has(row) && row.job.outcome === undefined) onRejected(row.job)
+      if (row.job.isOutcomeStored) this.release(entry)
+      this.rejectedRows.add(row)
       for (const { resolve, isBestEffort } of entry.waiters) if (isBestEffort) resolve()
       entry.waiters = entry.waiters.filter(({ isBestEffort }) => !isBestEffort)
     }
-    this.options.log.error('The store rejects the progress of a job; the others are stored without it.', { jobs: batch.map(({ job }) => job.id) })
-    this.options.clock.after(REJECTED_RETRY_MS, () => {
+    log.error('The store rejects the progress of a job; the others are stored without it.', { rows: batch.map(({ row }) => row.key) })
+    clock.after(REJECTED_RETRY_MS, () => {
       for (const entry of batch) this.restage(entry)
       this.wakeUp?.()
     })
   }
 
-  private entryFor (job: Job, kind: ChangeKind): StagedJob {
+  private entryFor (row: ProgressRow, kind: ChangeKind): StagedRow {
     const dueAt = this.options.clock.now() + DELAYS_MS[kind]
-    const entry = this.staged.get(job) ?? { job, dueAt, waiters: [] }
+    const entry = this.staged.get(row) ?? { row, dueAt, waiters: [] }
     entry.dueAt = Math.min(entry.dueAt, dueAt)
-    this.staged.set(job, entry)
+    this.staged.set(row, entry)
     this.wakeUp?.()
     if (dueAt < this.batchDueAt) this.endDelay?.()
     return entry
@@ -215,36 +222,36 @@
     }
   }
 
-  /** Takes the jobs of the next transaction, those with an outcome first: callers wait for them. */
-  private dequeueBatch (): readonly StagedJob[] {
+  /** Takes the rows of the next transaction, those of jobs with an outcome first: callers wait for them. */
+  private dequeueBatch (): readonly StagedRow[] {
     const entries = [...this.staged.values()]
-    const batch = [...entries.filter(({ job }) => job.outcome !== undefined), ...entries.filter(({ job }) => job.outcome === undefined)]
-      .slice(0, Math.floor(MAX_TRANSACTION_ENTRIES / ENTRIES_PER_JOB))
-    for (const { job } of batch) this.staged.delete(job)
+    const batch = [...entries.filter(({ row }) => row.job.outcome !== undefined), ...entries.filter(({ row }) => row.job.outcome === undefined)]
+      .slice(0, Math.floor(MAX_TRANSACTION_ENTRIES / ENTRIES_PER_ROW))
+    for (const { row } of batch) this.staged.delete(row)
     return batch
   }
 
-  private restage (entry: StagedJob) {
-    const newer = this.staged.get(entry.job)
+  private restage (entry: StagedRow) {
+    const newer = this.staged.get(entry.row)
     if (newer === undefined) {
-      this.staged.set(entry.job, entry)
+      this.staged.set(entry.row, entry)
       return
     }
     newer.waiters.push(...entry.waiters)
     newer.dueAt = Math.min(newer.dueAt, entry.dueAt)
   }
 
-  private takeOverProgress (job: Job, row: StoredRow | undefined) {
-    const progress = decodeProgress(row?.value)
-    this.options.log.warn('The progress row of a job is of an earlier leader.', { job: job.id, version: job.progressVersion, isReadable: progress !== undefined })
-    if (progress !== undefined) this.options.onEarlierProgress(job, progress)
+  private takeOver (row: ProgressRow, stored: StoredRow | undefined) {
+    this.options.log.warn('The progress row of a job is of an earlier leader.', { row: row.key, version: row.progressVersion })
+    this.options.onEarlierProgress(row, stored?.value)
   }
 
-  private async commit (batch: readonly StagedJob[]): Promise<CommitOutcome> {
+  private async commit (batch: readonly StagedRow[]): Promise<CommitOutcome> {
     const { store, partition, log, onDeposed } = this.options
     const epochVersion = this.options.epochVersion()
-    // The values are captured here; a job that changes later is staged again.
-    const writes = batch.map(({ job }) => ({ job, key: progressKey(job), version: job.progressVersion, value: storedProgressOf(job, this.options.clock) }))
+    // The values are captured here; a row that changes later is staged again.
+    const unixMs = this.options.clock.date().getTime()
+    const writes = batch.map(({ row }) => ({ row, key: { table: TABLES.progress, key: row.key }, version: row.progressVersion, value: row.value(unixMs) }))
     const tx: Transaction = {
       partition,
       expect: [{ table: TABLES.leader, key: 'epoch', version: epochVersion }, ...writes.map(({ key, version }) => ({ ...key, version }))],
@@ -255,12 +262,12 @@
     this.isRefused = res.err && res.val.verdict === 'not-run' && res.val.code !== TRANSACTION_REJECTED
     if (res.err && res.val.code === TRANSACTION_REJECTED) return 'rejected'
     if (res.err) {
-      log.warn('Storing job progress failed; retrying.', { jobs: batch.length, verdict: res.val.verdict, reason: res.val.reason })
+      log.warn('Storing job progress failed; retrying.', { rows: batch.length, verdict: res.val.verdict, reason: res.val.reason })
       if (res.val.verdict === 'not-run') this.options.onRefused()
       return 'failed'
     }
     if (res.val.committed) {
-      for (const { job } of writes) job.progressVersion = res.val.version
+      for (const { row } of writes) row.progressVersion = res.val.version
       return 'stored'
     }
     const currentRows = new Map(res.val.current.map(row => [`${row.table}/${row.key}`, row]))
@@ -269,32 +276,22 @@
       return 'failed'
     }
     // An earlier transaction whose answer was lost has been applied, possibly with the same values as this one.
-    for (const { job, key } of writes) {
-      job.progressVersion = currentVersionOf(currentRows, key)
+    for (const { row, key } of writes) {
+      row.progressVersion = currentVersionOf(currentRows, key)
       // Since the epoch row was written, only this leader stores progress.
-      if (job.progressVersion > 0 && job.progressVersion < epochVersion) this.takeOverProgress(job, currentRows.get(`${key.table}/${key.key}`))
+      if (row.progressVersion > 0 && row.progressVersion < epochVersion) this.takeOver(row, currentRows.get(`${key.table}/${key.key}`))
     }
-    const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(decodeProgress(currentRows.get(`${key.table}/${key.key}`)?.value)) === JSON.stringify(value))
+    const isAlreadyStored = writes.every(({ key, value }) => JSON.stringify(currentRows.get(`${key.table}/${key.key}`)?.value) === JSON.stringify(value))
     if (isAlreadyStored) return 'stored'
-    log.info('Versions of progress rows refreshed after a conflict.', { jobs: batch.length })
+    log.info('Versions of progress rows refreshed after a conflict.', { rows: batch.length })
     return 'failed'
   }
 }
 
-function kindOf (job: Job): ChangeKind {
+function kindOf ({ job }: ProgressRow): ChangeKind {
   return job.outcome === undefined ? 'progress' : 'awaited'
 }
 
-function storedProgressOf (job: Job, clock: Clock): StoredProgress {
-  return job.outcome === undefined
-    ? { occurrences: job.progress() }
-    : { outcome: job.outcome, endedAtMs: clock.date().getTime() }
-}
-
-function progressKey (job: Job): RowKey {
-  return { table: TABLES.progress, key: job.id }
-}
-
 function currentVersionOf (rows: ReadonlyMap<string, StoredRow>, { table, key }: RowKey): number {
   const row = rows.get(`${table}/${key}`)
   return row === undefined || row.deleted ? 0 : row.version
--- a/packages/cell/src/janitor.ts
+++ b/packages/cell/src/janitor.ts
@@ -68,10 +68,15 @@
     this.endedJobs.set(partition, entry)
   }
 
-  /** Queues the progress row of a job for removal. The job must already be in the table of ended jobs. */
-  enqueueProgressRemoval (id: string): void {
+  /**
+   * Queues progress rows of a job for removal: those of ranges of its tasks that a stored outcome or a done occurrence has
+   * made obsolete, or its first row, once the job is in the table of ended jobs.
+   */
+  enqueueProgressRemoval (id: string, rowKeys: readonly string[] = [id]): void {
     const index = leaderPartitionOf(id)
-    this.obsoleteProgressKeys.set(index, [...(this.obsoleteProgressKeys.get(index) ?? []), id])
+    const keys = this.obsoleteProgressKeys.get(index) ?? []
+    for (const key of rowKeys) keys.push(key)
+    this.obsoleteProgressKeys.set(index, keys)
   }
 
   /** Moves the rows of ended jobs until the signal aborts. */
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -6,7 +6,8 @@
 import { decodeJob } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
 import type { StoredRow } from './ports.js'
-import { decodeEnded, decodeProgress } from './storedProgress.js'
+import { decodeEnded, decodeProgress, decodeRange, parseRangeKey } from './storedProgress.js'
+import type { RangeKey } from './storedProgress.js'
 import type { JobOutcome, JobState } from './types.js'
 
 interface RecentOutcome {
@@ -80,14 +81,18 @@
 
   /** Adds jobs from their admission rows and progress rows. Returns the ids of the jobs with a cancellation row. */
   restore (jobRows: readonly StoredRow[], progressRows: readonly StoredRow[]): readonly string[] {
-    const progressById = new Map(progressRows.map(row => [row.key, row]))
+    const rowsByJob = groupByJob(progressRows)
     for (const row of jobRows) {
       if (!isAdmissionRow(row)) continue
-      if (!this.isTracked(row.key)) this.restoreJob(row, progressById.get(row.key))
-      progressById.delete(row.key)
+      if (!this.isTracked(row.key)) this.restoreJob(row, rowsByJob.get(row.key))
+      rowsByJob.delete(row.key)
     }
     // An earlier leader moved these jobs to the table of ended jobs, but didn't remove their progress rows.
-    for (const { key, value } of progressById.values()) if (isJobId(key) && decodeEnded(value) !== undefined && !this.isTracked(key)) this.options.janitor.enqueueProgressRemoval(key)
+    for (const [jobId, { first, ranges }] of rowsByJob) {
+      if (this.isTracked(jobId)) continue
+      const isObsolete = first === undefined || decodeEnded(first.value) !== undefined
+      if (isObsolete) this.options.janitor.enqueueProgressRemoval(jobId, [...first === undefined ? [] : [first.key], ...ranges.map(([, { key }]) => key)])
+    }
     return cancelledJobIds(jobRows)
   }
 
@@ -101,6 +106,7 @@
   markOutcomeStored (job: Job, outcome: JobOutcome): void {
     job.isOutcomeStored = true
     this.recordOutcome(job.id, outcome)
+    this.options.janitor.enqueueProgressRemoval(job.id, job.rangeKeys())
     this.options.janitor.enqueueEndedJob(job.id, job.version, { outcome, endedAtMs: this.options.clock.date().getTime() })
     this.removeIfFinished(job)
   }
@@ -119,18 +125,22 @@
     }
   }
 
-  private restoreJob (row: StoredRow, progress: StoredRow | undefined) {
+  private restoreJob (row: StoredRow, { first, ranges }: JobProgressRows = { first: undefined, ranges: [] }) {
     const { janitor, log } = this.options
-    const stored = decodeProgress(progress?.value)
-    if (progress !== undefined && stored === undefined) {
+    const stored = decodeProgress(first?.value)
+    const decodedRanges = ranges.map(([key, { value, version }]) => ({ key, version, progress: decodeRange(value) }))
+    if ((first !== undefined && stored === undefined) || decodedRanges.some(({ progress }) => progress === undefined)) {
       // Without its progress, tasks of the job that are done would run again.
-      log.error('Progress row could not be decoded; the job is left out.', { job: row.key, version: progress.version })
+      log.error('Progress row could not be decoded; the job is left out.', { job: row.key, version: first?.version })
     } else if (stored !== undefined && 'outcome' in stored) {
       this.recordOutcome(row.key, stored.outcome)
       janitor.enqueueEndedJob(row.key, row.version, stored)
+      janitor.enqueueProgressRemoval(row.key, ranges.map(([, { key }]) => key))
     } else {
       const job = this.addJob(row)
-      if (job !== undefined && stored !== undefined) job.restore(stored.occurrences, progress?.version ?? 0)
+      if (job === undefined) return
+      if (stored !== undefined) job.restoreFirstRow(stored, first?.version ?? 0)
+      for (const { key, progress, version } of decodedRanges) if (progress !== undefined) job.restoreRange(key, progress, version)
     }
   }
 
@@ -154,6 +164,26 @@
   }
 }
 
+/** Rows of one job in the progress table. */
+interface JobProgressRows {
+  first: StoredRow | undefined
+  readonly ranges: Array<readonly [RangeKey, StoredRow]>
+}
+
+function groupByJob (rows: readonly StoredRow[]): Map<string, JobProgressRows> {
+  const rowsByJob = new Map<string, JobProgressRows>()
+  for (const row of rows) {
+    const range = parseRangeKey(row.key)
+    const jobId = range?.jobId ?? row.key
+    if (!isJobId(jobId)) continue
+    const ofJob = rowsByJob.get(jobId) ?? { first: undefined, ranges: [] }
+    if (range === undefined) ofJob.first = row
+    else ofJob.ranges.push([range, row])
+    rowsByJob.set(jobId, ofJob)
+  }
+  return rowsByJob
+}
+
 function isAdmissionRow ({ key, deleted }: StoredRow): boolean {
   return !deleted && isJobId(key)
 }
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -3,15 +3,16 @@
 import { HopTimes } from './hopTimes.js'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
-import type { JobProgress, StepProgress, StoredOpenRun } from './storedProgress.js'
+import { encodeRow, formatRanges, layoutOf, parseRanges } from './progressRows.js'
+import type { RowLayout, RowTasks } from './progressRows.js'
+import { formatRangeKey, parseRangeKey } from './storedProgress.js'
+import type { EndedRecord, JobProgress, RangeKey, StepProgress, StoredProgress } from './storedProgress.js'
 import type { JobOutcome, JobQueue, ResourceVector, StepSpec, TaskId } from './types.js'
 import { WaitTimes } from './waitTimes.js'
 import type { WorkerLink } from './workerLink.js'
 
 /** Maximum number of runs of one task whose end isn't known; more can only be of workers that have gone for good. */
 const MAX_OPEN_RUNS_PER_TASK = 8
-/** Maximum number of such runs that are stored with one job, so that its row keeps well below the limit of the store. */
-const MAX_STORED_OPEN_RUNS = 256
 
 export type RunState = 'starting' | 'running' | 'stopping'
 
@@ -185,6 +186,11 @@
     return this.open
   }
 
+  /** Whether there is anything to store of a task that isn't done. */
+  hasState (): boolean {
+    return this.checkpoint !== '' || this.failedRuns.size > 0 || this.open.length > 0 || this.ownCrashes.isSuspect()
+  }
+
   isWaiting (): boolean {
     return !this.hasEnded && this.activeRuns.length === 0
   }
@@ -223,6 +229,8 @@
   readonly tasks: readonly Task[]
   /** Capacity that one task takes on its worker. A task that uses idle capacity counts with no processor time. */
   readonly need: ResourceVector
+  /** Rows of their own for ranges of tasks, if the job doesn't fit into one. */
+  private readonly rangeRows = new Map<number, RangeRow>()
   /** Number of tasks that aren't done. */
   remainingTasks: number
   /** Number of tasks that aren't done and have no run; kept by the tasks, since each scheduling round asks for it. */
@@ -256,6 +264,33 @@
     return this.waitingTasks > 0
   }
 
+  /** Number of the range of tasks whose progress shares a row with that of a task. */
+  rangeOf (index: number): number {
+    return this.spec.gang ? 0 : Math.floor(index / this.job.layout.tasksPerRow)
+  }
+
+  /** Index of the first task of a range. */
+  firstOf (range: number): number {
+    return Math.min(this.spec.count, range * (this.spec.gang ? this.spec.count : this.job.layout.tasksPerRow))
+  }
+
+  rangeRow (range: number): ProgressRow {
+    const row = this.rangeRows.get(range) ?? new RangeRow(this, range)
+    this.rangeRows.set(range, row)
+    return row
+  }
+
+  /** What is stored of the tasks from index `first` up to `end`. */
+  rowTasks (first: number, end: number): RowTasks {
+    const members = this.tasks.slice(first, end)
+    return { done: members.map(task => task.isDone ? '1' : '0').join(''), first, tasks: members.filter(task => !task.isDone) }
+  }
+
+  /** Ranges with tasks of which there is something to store. */
+  rangesInUse (): ReadonlySet<number> {
+    return new Set(this.tasks.filter(task => task.isDone || task.hasState()).map(({ index }) => this.rangeOf(index)))
+  }
+
   /** Whether all steps that this one depends on are done. */
   isReady (): boolean {
     const steps = this.job.occurrences.get(this.occurrence)
@@ -350,7 +385,7 @@
 }
 
 /** A live job and the state of its tasks. */
-export class Job {
+export class Job implements ProgressRow {
   readonly occurrences = new Map<number, 'done' | Step[]>()
   outcome: JobOutcome | undefined
   isCancelled = false
@@ -358,8 +393,14 @@
   hasStarted = false
   /** True once the store has confirmed the row with the outcome. */
   isOutcomeStored = false
-  /** Version of the progress row; 0 if there is none. */
+  /** Version of the first progress row; 0 if there is none. */
   progressVersion = 0
+  /** How the progress is divided into rows. */
+  readonly layout: RowLayout
+  /** Keys of the rows that are stored beside the first one. */
+  private readonly storedRanges = new Set<string>()
+  /** Rows that must be stored before the first one, which still holds their progress in the form of earlier versions. */
+  private readonly rowsToConvert = new Set<ProgressRow>()
   /** Input of the tasks. Undefined until read from the store if this leader wasn't notified of the admission. */
   payload: string | undefined
   /** Times at which the job passed its stations on this leader; undefined unless the job is followed. */
@@ -376,6 +417,27 @@
     const { queue: name, service, terms } = record
     this.hops = HopTimes.create(id, record.admittedAtMs)
     this.admissionQueue = terms === undefined ? undefined : { ...terms, name, service }
+    this.layout = layoutOf(record.spec.steps, record.spec.schedule?.repetitions ?? 1, terms?.maxAttempts ?? Infinity)
+  }
+
+  get job (): Job {
+    return this
+  }
+
+  /** Key of the first progress row. */
+  get key (): string {
+    return this.id
+  }
+
+  /** Records that the row of a range is stored. */
+  recordStoredRange (row: ProgressRow): void {
+    this.storedRanges.add(row.key)
+    this.rowsToConvert.delete(row)
+  }
+
+  /** Rows that replace the first one of an earlier version. */
+  unconvertedRows (): Iterable<ProgressRow> {
+    return this.rowsToConvert
   }
 
   static create (id: string, record: JobRecord, version: number): Job {
@@ -448,19 +510,58 @@
   }
 
   progress (): JobProgress {
-    const openRuns = new Map<Task, StoredOpenRun[]>()
-    let storedRuns = 0
-    for (const { task, run: { number, workerId, born, startedAtMs } } of this.openRuns()) {
-      if (storedRuns++ >= MAX_STORED_OPEN_RUNS) break
-      openRuns.set(task, [...openRuns.get(task) ?? [], [number, workerId, born, startedAtMs]])
-    }
+    const liveSteps = [...this.occurrences.values()].flatMap(steps => steps === 'done' ? [] : steps)
+    const encoded = encodeRow(liveSteps.map(step => step.rowTasks(0, step.spec.count))).values()
     return Object.fromEntries([...this.occurrences].map(([occurrence, steps]) => [
       String(occurrence),
-      steps === 'done' ? 'done' : steps.map(step => stepProgress(step, openRuns))
+      steps === 'done' ? 'done' : steps.map((): StepProgress => encoded.next().value ?? { done: '' })
     ]))
   }
 
-  /** Restores the progress that an earlier leader stored. */
+  /** The row that holds the progress of a task. */
+  rowOf ({ step, index }: Task): ProgressRow {
+    return this.layout.isCompact ? this : step.rangeRow(step.rangeOf(index))
+  }
+
+  /** Keys of the rows of an occurrence, or of all, beside the first one of the job. */
+  rangeKeys (occurrence?: number): readonly string[] {
+    return [...this.storedRanges].filter(key => occurrence === undefined || parseRangeKey(key)?.occurrence === occurrence)
+  }
+
+  /** Value of the first row of the job. */
+  value (unixMs: number): StoredProgress {
+    if (this.outcome !== undefined) return { outcome: this.outcome, endedAtMs: unixMs }
+    if (this.layout.isCompact || this.rowsToConvert.size > 0) return { occurrences: this.progress() }
+    return { doneOccurrences: formatRanges([...this.occurrences].filter(([, steps]) => steps === 'done').map(([occurrence]) => occurrence).sort((a, b) => a - b)) }
+  }
+
+  /** Restores the progress that an earlier leader stored, as far as it is in the first row. */
+  restoreFirstRow (progress: Exclude<StoredProgress, EndedRecord>, version: number): void {
+    this.progressVersion = version
+    if ('occurrences' in progress) return this.restore(progress.occurrences, version)
+    const repetitions = this.record.spec.schedule?.repetitions ?? 1
+    for (const [first, last] of parseRanges(progress.doneOccurrences) ?? []) {
+      for (let occurrence = first; occurrence <= Math.min(last, repetitions - 1); occurrence++) this.occurrences.set(occurrence, 'done')
+      this.hasStarted = true
+    }
+  }
+
+  /** Restores the progress of a range of tasks that an earlier leader stored. */
+  restoreRange ({ occurrence, step, range }: RangeKey, progress: StepProgress, version: number): void {
+    if (!this.listsOccurrence(occurrence)) return
+    this.addOccurrence(occurrence)
+    const steps = this.occurrences.get(occurrence)
+    if (steps === undefined || steps === 'done' || steps[step] === undefined) return
+    this.hasStarted ||= hasBegun(progress)
+    steps[step].rangeRow(range).progressVersion = version
+    restoreStep(steps[step], progress, steps[step].firstOf(range))
+  }
+
+  private listsOccurrence (occurrence: number): boolean {
+    return occurrence < (this.record.spec.schedule?.repetitions ?? 1)
+  }
+
+  /** Restores the progress that an earlier leader stored in one row. */
   restore (progress: JobProgress, version: number): void {
     this.progressVersion = version
     this.hasStarted ||= Object.values(progress).some(steps => steps === 'done' || steps.some(hasBegun))
@@ -473,40 +574,63 @@
       this.addOccurrence(occurrence)
       const currentSteps = this.occurrences.get(occurrence)
       if (currentSteps === undefined || currentSteps === 'done') continue
-      storedSteps.forEach((stored, index) => { if (currentSteps[index] !== undefined) restoreStep(currentSteps[index], stored) })
+      storedSteps.forEach((stored, index) => { if (currentSteps[index] !== undefined) restoreStep(currentSteps[index], stored, 0) })
+    }
+    if (this.layout.isCompact) return
+    for (const steps of this.occurrences.values()) {
+      if (steps !== 'done') for (const step of steps) for (const range of step.rangesInUse()) this.rowsToConvert.add(step.rangeRow(range))
     }
   }
 }
 
-/** Whether a task of the step has run for certain: an open run may not have been sent. */
-function hasBegun ({ done, failed, crashed, checkpoints }: StepProgress): boolean {
-  return done.includes('1') || failed !== undefined || crashed !== undefined || checkpoints !== undefined
+/** A row of the progress table and what it holds. */
+export interface ProgressRow {
+  readonly job: Job
+  readonly key: string
+  /** Version of the stored row; 0 if there is none. */
+  progressVersion: number
+  /** Value of the row, by a Unix time in milliseconds. */
+  value (unixMs: number): StoredProgress | StepProgress
 }
 
-function stepProgress (step: Step, openRuns: ReadonlyMap<Task, readonly StoredOpenRun[]>): StepProgress {
-  const tasksWithFailures = step.tasks.filter(task => task.failedRuns.size > 0)
-  const tasksWithCrashes = step.tasks.filter(task => !task.isDone && task.ownCrashes.isSuspect())
-  const tasksWithOpenRuns = step.tasks.filter(task => openRuns.has(task))
-  const tasksWithCheckpoint = step.tasks.filter(task => !task.isDone && task.checkpoint !== '')
-  return {
-    done: step.tasks.map(task => task.isDone ? '1' : '0').join(''),
-    ...(tasksWithFailures.length === 0 ? {} : { failed: Object.fromEntries(tasksWithFailures.map(task => [task.index, [...task.failedRuns]])) }),
-    ...(tasksWithCrashes.length === 0
-      ? {}
-      : {
-          crashed: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().all])),
-          crashedAlone: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().alone])),
-          endedAfterCrash: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().ended])),
-          openAfterCrash: Object.fromEntries(tasksWithCrashes.map(task => [task.index, task.ownCrashes.runs().open]))
-        }),
-    ...(tasksWithOpenRuns.length === 0 ? {} : { open: Object.fromEntries(tasksWithOpenRuns.map(task => [task.index, openRuns.get(task) ?? []])) }),
-    ...(tasksWithCheckpoint.length === 0 ? {} : { checkpoints: Object.fromEntries(tasksWithCheckpoint.map(task => [task.index, task.checkpoint])) })
+/** Row with the progress of a range of the tasks of one step, of a job that doesn't fit into one row. */
+class RangeRow implements ProgressRow {
+  readonly key: string
+  private storedVersion = 0
+
+  constructor (private readonly step: Step, private readonly range: number) {
+    this.key = formatRangeKey({ jobId: step.job.id, occurrence: step.occurrence, step: step.index, range })
   }
+
+  get job (): Job {
+    return this.step.job
+  }
+
+  get progressVersion (): number {
+    return this.storedVersion
+  }
+
+  set progressVersion (version: number) {
+    this.storedVersion = version
+    if (version > 0) this.job.recordStoredRange(this)
+  }
+
+  value (): StepProgress {
+    const { step, range } = this
+    const [progress] = encodeRow([step.rowTasks(step.firstOf(range), step.firstOf(range + 1))])
+    return progress ?? { done: '' }
+  }
+}
+
+/** Whether a task of the step has run for certain: an open run may not have been sent. */
+function hasBegun ({ done, failed, crashed, checkpoints }: StepProgress): boolean {
+  return done.includes('1') || failed !== undefined || crashed !== undefined || checkpoints !== undefined
 }
 
-function restoreStep (step: Step, stored: StepProgress) {
+/** `first`: index of the task to which the first mark belongs. */
+function restoreStep (step: Step, stored: StepProgress, first: number) {
   step.tasks.forEach((task, index) => {
-    if (stored.done[index] === '1' && !task.isDone) {
+    if (stored.done[index - first] === '1' && !task.isDone) {
       task.markDone()
       step.remainingTasks--
     }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -15,7 +15,7 @@
 import { JobLoader } from './jobLoader.js'
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
-import type { Job, Run, Step, Task } from './jobs.js'
+import type { Job, ProgressRow, Run, Step, Task } from './jobs.js'
 import type { AdmittedJob } from './jobService.js'
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
@@ -28,7 +28,7 @@
 import { RoundPacer } from './roundPacer.js'
 import type { Directory, RefusalReason, RowStore, WorkerClients } from './ports.js'
 import { UnreadJobs } from './unreadJobs.js'
-import type { StoredProgress } from './storedProgress.js'
+import { decodeProgress, decodeRange, parseRangeKey } from './storedProgress.js'
 import { SuggestedWorkers } from './suggestedWorkers.js'
 import { formatStepId, formatTaskId } from './types.js'
 import type { FinishedRun, JobOutcome, JobQueue, JobState, Queue, RunningTask, WorkerEntry } from './types.js'
@@ -128,7 +128,7 @@
     this.log = logs.for('leader')
     this.earlierJobsUntil = options.mayPredecessorBeActive ? Infinity : options.epochStartVersion
     this.commitQueues = Array.from({ length: LEADER_PARTITIONS }, (_, index) => CommitQueue.create({
-      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersion(index), mayIssueCommands, onDeposed, onEarlierProgress: (job, progress) => this.takeOverProgress(job, progress), onRefused: options.onRefused, clock, log: logs.for('commits')
+      store, partition: leaderPartitionName(index), epochVersion: () => this.epochVersion(index), mayIssueCommands, onDeposed, onEarlierProgress: (row, value) => this.takeOverProgress(row, value), onRejected: job => this.abandon(job), onRefused: options.onRefused, clock, log: logs.for('commits')
     }))
     this.advice = AdviceCache.create({ agents: options.agents, onAnswer: () => this.scheduleRound(), clock, log: logs.for('advice') })
     this.janitor = Janitor.create({
@@ -292,7 +292,7 @@
     if (status === 'done' && task.step.spec.gang && !task.isDone) this.recordGangDone(task.step, run, knownRun?.startedAt)
     if (status === 'done') this.taskDone(link, job, task.step, task, run)
     else if (status === 'failed') this.taskFailed(link, job, task.step, task, run)
-    await this.stage(job)
+    await this.stage(job.outcome === undefined ? job.rowOf(task) : job)
   }
 
   runLost (link: WorkerLink, run: Run, reason: LossReason): void {
@@ -314,9 +314,10 @@
     const { job } = task.step
     const commitQueue = this.commitQueueOf(job)
     // Each start of a task with a crash counts against it, so a successor must know of the run before the worker can crash under it.
-    if (task.crashes().isSuspect()) await commitQueue?.stage(job, { kind: 'awaited' })
-    else if (!this.isOwn(job) || this.commitQueues.some(queue => queue.isRefusedByStore())) await commitQueue?.stage(job, { kind: 'awaited', isBestEffort: true })
-    else commitQueue?.enqueue(job, 'start')
+    const row = job.rowOf(task)
+    if (task.crashes().isSuspect()) await commitQueue?.stage(row, { kind: 'awaited' })
+    else if (!this.isOwn(job) || this.commitQueues.some(queue => queue.isRefusedByStore())) await commitQueue?.stage(row, { kind: 'awaited', isBestEffort: true })
+    else commitQueue?.enqueue(row, 'start')
   }
 
   mayStart (link: WorkerLink, { task }: Run): boolean {
@@ -448,6 +449,16 @@
     for (const other of [...task.runs]) if (other.number !== run) other.worker.stop(other)
     if (step.isDone()) this.advice.removeStep(step)
     if (job.compactOccurrence(step.occurrence)) this.endJob(job, 'completed')
+    else if (job.occurrences.get(step.occurrence) === 'done') this.removeRangesOf(job, step.occurrence)
+  }
+
+  /** Removes the rows of a done occurrence once the first row of the job names it. */
+  private removeRangesOf (job: Job, occurrence: number) {
+    const keys = job.rangeKeys(occurrence)
+    if (job.layout.isCompact) return
+    this.stage(job)
+      .then(() => this.janitor.enqueueProgressRemoval(job.id, keys))
+      .catch((err: unknown) => this.log.error('A done occurrence could not be stored.', { job: job.id, occurrence, err }))
   }
 
   private taskFailed (link: WorkerLink, job: Job, step: Step, task: Run['task'] & object, run: number) {
@@ -488,7 +499,7 @@
   /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
   private holdUntilStored (task: Task) {
     task.isHeld = true
-    this.stage(task.step.job, { kind: 'awaited' })
+    this.stage(task.step.job.rowOf(task), { kind: 'awaited' })
       .catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
       .finally(() => {
         task.isHeld = false
@@ -531,13 +542,24 @@
     })
   }
 
-  /** Continues a job, of which this leader has stored nothing yet, from the progress that an earlier one has stored. */
-  private takeOverProgress (job: Job, progress: StoredProgress) {
-    if ('outcome' in progress) {
-      if (job.outcome === undefined) this.endJob(job, progress.outcome)
+  /** Ends a job whose progress the store doesn't take. */
+  private abandon (job: Job) {
+    this.log.error('Job is given up, because the store rejects its progress.', { job: job.id })
+    this.options.metrics.count('jobs_rejected_by_store')
+    this.endJob(job, 'failed')
+  }
+
+  /** Continues a job, of whose row this leader has stored nothing yet, from what an earlier one has stored there. */
+  private takeOverProgress ({ job, key, progressVersion }: ProgressRow, value: unknown) {
+    const range = parseRangeKey(key)
+    const progress = range === undefined ? undefined : decodeRange(value)
+    const first = range === undefined ? decodeProgress(value) : undefined
+    if (first !== undefined && 'outcome' in first) {
+      if (job.outcome === undefined) this.endJob(job, first.outcome)
       return
     }
-    job.restore(progress.occurrences, job.progressVersion)
+    if (range !== undefined && progress !== undefined) job.restoreRange(range, progress, progressVersion)
+    if (first !== undefined) job.restoreFirstRow(first, progressVersion)
     for (const run of [...job.runs()]) if (run.task?.isDone === true) run.worker.stop(run)
     for (const occurrence of job.occurrences.keys()) {
       if (!job.compactOccurrence(occurrence)) continue
@@ -551,14 +573,15 @@
     return this.options.queue(job.record.queue) ?? job.admissionQueue
   }
 
-  /** Resolves when the current state of the job is stored. */
-  private async stage (job: Job, options?: StageOptions): Promise<void> {
-    await this.commitQueueOf(job)?.stage(job, options)
+  /** Resolves when the current state of the row is stored. */
+  private async stage (row: ProgressRow, options?: StageOptions): Promise<void> {
+    await this.commitQueueOf(row.job)?.stage(row, options)
   }
 
   /** Stores a change that a successor should know of, and that nothing waits for. */
-  private stageChange ({ isDone, step }: Task) {
-    if (!isDone && step.job.outcome === undefined) this.commitQueueOf(step.job)?.enqueue(step.job)
+  private stageChange (task: Task) {
+    const { job } = task.step
+    if (!task.isDone && job.outcome === undefined) this.commitQueueOf(job)?.enqueue(job.rowOf(task))
   }
 
   /** Whether no earlier leader can have started a task of the job. */
@@ -630,6 +653,7 @@
     }
     if (signal.aborted) return
     this.workers.addEarlierRuns([...this.earlierRuns()])
+    for (const job of this.jobs.live()) for (const row of job.unconvertedRows()) this.commitQueueOf(job)?.enqueue(row)
     this.isLoaded = true
     for (const apply of this.deferredNotifications.splice(0)) apply()
     this.log.info('State loaded.', { jobs: this.jobs.size(), version: this.changesVersion, rosterWorkers: this.workers.rosterSize(), tookMs: Math.round(clock.now() - startedAt) })
--- a/packages/cell/src/storedProgress.ts
+++ b/packages/cell/src/storedProgress.ts
@@ -1,4 +1,5 @@
 import { finiteOr, isCount, isListOf, isString, recordOf } from '@citronnotch/base/untrusted'
+import { parseRanges } from './progressRows.js'
 import type { JobOutcome } from './types.js'
 
 /** Stored progress of one step. The keys of the records are task indexes. */
@@ -35,8 +36,11 @@
   readonly endedAtMs: number
 }
 
-/** Value of a row in the progress table. */
-export type StoredProgress = { readonly occurrences: JobProgress } | EndedRecord
+/**
+ * Value of the first row of a job in the progress table. A job whose progress would not fit into one row has a further
+ * one for each range of its tasks, and its first row names the occurrences that are done, as ranges.
+ */
+export type StoredProgress = { readonly occurrences: JobProgress } | { readonly doneOccurrences: string } | EndedRecord
 
 const OUTCOMES: ReadonlySet<unknown> = new Set<JobOutcome>(['completed', 'failed', 'cancelled'])
 const OCCURRENCE_PATTERN = /^\d{1,15}$/
@@ -49,10 +53,37 @@
 
 /** Returns undefined if the value isn't that of a row in the progress table. */
 export function decodeProgress (value: unknown): StoredProgress | undefined {
-  const { occurrences } = recordOf(value)
+  const { occurrences, doneOccurrences } = recordOf(value)
+  if (isString(doneOccurrences)) return parseRanges(doneOccurrences) === undefined ? undefined : { doneOccurrences }
   return decodeEnded(value) ?? (isJobProgress(occurrences) ? { occurrences } : undefined)
 }
 
+/** Returns undefined if the value isn't that of a row with the progress of a range of tasks. */
+export function decodeRange (value: unknown): StepProgress | undefined {
+  return isStepProgress(value) ? value : undefined
+}
+
+/** Range of the tasks of one step that share a row of their own. */
+export interface RangeKey {
+  readonly jobId: string
+  readonly occurrence: number
+  readonly step: number
+  /** Number of the range within the step. */
+  readonly range: number
+}
+
+const RANGE_KEY_PATTERN = /^([^.]+)\.(\d{1,15})\.(\d{1,9})\.(\d{1,9})$/
+
+export function formatRangeKey ({ jobId, occurrence, step, range }: RangeKey): string {
+  return `${jobId}.${occurrence}.${step}.${range}`
+}
+
+/** Returns undefined if the key isn't that of a row with the progress of a range of tasks. */
+export function parseRangeKey (key: string): RangeKey | undefined {
+  const match = RANGE_KEY_PATTERN.exec(key)
+  return match === null ? undefined : { jobId: match[1] ?? '', occurrence: Number(match[2]), step: Number(match[3]), range: Number(match[4]) }
+}
+
 function isJobProgress (value: unknown): value is JobProgress {
   if (typeof value !== 'object' || value === null || Array.isArray(value)) return false
   return Object.entries(value).every(([occurrence, steps]) => OCCURRENCE_PATTERN.test(occurrence) && (steps === 'done' || isListOf(steps, isStepProgress)))
--- a/packages/cell/src/testing/memoryStore.ts
+++ b/packages/cell/src/testing/memoryStore.ts
@@ -106,6 +106,11 @@
     return this.rows.get(rowIdOf(table, partition, key))
   }
 
+  /** Keys of the rows of a table in one partition. */
+  keys (table: string, partition: string): readonly string[] {
+    return [...this.rows.values()].filter(row => row.table === table && row.partition === partition).map(({ key }) => key)
+  }
+
   loseHistory (): void {
     this.history = []
     this.historyStartVersion = this.latestVersion
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -276,10 +276,10 @@
   }
 
   /** Submits a job through a daemon and returns its id. */
-  async submit (daemon: TestDaemon, steps: readonly StepSpec[], jobId = this.newJobId()): Promise<string> {
+  async submit (daemon: TestDaemon, steps: readonly StepSpec[], jobId = this.newJobId(), queue = this.queue()): Promise<string> {
     const spec: JobSpec = { payload: `payload of ${jobId}`.padEnd(this.options.minPayloadLength ?? 0, '.'), steps }
     this.audit.expectJob(jobId, spec)
-    const res = await this.advanceUntilSettled(daemon.jobs.submit(jobId, this.queue(), spec, 3_000))
+    const res = await this.advanceUntilSettled(daemon.jobs.submit(jobId, queue, spec, 3_000))
     if (res.err) throw new Error(res.val.reason)
     return jobId
   }
