fix(cell): a leader holds an object only for tasks of which something is known

A leader held an object for each task of each live job, from the admission on. Change: tasks are alike until they start: a step keeps objects only of tasks with runs or a state, and marks of one bit for done ones. Rounds look at these alone. The audit of the tests appends starts instead of copying them.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -36,7 +36,10 @@
 interface Candidate {
   readonly step: Step
   readonly queue: JobQueue
-  readonly waitingTasks: readonly Task[]
+  /** Number of tasks to start, without those that must run alone. */
+  readonly waitingCount: number
+  /** The same tasks: those that have had runs come first. */
+  readonly waitingTasks: () => Iterable<Task>
   /** Tasks that wait for a worker without other work, because workers have crashed under them. */
   readonly aloneTasks: readonly Task[]
   readonly lateness: Lateness
@@ -108,7 +111,7 @@
     this.placeAlone(candidates, usable, round)
     let reservingGangs = 0
     for (const candidate of candidates) {
-      if (candidate.waitingTasks.length === 0) continue
+      if (candidate.waitingCount === 0) continue
       const { spec, job } = candidate.step
       if (job.payload === undefined) {
         candidate.step.waitTimes.note('payload', this.now)
@@ -164,14 +167,17 @@
       if (queue === undefined) continue
       for (const step of job.liveSteps()) {
         if (!step.hasWaitingTasks() || step.notBefore > this.now || !step.isReady()) continue
-        if (step.spec.gang && step.tasks.some(task => task.runs.length > 0)) continue
-        const waitingTasks = step.tasks.filter(task => task.isWaiting() && !task.isHeld)
-        if (waitingTasks.length === 0 || (step.spec.gang && waitingTasks.length < step.tasks.length)) continue
-        const aloneTasks = step.spec.gang || !step.hasSuspects ? [] : waitingTasks.filter(task => this.waitsAlone(task))
+        if (step.spec.gang && step.waitingTasks < step.spec.count) continue
+        const known = step.waitingKnownTasks()
+        const heldCount = known.filter(task => task.isHeld).length
+        if (step.waitingTasks === heldCount || (step.spec.gang && heldCount > 0)) continue
+        const aloneTasks = step.spec.gang || !step.hasSuspects ? [] : known.filter(task => !task.isHeld && this.waitsAlone(task))
+        const startable = known.filter(task => !task.isHeld && !aloneTasks.includes(task))
         candidates.push({
           step,
           queue,
-          waitingTasks: aloneTasks.length === 0 ? waitingTasks : waitingTasks.filter(task => !aloneTasks.includes(task)),
+          waitingCount: step.waitingTasks - heldCount - aloneTasks.length,
+          waitingTasks: () => concat(startable, step.untouchedTasks()),
           aloneTasks,
           lateness: latenessOf(job, queue, unixMs)
         })
@@ -183,9 +189,9 @@
 
   /** Reports the tasks that may not be started again, and leaves out their jobs, which have ended with that. */
   private withoutExhausted (candidates: readonly Candidate[]): readonly Candidate[] {
-    for (const { step, waitingTasks, aloneTasks } of candidates) {
+    for (const { step } of candidates) {
       if (!step.hasSuspects) continue
-      const exhausted = [...waitingTasks, ...aloneTasks].find(task => task.crashes().isExhausted())
+      const exhausted = step.waitingKnownTasks().find(task => !task.isHeld && task.crashes().isExhausted())
       if (exhausted !== undefined) this.options.onExhausted(exhausted)
     }
     return candidates.filter(({ step }) => step.job.outcome === undefined)
@@ -219,6 +225,11 @@
     return this.now - task.waitsAloneSince < this.alonePatienceMs
   }
 
+  private isGangWaitingAlone (step: Step): boolean {
+    const task = step.task(0)
+    return task !== undefined && this.waitsAlone(task)
+  }
+
   /** Starts tasks that must run alone on workers without other work, and keeps some workers free for those that wait. */
   private placeAlone (candidates: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
     if (!candidates.some(needsWorkersAlone)) return
@@ -269,7 +280,7 @@
   private allowedWorkers (candidate: Candidate, round: SchedulingRound): readonly WorkerLink[] {
     const { advice } = this.options
     const { capacity } = round
-    const { step, queue, waitingTasks } = candidate
+    const { step, queue, waitingCount } = candidate
     const isEligible = (worker: WorkerLink) => this.isEligible(candidate, worker, round)
     if (queue.advice === undefined) {
       step.waitTimes.note('room', this.now)
@@ -288,7 +299,7 @@
     }
     step.waitTimes.note('room', this.now)
     const totalSlots = (workers: readonly WorkerLink[]) => slotsOn(step, workers, worker => capacity.freeOn(worker))
-    if (totalSlots(ticketed) >= waitingTasks.length) return ticketed
+    if (totalSlots(ticketed) >= waitingCount) return ticketed
     const isOpen = (worker: WorkerLink) => isEligible(worker) && !advice.isRefused(step, worker)
     const withCapacity = capacity.withRoomFor(step.need).filter(worker => isOpen(worker) && slotsWithinLimit(step, worker) > 0)
     const hasUnticketed = withCapacity.some(worker => advice.ticket(step, worker, this.now) === undefined)
@@ -310,7 +321,7 @@
     const { capacity } = round
     const { step } = candidate
     const freeOn: FreeOn = worker => capacity.freeOn(worker)
-    const width = step.tasks.length
+    const width = step.spec.count
     step.waitTimes.note('room', this.now)
     if (slotsOn(step, ticketed, freeOn) >= width) return
     const isPending = advice.isPending(step)
@@ -336,7 +347,7 @@
    */
   private workersForWidth (step: Step, policy: AdvicePolicy, { open, approved, freeOn }: { readonly open: readonly WorkerLink[], readonly approved: readonly WorkerLink[], readonly freeOn: FreeOn }): readonly WorkerLink[] {
     const { advice } = this.options
-    const width = step.tasks.length
+    const width = step.spec.count
     const wantedSlots = width * TICKET_SURPLUS
     const slotsOf = (worker: WorkerLink) => slotsOn(step, [worker], freeOn)
     const approvedSlots = slotsOn(step, approved, freeOn)
@@ -365,32 +376,32 @@
 
   /** Returns whether all waiting tasks were placed. */
   private placeTasks (candidate: Candidate, round: SchedulingRound): boolean {
-    const { step, waitingTasks } = candidate
+    const { step, waitingCount, waitingTasks } = candidate
     const workers = this.allowedWorkers(candidate, round)
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
     const started: Run[] = []
-    for (const task of waitingTasks) {
+    for (const task of waitingTasks()) {
       const worker = this.bestWorker(step, workers, freeOn, task)
       if (worker === undefined) break
       started.push(this.start(candidate, task, step.nextRunNumber(this.options.epoch), worker, round, task.lastRunNumber))
     }
     if (started.length > 0) this.options.onStart(step, started)
-    return started.length === waitingTasks.length
+    return started.length === waitingCount
   }
 
   private placeGang (candidate: Candidate, round: SchedulingRound): boolean {
     const { step } = candidate
-    const mustBeAlone = step.hasSuspects && step.tasks.some(task => this.waitsAlone(task))
+    const mustBeAlone = step.hasSuspects && this.isGangWaitingAlone(step)
     const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || worker.runs.size === 0)
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
-    if (slotsOn(step, workers, freeOn) < step.tasks.length) return false
+    if (slotsOn(step, workers, freeOn) < step.spec.count) return false
     const placements = step.spec.rackLocal
       ? this.planGangOnOneRack(step, workers, freeOn) ?? this.planGang(step, workers, freeOn)
       : this.planGang(step, workers, freeOn)
     if (placements === undefined) return false
     const runNumber = step.nextRunNumber(this.options.epoch)
     this.options.onStart(step, placements.flatMap((worker, index) => {
-      const task = step.tasks[index]
+      const task = step.task(index)
       return task === undefined ? [] : this.start(candidate, task, runNumber, worker, round)
     }))
     return true
@@ -411,8 +422,9 @@
     const remainingOn: FreeOn = worker => remainingCapacity.get(worker) ?? freeOn(worker)
     const plannedCounts = new Map<WorkerLink, number>()
     const placements: WorkerLink[] = []
-    for (let member = 0; member < step.tasks.length; member++) {
-      const task = step.tasks[member]
+    // All members are placed alike.
+    const task = step.task(0)
+    for (let member = 0; member < step.spec.count; member++) {
       const worker = task === undefined ? undefined : this.bestWorker(step, workers, remainingOn, task, plannedCounts)
       if (worker === undefined) return undefined
       remainingCapacity.set(worker, subtract(remainingOn(worker) ?? NO_RESOURCES, step.need))
@@ -470,7 +482,7 @@
     const { capacity, reservedFor } = round
     let slots = 0
     for (const worker of capacity.mostFreeFirst()) {
-      if (slots >= step.tasks.length) return
+      if (slots >= step.spec.count) return
       if (reservedFor.has(worker) || !this.isEligible(candidate, worker, round) || advice.isRefused(step, worker)) continue
       slots += maxTasksThatFit(step.need, worker.entry.capacity)
       reservedFor.set(worker, queue.priority)
@@ -508,7 +520,11 @@
 }
 
 function needsWorkersAlone ({ step, aloneTasks }: Candidate): boolean {
-  return aloneTasks.length > 0 || (step.spec.gang && step.tasks[0]?.crashes().mustRunAlone() === true)
+  return aloneTasks.length > 0 || (step.spec.gang && step.task(0)?.crashes().mustRunAlone() === true)
+}
+
+function * concat<T> (...lists: ReadonlyArray<Iterable<T>>): Iterable<T> {
+  for (const list of lists) yield * list
 }
 
 function isHalfEmpty (workers: readonly WorkerLink[]): boolean {
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -8,6 +8,7 @@
 import { formatRangeKey, parseRangeKey } from './storedProgress.js'
 import type { EndedRecord, JobProgress, RangeKey, StepProgress, StoredProgress } from './storedProgress.js'
 import type { JobOutcome, JobQueue, ResourceVector, StepSpec, TaskId } from './types.js'
+import { Marks } from './marks.js'
 import { WaitTimes } from './waitTimes.js'
 import type { WorkerLink } from './workerLink.js'
 
@@ -160,7 +161,19 @@
   private readonly activeRuns: Run[] = []
   private open: readonly OpenRun[] = NO_RUNS
 
-  constructor (readonly step: Step, readonly index: number) {}
+  private constructor (readonly step: Step, readonly index: number) {}
+
+  /** A task of which nothing is known. Its step keeps it from its first run on. */
+  static create (step: Step, index: number): Task {
+    return new Task(step, index)
+  }
+
+  /** A task that has ended earlier. */
+  static createDone (step: Step, index: number): Task {
+    const task = new Task(step, index)
+    task.hasEnded = true
+    return task
+  }
 
   // Queries
 
@@ -198,11 +211,13 @@
   // Commands
 
   addRun (run: Run): void {
+    this.step.keep(this)
     this.update(() => this.activeRuns.push(run))
   }
 
   removeRun (run: Run): void {
     this.update(() => this.activeRuns.splice(this.activeRuns.indexOf(run), 1))
+    if (this.hasEnded && this.activeRuns.length === 0) this.step.release(this)
   }
 
   addOpenRun (run: OpenRun): void {
@@ -215,6 +230,7 @@
 
   markDone (): void {
     this.update(() => { this.hasEnded = true })
+    if (this.activeRuns.length === 0) this.step.release(this)
   }
 
   private update (change: () => void) {
@@ -224,11 +240,18 @@
   }
 }
 
-/** One step of one occurrence of a job. */
+/**
+ * One step of one occurrence of a job. Its tasks are alike until they start: only those of which something is known are
+ * objects, and done ones are marks.
+ */
 export class Step {
-  readonly tasks: readonly Task[]
   /** Capacity that one task takes on its worker. A task that uses idle capacity counts with no processor time. */
   readonly need: ResourceVector
+  /** Tasks that aren't done, or have runs, and of which something is known. */
+  private readonly known = new Map<number, Task>()
+  private readonly done: Marks
+  /** No task before this index is untouched. */
+  private firstUntouched = 0
   /** Rows of their own for ranges of tasks, if the job doesn't fit into one. */
   private readonly rangeRows = new Map<number, RangeRow>()
   /** Number of tasks that aren't done. */
@@ -245,12 +268,44 @@
   readonly waitTimes = WaitTimes.create()
 
   constructor (readonly job: Job, readonly occurrence: number, readonly index: number, readonly spec: StepSpec) {
-    this.tasks = Array.from({ length: spec.count }, (_, task) => new Task(this, task))
+    this.done = Marks.create(spec.count)
     this.remainingTasks = spec.count
     this.waitingTasks = spec.count
     this.need = spec.usesIdleCapacity ? { ...spec.need, milliCores: 0 } : spec.need
   }
 
+  // Queries
+
+  /** Task with an index; undefined if the step has none. */
+  task (index: number): Task | undefined {
+    if (index < 0 || index >= this.spec.count) return undefined
+    const known = this.known.get(index)
+    if (known !== undefined) return known
+    if (this.done.has(index)) return Task.createDone(this, index)
+    const task = Task.create(this, index)
+    this.keep(task)
+    return task
+  }
+
+  /** Tasks that have runs, or that aren't done and of which something is known. */
+  knownTasks (): Iterable<Task> {
+    return this.known.values()
+  }
+
+  /** Known tasks that aren't done and have no run. */
+  waitingKnownTasks (): readonly Task[] {
+    return [...this.known.values()].filter(task => task.isWaiting())
+  }
+
+  /** Tasks of which nothing is known yet, in order. Those that get no run are forgotten again. */
+  * untouchedTasks (): Iterable<Task> {
+    for (let index = this.firstUntouched; index < this.spec.count; index++) {
+      const isUntouched = !this.known.has(index) && !this.done.has(index)
+      if (isUntouched) yield Task.create(this, index)
+      else if (index === this.firstUntouched) this.firstUntouched++
+    }
+  }
+
   /** Whether the tasks have a latency target. Tasks on idle capacity of the same worker could make them miss it. */
   hasLatencyTarget (): boolean {
     return this.spec.latencyTargetMs > 0
@@ -282,13 +337,39 @@
 
   /** What is stored of the tasks from index `first` up to `end`. */
   rowTasks (first: number, end: number): RowTasks {
-    const members = this.tasks.slice(first, end)
-    return { done: members.map(task => task.isDone ? '1' : '0').join(''), first, tasks: members.filter(task => !task.isDone) }
+    const isWhole = end - first >= this.spec.count
+    const members = isWhole ? [...this.known.values()] : Array.from({ length: end - first }, (_, offset) => this.known.get(first + offset) ?? []).flat()
+    return { done: this.done.format(first, end), tasks: members.filter(task => !task.isDone).sort((a, b) => a.index - b.index) }
   }
 
   /** Ranges with tasks of which there is something to store. */
   rangesInUse (): ReadonlySet<number> {
-    return new Set(this.tasks.filter(task => task.isDone || task.hasState()).map(({ index }) => this.rangeOf(index)))
+    return new Set([...this.done.all(), ...[...this.known.values()].filter(task => task.hasState()).map(({ index }) => index)].map(index => this.rangeOf(index)))
+  }
+
+  /** Restores what was stored of the tasks from index `first` on. */
+  restore (stored: StepProgress, first: number): void {
+    for (let offset = 0; offset < stored.done.length; offset++) {
+      if (stored.done[offset] === '1' && first + offset < this.spec.count) this.markDoneAt(first + offset)
+    }
+    const records = [stored.failed, stored.crashed, stored.crashedAlone, stored.endedAfterCrash, stored.openAfterCrash, stored.open, stored.checkpoints]
+    const indexes = new Set(records.flatMap(record => Object.keys(record ?? {}).map(Number)))
+    for (const index of [...indexes].sort((a, b) => a - b)) {
+      const task = this.task(index)
+      if (task !== undefined && !task.isDone) this.restoreTask(task, stored)
+    }
+  }
+
+  private restoreTask (task: Task, stored: StepProgress) {
+    const { index } = task
+    for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
+    const crashes = { all: stored.crashed?.[index] ?? [], alone: stored.crashedAlone?.[index] ?? [], ended: stored.endedAfterCrash?.[index] ?? [], open: stored.openAfterCrash?.[index] ?? [] }
+    task.ownCrashes.restore(crashes)
+    this.hasSuspects ||= task.ownCrashes.isSuspect()
+    for (const [number, workerId, born, startedAtMs] of stored.open?.[index] ?? []) task.addOpenRun({ number, workerId, born, startedAtMs })
+    const checkpoint = stored.checkpoints?.[index]
+    if (checkpoint !== undefined) this.saveCheckpoint(task, checkpoint)
+    task.lastRunNumber = Math.max(task.lastRunNumber, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
   }
 
   /** Whether all steps that this one depends on are done. */
@@ -302,23 +383,38 @@
    * For other tasks, the caller also has to exceed the last run number of the task.
    */
   nextRunNumber (epoch: number): number {
-    const lastRunNumber = this.spec.gang ? Math.max(...this.tasks.map(task => task.lastRunNumber)) : 0
+    const lastRunNumber = this.spec.gang ? Math.max(0, ...[...this.known.values()].map(task => task.lastRunNumber)) : 0
     return Math.max(lastRunNumber, (epoch - 1) * RUNS_PER_EPOCH) + 1
   }
 
+  /** Keeps a task of which something is known. */
+  keep (task: Task): void {
+    this.known.set(task.index, task)
+  }
+
+  /** Forgets a task that is done. */
+  release (task: Task): void {
+    if (this.known.get(task.index) === task) this.known.delete(task.index)
+  }
+
   markDone (task: Task): void {
-    const doneTasks = this.spec.gang ? this.tasks : [task]
-    for (const member of doneTasks) {
-      if (member.isDone) continue
-      member.markDone()
-      this.remainingTasks--
-    }
+    if (!this.spec.gang) return this.markDoneAt(task.index)
+    for (let index = 0; index < this.spec.count; index++) this.markDoneAt(index)
+  }
+
+  private markDoneAt (index: number) {
+    if (this.done.has(index)) return
+    this.done.add(index)
+    this.remainingTasks--
+    const task = this.known.get(index)
+    if (task === undefined) this.waitingTasks--
+    else task.markDone()
   }
 
   /** Records the checkpoint from which a task resumes. All members of a gang share one checkpoint. */
   saveCheckpoint (task: Task, checkpoint: string): void {
     if (checkpoint === '') return
-    for (const member of this.spec.gang ? this.tasks : [task]) member.checkpoint = checkpoint
+    for (const member of this.spec.gang ? this.knownTasks() : [task]) member.checkpoint = checkpoint
   }
 
   /** Records that a run of a task has failed or stalled on a worker, so that others are tried first. */
@@ -329,7 +425,7 @@
 
   /** The task that holds the counts of a task: the members of a gang fail together and share one count. */
   countedTask (task: Task): Task {
-    return this.spec.gang ? this.tasks[0] ?? task : task
+    return this.spec.gang ? this.task(0) ?? task : task
   }
 
   /** Records that a worker has crashed under a run of a task. */
@@ -338,7 +434,7 @@
     this.hasSuspects = true
     const { ownCrashes } = this.countedTask(task)
     ownCrashes.add(runNumber, isAlone)
-    for (const member of this.spec.gang ? this.tasks : [task]) for (const { number } of member.openRuns()) ownCrashes.addStart(number)
+    for (const member of this.spec.gang ? this.knownTasks() : [task]) for (const { number } of member.openRuns()) ownCrashes.addStart(number)
   }
 
   /** Records that a run of a task is sent to a worker. */
@@ -362,7 +458,7 @@
 
   /** Whether no end is known of a run of another member of the task's gang. */
   private hasOpenRun (runNumber: number, task: Task): boolean {
-    return this.spec.gang && this.tasks.some(member => member !== task && member.openRuns().some(run => run.number === runNumber))
+    return this.spec.gang && [...this.known.values()].some(member => member !== task && member.openRuns().some(run => run.number === runNumber))
   }
 
   /**
@@ -473,7 +569,7 @@
 
   task ({ occurrence, step, index }: TaskId): Task | undefined {
     const steps = this.occurrences.get(occurrence)
-    return steps === undefined || steps === 'done' ? undefined : steps[step]?.tasks[index]
+    return steps === undefined || steps === 'done' ? undefined : steps[step]?.task(index)
   }
 
   /** Steps with tasks that aren't done. */
@@ -487,14 +583,14 @@
   * runs (): Iterable<Run> {
     for (const steps of this.occurrences.values()) {
       if (steps === 'done') continue
-      for (const step of steps) for (const task of step.tasks) yield * task.runs
+      for (const step of steps) for (const task of step.knownTasks()) yield * task.runs
     }
   }
 
   /** Runs of tasks that aren't done and of which no end is known. */
   * openRuns (): Iterable<{ readonly task: Task, readonly run: OpenRun }> {
     for (const step of this.liveSteps()) {
-      for (const task of step.tasks) if (!task.isDone) for (const run of task.openRuns()) yield { task, run }
+      for (const task of step.knownTasks()) if (!task.isDone) for (const run of task.openRuns()) yield { task, run }
     }
   }
 
@@ -502,7 +598,7 @@
   compactOccurrence (occurrence: number): boolean {
     const steps = this.occurrences.get(occurrence)
     if (steps !== undefined && steps !== 'done' && steps.every(step => step.isDone())) {
-      if (steps.every(step => step.tasks.every(task => task.runs.length === 0))) this.occurrences.set(occurrence, 'done')
+      if (steps.every(step => [...step.knownTasks()].every(task => task.runs.length === 0))) this.occurrences.set(occurrence, 'done')
     }
     const expectedOccurrences = this.record.spec.schedule?.repetitions ?? 1
     return this.occurrences.size >= expectedOccurrences &&
@@ -554,7 +650,7 @@
     if (steps === undefined || steps === 'done' || steps[step] === undefined) return
     this.hasStarted ||= hasBegun(progress)
     steps[step].rangeRow(range).progressVersion = version
-    restoreStep(steps[step], progress, steps[step].firstOf(range))
+    steps[step].restore(progress, steps[step].firstOf(range))
   }
 
   private listsOccurrence (occurrence: number): boolean {
@@ -574,7 +670,7 @@
       this.addOccurrence(occurrence)
       const currentSteps = this.occurrences.get(occurrence)
       if (currentSteps === undefined || currentSteps === 'done') continue
-      storedSteps.forEach((stored, index) => { if (currentSteps[index] !== undefined) restoreStep(currentSteps[index], stored, 0) })
+      storedSteps.forEach((stored, index) => { if (currentSteps[index] !== undefined) currentSteps[index].restore(stored, 0) })
     }
     if (this.layout.isCompact) return
     for (const steps of this.occurrences.values()) {
@@ -626,20 +722,3 @@
 function hasBegun ({ done, failed, crashed, checkpoints }: StepProgress): boolean {
   return done.includes('1') || failed !== undefined || crashed !== undefined || checkpoints !== undefined
 }
-
-/** `first`: index of the task to which the first mark belongs. */
-function restoreStep (step: Step, stored: StepProgress, first: number) {
-  step.tasks.forEach((task, index) => {
-    if (stored.done[index - first] === '1' && !task.isDone) {
-      task.markDone()
-      step.remainingTasks--
-    }
-    for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
-    const crashes = { all: stored.crashed?.[index] ?? [], alone: stored.crashedAlone?.[index] ?? [], ended: stored.endedAfterCrash?.[index] ?? [], open: stored.openAfterCrash?.[index] ?? [] }
-    task.ownCrashes.restore(crashes)
-    step.hasSuspects ||= task.ownCrashes.isSuspect()
-    for (const [number, workerId, born, startedAtMs] of stored.open?.[index] ?? []) task.addOpenRun({ number, workerId, born, startedAtMs })
-    task.checkpoint = stored.checkpoints?.[index] ?? task.checkpoint
-    task.lastRunNumber = Math.max(task.lastRunNumber, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
-  })
-}
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -436,7 +436,7 @@
       job: step.job.id,
       step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
       run,
-      tasks: step.tasks.length,
+      tasks: step.spec.count,
       estimateMs: step.spec.estimateMs,
       ...(startedAt === undefined ? {} : { ranMs: Math.round(this.options.clock.now() - startedAt) })
     })
@@ -477,7 +477,7 @@
     for (const job of this.jobs.live()) {
       for (const step of job.liveSteps()) {
         if (!step.hasSuspects) continue
-        for (const task of step.tasks) {
+        for (const task of step.knownTasks()) {
           const hasWorked = task.runs.some(run => run.state === 'running' && run.worker.reportedAt() - run.startedAt > CLEARED_AFTER_MS)
           if (!hasWorked || !task.crashes().isSuspect()) continue
           task.crashes().clear()
@@ -511,7 +511,7 @@
   private stopGang (run: Run) {
     const step = run.task?.step
     if (step === undefined || !step.spec.gang) return
-    for (const task of step.tasks) for (const other of [...task.runs]) if (other.number === run.number) other.worker.stop(other)
+    for (const task of [...step.knownTasks()]) for (const other of [...task.runs]) if (other.number === run.number) other.worker.stop(other)
   }
 
   /** Stops the runs that would end with a worker that leaves, so that their tasks resume elsewhere. */
--- a/packages/cell/src/maintenance.ts
+++ b/packages/cell/src/maintenance.ts
@@ -189,7 +189,7 @@
     for (const { task } of this.options.worker(workerId)?.runs.values() ?? []) {
       const { step } = task ?? {}
       if (step === undefined || step.spec.maxUnavailable === 0) continue
-      const unavailable = unavailableByStep.get(step) ?? step.tasks.filter(stepTask => !stepTask.runs.some(run => run.percent >= READY_PERCENT)).length
+      const unavailable = unavailableByStep.get(step) ?? step.spec.count - [...step.knownTasks()].filter(stepTask => stepTask.runs.some(run => run.percent >= READY_PERCENT)).length
       if (unavailable + 1 > step.spec.maxUnavailable) return false
       unavailableByStep.set(step, unavailable + 1)
     }
--- a/packages/cell/src/progressRows.ts
+++ b/packages/cell/src/progressRows.ts
@@ -39,12 +39,10 @@
   }
 }
 
-/** The tasks of one step whose progress is in one row. Done tasks without a state of their own are only marks. */
+/** What is stored of the tasks of one step in one row. */
 export interface RowTasks {
   /** One character per task: `1` if it is done, otherwise `0`. */
   readonly done: string
-  /** Index of the first task of the row in its step. */
-  readonly first: number
   /** Tasks that aren't done and of which something is known. */
   readonly tasks: readonly Task[]
 }
--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -67,7 +67,9 @@
     const taskName = formatTaskId(task)
     const spec = this.specs.get(task.jobId)
     const step = spec?.steps[task.step]
-    this.starts.set(task.jobId, [...this.startsOf(task.jobId), workerId])
+    const starts = this.starts.get(task.jobId) ?? []
+    starts.push(workerId)
+    this.starts.set(task.jobId, starts)
     if (spec === undefined || step === undefined) this.violations.push(`${taskName} was never submitted`)
     else if (spec.payload !== payload) this.violations.push(`${taskName} started with another payload`)
     if (step?.longRunning !== true) this.checkEnds(`${taskName} run ${run} started on ${workerId}`, task, step?.speculative === true, now, isLate)
