--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -1,5 +1,5 @@
 import { NO_RESOURCES } from '../resources.js'
-import { formatTaskId } from '../types.js'
+import { formatStepId, formatTaskId } from '../types.js'
 import type { JobSpec, ResourceVector, FinishStatus, TaskId } from '../types.js'
 
 interface ObservedRun {
@@ -36,6 +36,8 @@
   readonly beforeStartHooks: Array<() => void> = []
   private readonly observedRuns = new Map<string, ObservedRun[]>()
   private readonly doneTasks = new Set<string>()
+  /** Steps of which all tasks were found to be done. */
+  private readonly doneSteps = new Set<string>()
   /** Ends of each task as done, by task. */
   private readonly doneEnds = new Map<string, DoneEnd[]>()
   /** The same that aren't acknowledged, by worker and then by task and run. */
@@ -76,14 +78,20 @@
     const concurrentRuns = this.observedRuns.get(taskName) ?? []
     if (concurrentRuns.length > 0 && step?.speculative !== true) this.violations.push(`${taskName} run ${run} started on ${workerId} while run ${concurrentRuns[0]?.run} is on ${concurrentRuns[0]?.workerId}`)
     for (const dependency of step?.after ?? []) {
-      const dependencyTaskCount = spec?.steps[dependency]?.count ?? 0
-      for (let index = 0; index < dependencyTaskCount; index++) {
-        if (!this.doneTasks.has(formatTaskId({ ...task, step: dependency, index }))) this.violations.push(`${taskName} started before step ${dependency} was done`)
-      }
+      if (!this.isStepDone(task, dependency, spec?.steps[dependency]?.count ?? 0)) this.violations.push(`${taskName} started before step ${dependency} was done`)
     }
     this.observedRuns.set(taskName, [...concurrentRuns, { workerId, run }])
   }
 
+  /** Whether all tasks of a step of the task's occurrence are done. */
+  private isStepDone ({ jobId, occurrence }: TaskId, step: number, count: number): boolean {
+    const stepName = formatStepId({ jobId, occurrence, step })
+    if (this.doneSteps.has(stepName)) return true
+    for (let index = 0; index < count; index++) if (!this.doneTasks.has(formatTaskId({ jobId, occurrence, step, index }))) return false
+    this.doneSteps.add(stepName)
+    return true
+  }
+
   recordFinish (workerId: string, task: TaskId, run: number, status: FinishStatus): void {
     const taskName = formatTaskId(task)
     this.observedRuns.set(taskName, (this.observedRuns.get(taskName) ?? []).filter(observed => observed.workerId !== workerId || observed.run !== run))
