feat(cell): the cell refuses jobs at once that its leader could not hold

Admission bounded a step, and nothing else: 429 and 503 for want of room were never given, and what was accepted stayed in the store for each successor to end by. Until the next report a daemon admits its share of that, also while it can't ask. One queue may take half (429), the cell all (503), each with a Retry-After from the rate at which memory becomes free; a job that no leader can hold gets 413. A repeated request for an accepted job is answered as before. At most 100 occurrences of a job are under way at a time.

--- a/packages/base/src/errors.ts
+++ b/packages/base/src/errors.ts
@@ -9,6 +9,8 @@
   readonly reason: string
   /** Suggested next action. */
   readonly hint?: string
+  /** Time after which the same request may succeed, in milliseconds. */
+  readonly retryAfterMs?: number
 }
 
 /** Error of a request, with a verdict on whether the request may have been executed. */
@@ -17,6 +19,7 @@
   readonly verdict: Verdict
   readonly reason: string
   readonly hint?: string
+  readonly retryAfterMs?: number
 
   private constructor (fields: FailureFields) {
     super(fields.reason)
@@ -25,6 +28,7 @@
     this.verdict = fields.verdict
     this.reason = fields.reason
     if (fields.hint !== undefined) this.hint = fields.hint
+    if (fields.retryAfterMs !== undefined) this.retryAfterMs = fields.retryAfterMs
   }
 
   static create (fields: FailureFields): Failure {
--- /dev/null
+++ b/packages/cell/src/admissionRoom.ts
@@ -0,0 +1,102 @@
+import type { Clock } from '@citronnotch/base/clock'
+import { Failure } from '@citronnotch/base/errors'
+import type { Log } from '@citronnotch/base/logger'
+import { QUEUE_SHARE, roomAfterMs } from './jobMemory.js'
+import type { RoomReport } from './jobMemory.js'
+import type { CellMetrics } from './metrics.js'
+
+export const CELL_FULL = 'cell-full'
+export const QUEUE_FULL = 'queue-full'
+
+/** Age from which a report that leaves too little room is asked for again, in milliseconds. */
+const REFRESH_MS = 500
+const BYTES_PER_MB = 1024 * 1024
+
+export interface AdmissionRoomOptions {
+  /** Memory of a leader for the state of jobs, in MiB; assumed to be free until the leader has reported. */
+  readonly budgetMb: number
+  /** Number of daemons that admit jobs. */
+  readonly daemons: () => number
+  /** Asks the leader what it can still take; resolves with undefined if it doesn't answer. */
+  readonly askLeader: (queue: string) => Promise<RoomReport | undefined>
+  readonly clock: Clock
+  readonly log: Log
+  readonly metrics: CellMetrics
+}
+
+/** Bytes that are free, and those that this daemon has admitted since it knows that. */
+interface Room {
+  readonly freeBytes: number
+  admittedBytes: number
+}
+
+interface QueueRoom extends Room {
+  /** Monotonic time of the report in milliseconds; -Infinity before the first. */
+  readonly receivedAt: number
+}
+
+/**
+ * Decides whether the cell can take another job. Each daemon admits by itself, and only the leader knows the total: it
+ * reports with each notice what it can still take, and until the next report a daemon admits no more than its share of
+ * that, also while it can't ask.
+ */
+export class AdmissionRoom {
+  private cell: Room
+  private readonly queues = new Map<string, QueueRoom>()
+  private freedPerSecond = 0
+  private readonly asked = new Set<string>()
+
+  private constructor (private readonly options: AdmissionRoomOptions) {
+    this.cell = { freeBytes: options.budgetMb * BYTES_PER_MB, admittedBytes: 0 }
+  }
+
+  static create (options: AdmissionRoomOptions): AdmissionRoom {
+    return new AdmissionRoom(options)
+  }
+
+  /** Takes room for a job of a queue. Returns why the job must be refused if there is none. */
+  take (queue: string, bytes: number): Failure | undefined {
+    const { metrics, log } = this.options
+    const daemons = Math.max(1, this.options.daemons())
+    const ofQueue = this.queueRoom(queue)
+    const missingIn = ({ freeBytes, admittedBytes }: Room) => admittedBytes + bytes - freeBytes / daemons
+    const [missingInCell, missingInQueue] = [missingIn(this.cell), missingIn(ofQueue)]
+    if (missingInCell <= 0 && missingInQueue <= 0) {
+      this.cell.admittedBytes += bytes
+      ofQueue.admittedBytes += bytes
+      return undefined
+    }
+    this.refresh(queue, ofQueue)
+    const code = missingInCell > 0 ? CELL_FULL : QUEUE_FULL
+    metrics.count(`refused_${code}`)
+    log.info('Job refused for want of room.', { queue, code, bytes, cellBytes: this.cell.freeBytes, queueBytes: ofQueue.freeBytes, admittedBytes: ofQueue.admittedBytes, freedPerSecond: this.freedPerSecond, daemons })
+    const reason = missingInCell > 0 ? 'The cell holds as many jobs as it can.' : 'The queue holds as many jobs as one queue may.'
+    const retryAfterMs = roomAfterMs(Math.max(missingInCell, missingInQueue), this.freedPerSecond / daemons)
+    return Failure.create({ code, verdict: 'not-run', reason, hint: 'Send the same request again later.', retryAfterMs })
+  }
+
+  /** Records a report of the leader. */
+  update (queue: string, { cellBytes, queueBytes, freedPerSecond }: RoomReport): void {
+    this.cell = { freeBytes: cellBytes, admittedBytes: 0 }
+    this.queues.set(queue, { freeBytes: queueBytes, admittedBytes: 0, receivedAt: this.options.clock.now() })
+    this.freedPerSecond = freedPerSecond
+  }
+
+  private queueRoom (queue: string): QueueRoom {
+    const known = this.queues.get(queue)
+    if (known !== undefined) return known
+    const assumed: QueueRoom = { freeBytes: QUEUE_SHARE * this.options.budgetMb * BYTES_PER_MB, admittedBytes: 0, receivedAt: -Infinity }
+    this.queues.set(queue, assumed)
+    return assumed
+  }
+
+  private refresh (queue: string, { receivedAt }: QueueRoom) {
+    const { clock, askLeader, log } = this.options
+    if (this.asked.has(queue) || clock.now() - receivedAt < REFRESH_MS) return
+    this.asked.add(queue)
+    askLeader(queue)
+      .then(report => { if (report !== undefined) this.update(queue, report) })
+      .catch((err: unknown) => log.error('The leader could not be asked for room.', { queue, err }))
+      .finally(() => this.asked.delete(queue))
+  }
+}
--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -5,6 +5,7 @@
 import type { Result } from '@citronnotch/base/result'
 import { Failure } from '@citronnotch/base/errors'
 import { supervise } from '@citronnotch/base/supervise'
+import { AdmissionRoom } from './admissionRoom.js'
 import type { AdviceAgent } from './advice.js'
 import { retryAfterMs } from './retryAfter.js'
 import { ConfigInForce } from './configInForce.js'
@@ -15,7 +16,7 @@
 import { EarlyAdvice } from './earlyAdvice.js'
 import { JobLoader } from './jobLoader.js'
 import { JobService } from './jobService.js'
-import type { LeaderClient } from './jobService.js'
+import type { AdmittedJob, LeaderClient } from './jobService.js'
 import { Leader } from './leader.js'
 import { LeaderLease } from './leaderLease.js'
 import type { GainedLease } from './leaderLease.js'
@@ -55,6 +56,8 @@
   /** Maximum lease that a worker grants, in milliseconds. */
   readonly maxTaskLeaseMs: number
   readonly statusRetentionMs: number
+  /** Memory of a leader for the state of jobs, in MiB. */
+  readonly jobMemoryMb: number
   /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
   readonly drainMs: number
   /** Time within which a confirmed configuration must be in force, in milliseconds. */
@@ -87,6 +90,7 @@
   private readonly stopping = new AbortController()
   private readonly policyAgent: PolicyAgent
   private readonly earlyAdvice: EarlyAdvice
+  private readonly room: AdmissionRoom
   private agents: readonly AdviceAgent[] = []
   private leader: Leader | undefined
   private readonly loopLag: LoopLag
@@ -131,7 +135,15 @@
     this.policyAgent = PolicyAgent.create(name, options.policyService)
     this.earlyAdvice = EarlyAdvice.create({ agent: this.policyAgent, clock, log: logs.for('advice'), metrics: this.metrics })
     this.agents = [this.policyAgent]
-    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), earlyAdvice: this.earlyAdvice, configVersion: () => this.config.version(), clock, log: logs.for('jobs'), metrics: this.metrics })
+    this.room = AdmissionRoom.create({
+      budgetMb: options.jobMemoryMb,
+      daemons: () => this.membership.all().length,
+      askLeader: async queue => this.leader !== undefined ? this.leader.roomFor(queue) : (await this.callLeader('room', { queue }))?.room,
+      clock,
+      log: logs.for('jobs'),
+      metrics: this.metrics
+    })
+    this.jobs = JobService.create({ store, storeHealth, leader: this.leaderClient(), earlyAdvice: this.earlyAdvice, room: this.room, configVersion: () => this.config.version(), clock, log: logs.for('jobs'), metrics: this.metrics })
   }
 
   static create (options: CellDaemonOptions): CellDaemon {
@@ -195,7 +207,7 @@
 
   private startLeading ({ epoch, version, isEarly }: GainedLease) {
     const { store } = this
-    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, drainMs, maintenance } = this.options
+    const { directory, clients, clock, logs, maxTaskLeaseMs, statusRetentionMs, drainMs, jobMemoryMb, maintenance } = this.options
     this.stopLeading()
     this.loopLag.start()
     this.leader = Leader.create({
@@ -219,6 +231,7 @@
       maxTaskLeaseMs,
       statusRetentionMs,
       drainMs,
+      jobMemoryMb,
       loopLag: this.loopLag,
       clock,
       logs,
@@ -237,9 +250,13 @@
   private leaderClient (): LeaderClient {
     return {
       admitted: job => {
-        const { service } = job.record
-        if (this.leader !== undefined) this.earlyAdvice.suggest(service, this.leader.admitted(job))
-        else this.callLeader('admitted', job).then(res => this.earlyAdvice.suggest(service, res?.workerIds ?? []))
+        const { service, queue } = job.record
+        const learn = ({ workerIds = [], room }: PeerMethods['admitted']['res']) => {
+          this.earlyAdvice.suggest(service, workerIds)
+          if (room !== undefined) this.room.update(queue, room)
+        }
+        if (this.leader !== undefined) learn(this.answerAdmitted(this.leader, job))
+        else this.callLeader('admitted', job).then(res => learn(res ?? {}))
       },
       cancelled: jobId => {
         if (this.leader !== undefined) this.leader.cancelled(jobId)
@@ -282,7 +299,7 @@
     return res
   }
 
-  private async callLeader<M extends 'admitted' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
+  private async callLeader<M extends 'admitted' | 'room' | 'cancelled' | 'jobState' | 'pending'> (method: M, req: Parameters<PeerHandlers[M]>[0]) {
     const address = this.remoteLeaderAddress()
     if (address === undefined) return undefined
     const res = await this.peerClients.call(address, method, req, PEER_TIMEOUT_MS)
@@ -311,8 +328,11 @@
   private peerHandlers (): PeerHandlers {
     return {
       admitted: job => {
-        const workerIds = this.leader?.admitted(job)
-        return workerIds === undefined ? {} : { workerIds }
+        return this.leader === undefined ? {} : this.answerAdmitted(this.leader, job)
+      },
+      room: ({ queue }) => {
+        const room = this.leader?.roomFor(queue)
+        return room === undefined ? {} : { room }
       },
       submit: async ({ jobId, record, payload }) => toPeerOutcome(await this.jobs.admitInStore(jobId, record, payload, FORWARD_TIMEOUT_MS)),
       cancel: async ({ jobId }) => toPeerOutcome(await this.jobs.cancelInStore(jobId, FORWARD_TIMEOUT_MS)),
@@ -342,6 +362,12 @@
     }
   }
 
+  private answerAdmitted (leader: Leader, job: AdmittedJob): PeerMethods['admitted']['res'] {
+    const workerIds = leader.admitted(job)
+    const room = leader.roomFor(job.record.queue)
+    return { workerIds, ...(room === undefined ? {} : { room }) }
+  }
+
   private remoteAgent (name: string, address: string): AdviceAgent {
     return {
       name,
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -105,6 +105,9 @@
 /** Pause before a daemon whose advice call failed is asked again. */
 export const AGENT_BACKOFF_MS = 1_500
 
+/** Maximum number of occurrences of a scheduled job that are under way at a time; later ones wait for one of them to end. */
+export const MAX_LIVE_OCCURRENCES = 100
+
 /** Progress at which a long-running task is ready; a run that has reached it can't stall. */
 export const READY_PERCENT = 100
 
--- a/packages/cell/src/jobService.ts
+++ b/packages/cell/src/jobService.ts
@@ -6,6 +6,8 @@
 import { STORE_TIMEOUT_MS, TABLES, TRANSACTION_REJECTED } from './constants.js'
 import { cancelKeyOf, leaderPartitionName, leaderPartitionOf, admissionPartitionOf } from './jobs.js'
 import { encodeJob, termsOf } from './jobRecord.js'
+import type { AdmissionRoom } from './admissionRoom.js'
+import { MAX_JOB_BYTES, jobBytes } from './jobMemory.js'
 import type { EarlyAdvice, StepAnswers } from './earlyAdvice.js'
 import type { JobRecord } from './jobRecord.js'
 import type { CellMetrics } from './metrics.js'
@@ -23,6 +25,8 @@
 /** Part of the caller's time budget that is reserved for sending the answer. */
 const RESPONSE_MARGIN_MS = 150
 
+export const JOB_TOO_LARGE = 'job-too-large'
+
 const STORE_UNAVAILABLE = Failure.notRun('store-away', 'The store can not be reached.', 'Try again in a second.')
 
 /** Client of the cell's current leader, which may be another daemon. Every call may fail. */
@@ -66,6 +70,7 @@
   readonly storeHealth: StoreHealth
   readonly leader: LeaderClient
   readonly earlyAdvice?: EarlyAdvice
+  readonly room: AdmissionRoom
   /** Version of the configuration in force. */
   readonly configVersion: () => number
   readonly clock: Clock
@@ -85,10 +90,14 @@
 
   /** Resolves with Ok once the job is stored. Submitting an id again doesn't create a second job and returns `known`. */
   async submit (jobId: string, queue: Queue, spec: JobSpec, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
-    const { clock, storeHealth, leader, configVersion } = this.options
+    const { clock, storeHealth, leader, room, configVersion } = this.options
     const { payload, ...specWithoutPayload } = spec
     const record: JobRecord = { queue: queue.name, service: queue.service, terms: termsOf(queue), spec: specWithoutPayload, admittedAtMs: clock.date().getTime(), configVersion: configVersion() }
     const startedAt = clock.now()
+    const bytes = jobBytes(record, payload.length)
+    if (bytes > MAX_JOB_BYTES) return Err(Failure.notRun(JOB_TOO_LARGE, `The job takes ${bytes} bytes of a leader's memory, and at most ${MAX_JOB_BYTES} are allowed.`, 'Divide the job, or repeat it less often.'))
+    const refusal = room.take(queue.name, bytes)
+    if (refusal !== undefined) return this.refuse(jobId, refusal, budgetMs)
     const result = storeHealth.isUnavailable() ? this.storeUnavailable() : await this.admitInStore(jobId, record, payload, budgetMs)
     if (result.ok || result.val.verdict !== 'not-run' || result.val.code === TRANSACTION_REJECTED) return result
     if (clock.now() - startedAt > budgetMs / 2) return result
@@ -96,6 +105,13 @@
     return leader.submit(jobId, record, payload)
   }
 
+  /** Refuses a job, unless an earlier request has admitted it: "has not run" would be wrong then. */
+  private async refuse (jobId: string, refusal: Failure, budgetMs: number): Promise<Result<'known', Failure>> {
+    const stored = await this.retryWithinBudget(jobId, 'submit', budgetMs, () => this.readJob(jobId))
+    if (stored.err) return Err(Failure.mayHaveRun('store-answer-lost', 'Whether the job was admitted before can not be read.', 'Send the same request again.'))
+    return stored.val.job !== undefined || stored.val.outcome !== undefined ? Ok('known') : Err(refusal)
+  }
+
   /** Admits a job through this daemon's connection to the store. */
   async admitInStore (jobId: string, record: JobRecord, payload: string, budgetMs: number): Promise<Result<'admitted' | 'known', Failure>> {
     const { store, leader, earlyAdvice, storeHealth, clock, log } = this.options
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -2,6 +2,8 @@
 import type { Log } from '@citronnotch/base/logger'
 import { ENDED_RETENTION_MARGIN_MS } from './constants.js'
 import type { Janitor } from './janitor.js'
+import { jobBytes } from './jobMemory.js'
+import type { JobMemory } from './jobMemory.js'
 import { Job, isJobId, jobIdOfCancelKey } from './jobs.js'
 import { decodeJob } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
@@ -18,6 +20,7 @@
 
 export interface JobTableOptions {
   readonly janitor: Janitor
+  readonly memory: JobMemory
   /** Time for which callers can ask for the outcome of an ended job, in milliseconds. */
   readonly statusRetentionMs: number
   readonly clock: Clock
@@ -74,7 +77,7 @@
 
   /** Adds a job unless it is already tracked, and sets its payload. */
   admit (jobId: string, record: JobRecord, payload: string, version: number): void {
-    if (!this.isTracked(jobId)) this.jobs.set(jobId, Job.create(jobId, record, version))
+    if (!this.isTracked(jobId)) this.add(Job.create(jobId, record, version), payload.length)
     const job = this.jobs.get(jobId)
     if (job !== undefined) job.payload = payload
   }
@@ -150,8 +153,13 @@
       this.options.log.error('Job row could not be decoded.', { job: row.key, version: row.version })
       return undefined
     }
-    const job = Job.create(row.key, record, row.version)
-    this.jobs.set(row.key, job)
+    return this.add(Job.create(row.key, record, row.version), 0)
+  }
+
+  private add (job: Job, payloadLength: number): Job {
+    job.accountedBytes = jobBytes(job.record, payloadLength)
+    this.options.memory.add(job.record.queue, job.accountedBytes)
+    this.jobs.set(job.id, job)
     return job
   }
 
@@ -160,7 +168,8 @@
   }
 
   private removeIfFinished (job: Job) {
-    if (job.isOutcomeStored && [...job.runs()].length === 0) this.jobs.delete(job.id)
+    if (!job.isOutcomeStored || [...job.runs()].length > 0 || !this.jobs.delete(job.id)) return
+    this.options.memory.remove(job.record.queue, job.accountedBytes)
   }
 }
 
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -1,7 +1,7 @@
 import { AvoidedWorkers } from './avoidedWorkers.js'
 import { CrashRecord } from './crashRecord.js'
 import { HopTimes } from './hopTimes.js'
-import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, RUNS_PER_EPOCH } from './constants.js'
+import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, MAX_LIVE_OCCURRENCES, RUNS_PER_EPOCH } from './constants.js'
 import type { JobRecord } from './jobRecord.js'
 import { encodeRow, formatRanges, layoutOf, parseRanges } from './progressRows.js'
 import type { RowLayout, RowTasks } from './progressRows.js'
@@ -497,6 +497,8 @@
   private readonly storedRanges = new Set<string>()
   /** Rows that must be stored before the first one, which still holds their progress in the form of earlier versions. */
   private readonly rowsToConvert = new Set<ProgressRow>()
+  /** Memory that the job is accounted for on this leader, in bytes. */
+  accountedBytes = 0
   /** Input of the tasks. Undefined until read from the store if this leader wasn't notified of the admission. */
   payload: string | undefined
   /** Times at which the job passed its stations on this leader; undefined unless the job is followed. */
@@ -551,8 +553,9 @@
   addDueOccurrences (unixMs: number): void {
     const { schedule } = this.record.spec
     if (schedule === undefined) return
+    let live = [...this.occurrences.values()].filter(steps => steps !== 'done').length
     for (let occurrence = this.occurrences.size; occurrence < schedule.repetitions; occurrence++) {
-      if (schedule.firstRunMs + occurrence * schedule.intervalMs > unixMs) return
+      if (schedule.firstRunMs + occurrence * schedule.intervalMs > unixMs || live++ >= MAX_LIVE_OCCURRENCES) return
       this.addOccurrence(occurrence)
     }
   }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -16,6 +16,8 @@
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { Job, ProgressRow, Run, Step, Task } from './jobs.js'
+import { JobMemory } from './jobMemory.js'
+import type { RoomReport } from './jobMemory.js'
 import type { AdmittedJob } from './jobService.js'
 import { objectiveMsOf } from './lateness.js'
 import { JobTable } from './jobTable.js'
@@ -77,6 +79,8 @@
   readonly statusRetentionMs: number
   /** Time after which no task may start on a worker that is registered as draining, in milliseconds. */
   readonly drainMs: number
+  /** Memory for the state of jobs, in MiB. */
+  readonly jobMemoryMb: number
   /** Lag of the event loop of this process; while it is high, work that can wait is put off. */
   readonly loopLag: Pick<LoopLag, 'isHigh' | 'isVeryHigh' | 'meanMs'>
   readonly clock: Clock
@@ -87,6 +91,7 @@
 /** One epoch of leadership: tracks all live jobs, extends the leases of all workers, and decides what runs where. */
 export class Leader implements WorkerEvents {
   private readonly jobs: JobTable
+  private readonly memory: JobMemory
   private readonly workers: WorkerPool
   /** Indexed by leader partition. */
   private readonly commitQueues: readonly CommitQueue[]
@@ -136,7 +141,8 @@
     })
     this.loader = JobLoader.create(store, clock, this.log)
     this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), clock, log: this.log })
-    this.jobs = JobTable.create({ janitor: this.janitor, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
+    this.memory = JobMemory.create(options.jobMemoryMb, clock)
+    this.jobs = JobTable.create({ janitor: this.janitor, memory: this.memory, statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
     const jobsLoaded = new Promise<boolean>(resolve => { this.finishLoading = resolve })
     this.workers = WorkerPool.create({
       ...options, jobsLoaded, predecessorActiveMs: options.mayPredecessorBeActive ? LEASE_TTL_MS : 0, epochVersion: () => this.epochVersion(0), events: this, onChange: () => this.scheduleRound(), log: this.log
@@ -227,6 +233,11 @@
     return this.isLoaded ? this.jobs.pendingOf(queue) : undefined
   }
 
+  /** What this leader can still take from a queue; undefined until the state is loaded. */
+  roomFor (queue: string): RoomReport | undefined {
+    return this.isLoaded ? this.memory.report(queue) : undefined
+  }
+
   // Commands
 
   /** Returns workers of the job's service that may have room for the next job. */
@@ -775,10 +786,12 @@
     while (!signal.aborted) {
       await clock.sleep(SCHEDULING_INTERVAL_MS, signal)
       this.jobs.tick()
+      this.memory.tick()
       this.workers.stopStalledRuns()
       this.moveRunsFromLeavingWorkers()
       this.clearSuspects()
       metrics.gauge('jobs_live', this.jobs.size())
+      metrics.gauge('jobs_bytes', this.memory.used())
       metrics.gauge('commits_waiting', this.commitsWaiting())
       this.loadReport.tick()
       this.scheduleRound()
--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -10,6 +10,7 @@
 import type { Verdict } from '@citronnotch/base/verdict'
 import type { KnownConfig } from './configInForce.js'
 import type { JobRecord } from './jobRecord.js'
+import type { RoomReport } from './jobMemory.js'
 import type { AdmittedJob } from './jobService.js'
 import type { Peer } from './membership.js'
 import type { TakeoverRequest } from './leaderLease.js'
@@ -22,8 +23,10 @@
 
 /** Requests and responses between daemons, by method. */
 export interface PeerMethods {
-  /** Notifies the leader of a stored job, so that it doesn't have to wait for its next poll. The leader suggests workers for the next job of the service. */
-  admitted: { readonly req: AdmittedJob, readonly res: { readonly workerIds?: readonly string[] } }
+  /** Notifies the leader of a stored job, so that it doesn't have to wait for its next poll. The leader suggests workers for the next job of the service, and tells what it can still take. */
+  admitted: { readonly req: AdmittedJob, readonly res: { readonly workerIds?: readonly string[], readonly room?: RoomReport } }
+  /** What the leader can still take from a queue; missing when the daemon doesn't lead. */
+  room: { readonly req: { readonly queue: string }, readonly res: { readonly room?: RoomReport } }
   /** Admits or cancels a job on behalf of a daemon that can't reach the store. */
   submit: { readonly req: { readonly jobId: string, readonly record: JobRecord, readonly payload: string }, readonly res: PeerOutcome<'admitted' | 'known'> }
   cancel: { readonly req: { readonly jobId: string }, readonly res: PeerOutcome<'cancelled' | 'unknown'> }
@@ -49,7 +52,7 @@
 export type PeerMethod = keyof PeerMethods
 export type PeerHandlers = { readonly [M in PeerMethod]: (req: PeerMethods[M]['req']) => PeerMethods[M]['res'] | Promise<PeerMethods[M]['res']> }
 
-const METHODS: readonly PeerMethod[] = ['admitted', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'daemons', 'canTakeOver', 'takeOver', 'advise']
+const METHODS: readonly PeerMethod[] = ['admitted', 'room', 'submit', 'cancel', 'cancelled', 'jobState', 'pending', 'config', 'daemons', 'canTakeOver', 'takeOver', 'advise']
 /** Requests that are not carried out once their sender has given up waiting: a cut may hold them up for any time. */
 const EXPIRING_METHODS: ReadonlySet<PeerMethod> = new Set<PeerMethod>(['submit', 'cancel', 'canTakeOver', 'takeOver', 'advise'])
 /** Metadata with the time until which the sender waits for the answer, on the store's clock in milliseconds. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -5,6 +5,7 @@
 import { Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
+import { AdmissionRoom } from '../admissionRoom.js'
 import type { AdviceAgent } from '../advice.js'
 import { ConfigInForce } from '../configInForce.js'
 import { ConfigWatch } from '../configWatch.js'
@@ -31,6 +32,7 @@
 /** Time within which a confirmed configuration must be in force. */
 export const CONFIG_APPLY_MS = 2_500
 const CONFIG_POLL_MS = 20
+const DEFAULT_JOB_MEMORY_MB = 200
 const silentLogs = LogFactory.create({ levels: { '*': 'fatal' } })
 
 export function createQueue (fields: Partial<Queue> = {}): Queue {
@@ -77,6 +79,11 @@
    * @default calls that take no time on the way
    */
   readonly carryCall?: CarryCall
+  /**
+   * Memory of a leader for the state of jobs, in MiB.
+   * @default 200
+   */
+  readonly jobMemoryMb?: number
   /** Minimum length of job payloads; shorter ones are padded. */
   readonly minPayloadLength?: number
 }
@@ -202,6 +209,14 @@
       metrics
     })
     const earlyAdvice = options.policyServiceOf === undefined ? undefined : EarlyAdvice.create({ agent: PolicyAgent.create(name, options.policyServiceOf(name)), clock, log: silentLogs.for('advice'), metrics })
+    const room = AdmissionRoom.create({
+      budgetMb: options.jobMemoryMb ?? DEFAULT_JOB_MEMORY_MB,
+      daemons: () => this.daemons.length,
+      askLeader: async queue => this.arePeersReachable ? this.leader()?.roomFor(queue) : undefined,
+      clock,
+      log: silentLogs.for('jobs'),
+      metrics
+    })
     let leader: Leader | undefined
     const stopLeading = () => {
       leader?.stop()
@@ -241,6 +256,7 @@
           maxTaskLeaseMs: 6_000,
           statusRetentionMs: 120_000,
           drainMs: DRAIN_MS,
+          jobMemoryMb: options.jobMemoryMb ?? DEFAULT_JOB_MEMORY_MB,
           loopLag: { isHigh: () => this.isProcessorFull, isVeryHigh: () => this.isProcessorOverloaded, meanMs: () => 0 },
           clock,
           logs: silentLogs,
@@ -255,7 +271,7 @@
       lease,
       config,
       leader: () => leader,
-      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(earlyAdvice), ...(earlyAdvice === undefined ? {} : { earlyAdvice }), configVersion: () => this.admittedByVersion ?? config.version(), clock, log: silentLogs.for('jobs'), metrics }),
+      jobs: JobService.create({ store, storeHealth: StoreHealth.create(clock, silentLogs.for('store')), leader: this.createLeaderClient(earlyAdvice, room), room, ...(earlyAdvice === undefined ? {} : { earlyAdvice }), configVersion: () => this.admittedByVersion ?? config.version(), clock, log: silentLogs.for('jobs'), metrics }),
       kill: () => {
         abortController.abort()
         stopLeading()
@@ -305,10 +321,12 @@
     return condition()
   }
 
-  private createLeaderClient (earlyAdvice: EarlyAdvice | undefined): LeaderClient {
+  private createLeaderClient (earlyAdvice: EarlyAdvice | undefined, room: AdmissionRoom): LeaderClient {
     return {
       admitted: job => {
         const workerIds = this.leader()?.admitted(job) ?? []
+        const report = this.leader()?.roomFor(job.record.queue)
+        if (report !== undefined) room.update(job.record.queue, report)
         earlyAdvice?.suggest(job.record.service, workerIds)
       },
       cancelled: jobId => this.leader()?.cancelled(jobId),
