fix(cell): jobs that a leader has no memory for wait in the store, in the order of their admission

Change: a leader loads jobs up to 1.25 times its budget, and those that have begun in any case; it parks the others, of which it keeps id and queue, and loads them as memory becomes free. Rows without memory are dropped as their page is read, so that a takeover has no peak.

--- a/packages/cell/src/jobLoader.ts
+++ b/packages/cell/src/jobLoader.ts
@@ -2,7 +2,9 @@
 import type { Log } from '@citronnotch/base/logger'
 import { countOr, recordOf } from '@citronnotch/base/untrusted'
 import { ADMISSION_PARTITIONS, LEADER_PARTITIONS, LOAD_TIMEOUT_MS, STORE_TIMEOUT_MS, TABLES } from './constants.js'
-import { admissionPartitionName, leaderPartitionName } from './jobs.js'
+import { admissionPartitionName, admissionPartitionOf, isJobId, leaderPartitionName, leaderPartitionOf } from './jobs.js'
+import { OmittedJob, decodeJob } from './jobRecord.js'
+import type { JobRecord } from './jobRecord.js'
 import type { RangeQuery, RowStore, StoredRow } from './ports.js'
 import { ReadWindow } from './readWindow.js'
 
@@ -71,9 +73,26 @@
     return answers.every(({ ok }) => ok)
   }
 
-  /** Reads the admissions and cancellations of jobs. Resolves with undefined when a read failed. */
-  readJobs (): Promise<LoadedRows | undefined> {
-    return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName, this.jobPartitions)
+  /**
+   * Reads the admissions and cancellations of jobs. `mayKeep` says whether a row is kept with its value, which is an
+   * `OmittedJob` otherwise. Resolves with undefined when a read failed.
+   */
+  readJobs (mayKeep: (record: JobRecord) => boolean): Promise<LoadedRows | undefined> {
+    const keep = (row: StoredRow) => {
+      const record = isJobId(row.key) ? decodeJob(row.value) : undefined
+      return record === undefined || mayKeep(record) ? row : { ...row, value: OmittedJob.create(record) }
+    }
+    return this.readPartitions(TABLES.jobs, ADMISSION_PARTITIONS, admissionPartitionName, this.jobPartitions, keep)
+  }
+
+  /** Reads the rows of one job; undefined when a read failed. */
+  async readJob (jobId: string): Promise<{ readonly jobRows: readonly StoredRow[], readonly progressRows: readonly StoredRow[] } | undefined> {
+    const keys = { from: jobId, to: `${jobId}/` }
+    const [job, progress] = await Promise.all([
+      this.readPartition({ table: TABLES.jobs, partition: admissionPartitionOf(jobId), ...keys }),
+      this.readPartition({ table: TABLES.progress, partition: leaderPartitionName(leaderPartitionOf(jobId)), ...keys })
+    ])
+    return job === undefined || progress === undefined ? undefined : { jobRows: job.rows, progressRows: progress.rows }
   }
 
   /** Reads the progress of jobs. Call it after `fence`: until then an earlier leader may still write progress. */
@@ -82,10 +101,10 @@
   }
 
   /** Keeps completed partitions in `loadedPartitions` until all are read, so that a repeated call resumes where a failed one stopped. */
-  private async readPartitions (table: string, count: number, partitionName: (index: number) => string, loadedPartitions: Map<string, LoadedRows>): Promise<LoadedRows | undefined> {
+  private async readPartitions (table: string, count: number, partitionName: (index: number) => string, loadedPartitions: Map<string, LoadedRows>, keep = (row: StoredRow): StoredRow => row): Promise<LoadedRows | undefined> {
     const missingPartitions = Array.from({ length: count }, (_, index) => partitionName(index)).filter(name => !loadedPartitions.has(name))
     await this.readWithinWindow(missingPartitions, async partition => {
-      const loadedRows = await this.readPartition({ table, partition })
+      const loadedRows = await this.readPartition({ table, partition }, keep)
       if (loadedRows !== undefined) loadedPartitions.set(partition, loadedRows)
     })
     if (loadedPartitions.size < count) return undefined
@@ -116,7 +135,7 @@
     })
   }
 
-  private async readPartition (query: RangeQuery): Promise<LoadedRows | undefined> {
+  private async readPartition (query: RangeQuery, keep = (row: StoredRow): StoredRow => row): Promise<LoadedRows | undefined> {
     const { window, clock } = this
     const rows: StoredRow[] = []
     let version: number | undefined
@@ -131,7 +150,7 @@
         return undefined
       }
       version ??= page.val.version
-      rows.push(...page.val.rows)
+      for (const row of page.val.rows) rows.push(keep(row))
       const last = rows[rows.length - 1]
       if (!page.val.hasMore || last === undefined) return { rows, version }
       from = `${last.key}\0`
--- a/packages/cell/src/jobMemory.ts
+++ b/packages/cell/src/jobMemory.ts
@@ -18,6 +18,8 @@
 const UNKNOWN_RETRY_MS = 10_000
 /** Largest memory of one job, in bytes: many steps, or many occurrences of them that overlap, exceed it. */
 export const MAX_JOB_BYTES = 512 * 1024
+/** Share of the budget by which the memory of live jobs may exceed it. */
+const OVERSHOOT = 0.25
 const BYTES_PER_MB = 1024 * 1024
 
 /** What a leader can still take, as it tells other daemons. */
@@ -65,6 +67,16 @@
     return this.usedBytes
   }
 
+  /** Whether a job that is live already may be held: daemons that admit at the same time exceed the budget by a little. */
+  mayHold (bytes: number): boolean {
+    return this.usedBytes + bytes <= (1 + OVERSHOOT) * this.budgetBytes
+  }
+
+  /** Whether jobs that wait in the store may be loaded. */
+  hasRoom (): boolean {
+    return this.usedBytes < this.budgetBytes
+  }
+
   report (queue: string): RoomReport {
     return {
       cellBytes: this.budgetBytes - this.usedBytes,
--- a/packages/cell/src/jobRecord.ts
+++ b/packages/cell/src/jobRecord.ts
@@ -29,6 +29,15 @@
 /** Priority, maximum attempts, slack factor, target latency in milliseconds and, if the queue has an advice policy, its three times. */
 type StoredTerms = readonly number[]
 
+/** Value of a row that a leader has read, but has no memory to keep. */
+export class OmittedJob {
+  private constructor (readonly queue: string) {}
+
+  static create ({ queue }: JobRecord): OmittedJob {
+    return new OmittedJob(queue)
+  }
+}
+
 /** Default values of the step fields that may be omitted. */
 export const STEP_DEFAULTS: Omit<StepSpec, 'count' | 'need'> = {
   estimateMs: 0,
--- a/packages/cell/src/jobTable.ts
+++ b/packages/cell/src/jobTable.ts
@@ -5,8 +5,9 @@
 import { jobBytes } from './jobMemory.js'
 import type { JobMemory } from './jobMemory.js'
 import { Job, isJobId, jobIdOfCancelKey } from './jobs.js'
-import { decodeJob } from './jobRecord.js'
+import { OmittedJob, decodeJob } from './jobRecord.js'
 import type { JobRecord } from './jobRecord.js'
+import { ParkedJobs } from './parkedJobs.js'
 import type { StoredRow } from './ports.js'
 import { decodeEnded, decodeProgress, decodeRange, parseRangeKey } from './storedProgress.js'
 import type { RangeKey } from './storedProgress.js'
@@ -30,6 +31,8 @@
 /** The leader's in-memory table of live jobs and of the outcomes of recently ended ones. */
 export class JobTable {
   private readonly jobs = new Map<string, Job>()
+  /** Jobs without memory here; those that have begun are loaded before any other. */
+  readonly parked = ParkedJobs.create()
   private readonly recentOutcomes = new Map<string, RecentOutcome>()
 
   private constructor (private readonly options: JobTableOptions) {}
@@ -60,7 +63,7 @@
   /** State of a job; undefined if the table has neither the job nor its outcome. */
   stateOf (jobId: string): JobState | undefined {
     const job = this.jobs.get(jobId)
-    if (job === undefined) return this.recentOutcomes.get(jobId)?.outcome
+    if (job === undefined) return this.parked.has(jobId) ? 'queued' : this.recentOutcomes.get(jobId)?.outcome
     // Until the outcome is stored, a new leader may decide on a different one.
     if (job.outcome !== undefined && job.isOutcomeStored) return job.outcome
     return job.hasStarted ? 'active' : 'queued'
@@ -68,7 +71,7 @@
 
   /** Number of jobs in a queue that have started no task yet. */
   pendingOf (queue: string): number {
-    let pending = 0
+    let pending = this.parked.countOf(queue)
     for (const job of this.jobs.values()) if (job.record.queue === queue && !job.hasStarted && job.outcome === undefined) pending++
     return pending
   }
@@ -77,31 +80,48 @@
 
   /** Adds a job unless it is already tracked, and sets its payload. */
   admit (jobId: string, record: JobRecord, payload: string, version: number): void {
-    if (!this.isTracked(jobId)) this.add(Job.create(jobId, record, version), payload.length)
+    if (!this.isTracked(jobId)) {
+      if (this.parked.has(jobId) || !this.options.memory.mayHold(jobBytes(record, payload.length))) return this.parked.add(jobId, record.queue)
+      this.add(Job.create(jobId, record, version), payload.length)
+    }
     const job = this.jobs.get(jobId)
     if (job !== undefined) job.payload = payload
   }
 
-  /** Adds jobs from their admission rows and progress rows. Returns the ids of the jobs with a cancellation row. */
-  restore (jobRows: readonly StoredRow[], progressRows: readonly StoredRow[]): readonly string[] {
+  /**
+   * Adds jobs from their admission rows and progress rows, and parks those that have not begun and for which there is no
+   * memory. Returns the ids of the jobs with a cancellation row, and of those that have begun but were omitted.
+   */
+  restore (jobRows: readonly StoredRow[], progressRows: readonly StoredRow[]): { readonly cancelledJobs: readonly string[], readonly begunJobs: readonly string[] } {
     const rowsByJob = groupByJob(progressRows)
-    for (const row of jobRows) {
-      if (!isAdmissionRow(row)) continue
-      if (!this.isTracked(row.key)) this.restoreJob(row, rowsByJob.get(row.key))
-      rowsByJob.delete(row.key)
+    const admissions = jobRows.filter(row => isAdmissionRow(row) && !this.isTracked(row.key)).sort((a, b) => a.version - b.version)
+    for (const row of admissions) {
+      const progress = rowsByJob.get(row.key)
+      if (progress !== undefined && !(row.value instanceof OmittedJob)) this.restoreJob(row, progress)
     }
+    for (const row of admissions) if (!rowsByJob.has(row.key)) this.addOrPark(row)
+    const begunJobs = admissions.filter(row => row.value instanceof OmittedJob && rowsByJob.has(row.key)).map(({ key }) => key)
+    for (const { key } of jobRows) rowsByJob.delete(key)
     // An earlier leader moved these jobs to the table of ended jobs, but didn't remove their progress rows.
     for (const [jobId, { first, ranges }] of rowsByJob) {
       if (this.isTracked(jobId)) continue
       const isObsolete = first === undefined || decodeEnded(first.value) !== undefined
       if (isObsolete) this.options.janitor.enqueueProgressRemoval(jobId, [...first === undefined ? [] : [first.key], ...ranges.map(([, { key }]) => key)])
     }
-    return cancelledJobIds(jobRows)
+    return { cancelledJobs: cancelledJobIds(jobRows), begunJobs }
+  }
+
+  /** Adds a parked job from its rows, whatever memory it takes. Returns whether it is cancelled. */
+  unpark (jobId: string, jobRows: readonly StoredRow[], progressRows: readonly StoredRow[]): boolean {
+    this.parked.remove(jobId)
+    const row = jobRows.find(({ key }) => key === jobId)
+    if (row !== undefined && isAdmissionRow(row) && !this.isTracked(jobId)) this.restoreJob(row, groupByJob(progressRows).get(jobId))
+    return cancelledJobIds(jobRows).length > 0
   }
 
   /** Adds the jobs admitted by changed rows. Returns the ids of the jobs with a cancellation row. */
   applyChanges (rows: readonly StoredRow[]): readonly string[] {
-    for (const row of rows) if (isAdmissionRow(row) && !this.isTracked(row.key)) this.addJob(row)
+    for (const row of rows) if (isAdmissionRow(row) && !this.isTracked(row.key)) this.addOrPark(row)
     return cancelledJobIds(rows)
   }
 
@@ -147,6 +167,15 @@
     }
   }
 
+  private addOrPark (row: StoredRow) {
+    if (this.parked.has(row.key)) return
+    const { memory } = this.options
+    const record = row.value instanceof OmittedJob ? undefined : decodeJob(row.value)
+    if (row.value instanceof OmittedJob) this.parked.add(row.key, row.value.queue)
+    else if (record !== undefined && !memory.mayHold(jobBytes(record, 0))) this.parked.add(row.key, record.queue)
+    else this.addJob(row)
+  }
+
   private addJob (row: StoredRow): Job | undefined {
     const record = decodeJob(row.value)
     if (record === undefined) {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -16,7 +16,7 @@
 import type { LoadedRows } from './jobLoader.js'
 import { leaderPartitionName, leaderPartitionOf } from './jobs.js'
 import type { Job, ProgressRow, Run, Step, Task } from './jobs.js'
-import { JobMemory } from './jobMemory.js'
+import { JobMemory, jobBytes } from './jobMemory.js'
 import type { RoomReport } from './jobMemory.js'
 import type { AdmittedJob } from './jobService.js'
 import { objectiveMsOf } from './lateness.js'
@@ -42,6 +42,9 @@
 const STEP_BACKOFF_MS = 60
 /** Time without new starts on a worker that reported a lack of capacity or bad health. */
 const WORKER_BACKOFF_MS = 500
+/** Interval at which parked jobs are loaded, in milliseconds, and how many at a time. */
+const PARKED_INTERVAL_MS = 100
+const PARKED_BATCH = 20
 /** Time for which a run has to work before a crash to clear its task of earlier ones, in milliseconds. */
 const CLEARED_AFTER_MS = 30_000
 
@@ -212,6 +215,7 @@
       this.supervise('expiry', () => this.janitor.removeExpired(signal)),
       this.supervise('earlier jobs', () => this.enableEarlierJobs(signal)),
       this.supervise('maintenance', async () => this.maintenance?.run(signal)),
+      this.supervise('parked jobs', () => this.loadParkedJobs(signal)),
       this.supervise('tick', () => this.tick(signal))
     ])
   }
@@ -264,6 +268,7 @@
 
   cancelled (jobId: string): void {
     if (!this.isLoaded) this.deferredNotifications.push(() => this.cancelled(jobId))
+    if (this.jobs.parked.has(jobId)) this.loadParked(jobId).catch((err: unknown) => this.log.error('A cancelled job could not be loaded.', { job: jobId, err }))
     const job = this.jobs.get(jobId)
     if (job === undefined || job.isCancelled) return
     job.isCancelled = true
@@ -281,6 +286,7 @@
       // An earlier leader may have admitted and run the job after this one read the jobs.
       this.unreadJobs.add(id, run, link.id)
       await this.changesRead()
+      while (this.jobs.parked.has(id.jobId) && !this.stopping.signal.aborted) if (!await this.loadParked(id.jobId)) await this.options.clock.sleep(WORKER_RETRY_MS, this.stopping.signal)
     }
     this.unreadJobs.remove(id, run, link.id)
     await this.applyEnd(link, finishedRun, knownRun)
@@ -675,8 +681,8 @@
    * previous leader may be active: it may still admit jobs, and store the progress of those that this leader would not know.
    */
   private async fenceAndReadJobs (): Promise<LoadedRows | undefined> {
-    if (this.options.mayPredecessorBeActive) return await this.fence() ? this.loader.readJobs() : undefined
-    const [jobs, isFenced] = await Promise.all([this.loader.readJobs(), this.fence()])
+    if (this.options.mayPredecessorBeActive) return await this.fence() ? this.readJobs() : undefined
+    const [jobs, isFenced] = await Promise.all([this.readJobs(), this.fence()])
     return isFenced ? jobs : undefined
   }
 
@@ -708,10 +714,45 @@
     const progress = await this.loader.readProgress()
     if (progress === undefined || jobs === undefined) return false
     this.changesVersion = jobs.version
-    for (const jobId of this.jobs.restore(jobs.rows, progress.rows)) this.cancelled(jobId)
+    const { cancelledJobs, begunJobs } = this.jobs.restore(jobs.rows, progress.rows)
+    for (const jobId of begunJobs) if (!await this.loadParked(jobId)) return false
+    for (const jobId of cancelledJobs) this.cancelled(jobId)
+    if (this.jobs.parked.size() > 0) this.log.warn('Jobs wait in the store, as there is no memory for them.', { parked: this.jobs.parked.size(), jobs: this.jobs.size(), usedBytes: this.memory.used() })
     return true
   }
 
+  /** Reads the admissions, as far as there is memory for them. */
+  private readJobs (): Promise<LoadedRows | undefined> {
+    let bytes = 0
+    return this.loader.readJobs(record => {
+      const ofJob = jobBytes(record, 0)
+      if (!this.memory.mayHold(bytes + ofJob)) return false
+      bytes += ofJob
+      return true
+    })
+  }
+
+  /** Loads a job that was parked, or omitted; resolves with false when a read failed. */
+  private async loadParked (jobId: string): Promise<boolean> {
+    const rows = await this.loader.readJob(jobId)
+    if (rows === undefined) return false
+    if (this.jobs.unpark(jobId, rows.jobRows, rows.progressRows)) this.cancelled(jobId)
+    return true
+  }
+
+  /** Loads parked jobs in the order of their admission, as soon as others have ended. */
+  private async loadParkedJobs (signal: AbortSignal) {
+    const { clock, metrics } = this.options
+    while (!signal.aborted) {
+      await clock.sleep(PARKED_INTERVAL_MS, signal)
+      metrics.gauge('jobs_parked', this.jobs.parked.size())
+      const ids = this.memory.hasRoom() ? this.jobs.parked.first(PARKED_BATCH) : []
+      if (ids.length === 0) continue
+      await Promise.all(ids.map(jobId => this.loadParked(jobId)))
+      this.scheduleRound()
+    }
+  }
+
   /** Polls the store for job changes, since notifications may be lost. */
   private async watchChanges (signal: AbortSignal) {
     const { store } = this.options
@@ -727,7 +768,7 @@
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('Store no longer has the job changes since the last read; reading all jobs.', { version: this.changesVersion })
-        if (!await this.loadJobs(await this.loader.readJobs())) {
+        if (!await this.loadJobs(await this.readJobs())) {
           this.changeWaiters.push(...waiters)
           continue
         }
--- /dev/null
+++ b/packages/cell/src/parkedJobs.ts
@@ -0,0 +1,59 @@
+interface ParkedJob {
+  readonly queue: string
+}
+
+/**
+ * Live jobs that a leader has no memory for. Nothing of them has started; their rows stay in the store until others have
+ * ended.
+ */
+export class ParkedJobs {
+  /** In the order in which they were admitted. */
+  private readonly jobs = new Map<string, ParkedJob>()
+  private readonly countByQueue = new Map<string, number>()
+
+  private constructor () {}
+
+  static create (): ParkedJobs {
+    return new ParkedJobs()
+  }
+
+  // Queries
+
+  has (jobId: string): boolean {
+    return this.jobs.has(jobId)
+  }
+
+  size (): number {
+    return this.jobs.size
+  }
+
+  countOf (queue: string): number {
+    return this.countByQueue.get(queue) ?? 0
+  }
+
+  /** The jobs that were admitted first. */
+  first (count: number): readonly string[] {
+    const ids: string[] = []
+    for (const id of this.jobs.keys()) {
+      if (ids.length >= count) break
+      ids.push(id)
+    }
+    return ids
+  }
+
+  // Commands
+
+  /** Jobs are added in the order of their admission. */
+  add (jobId: string, queue: string): void {
+    if (this.jobs.has(jobId)) return
+    this.jobs.set(jobId, { queue })
+    this.countByQueue.set(queue, this.countOf(queue) + 1)
+  }
+
+  remove (jobId: string): void {
+    const job = this.jobs.get(jobId)
+    if (job === undefined) return
+    this.jobs.delete(jobId)
+    this.countByQueue.set(job.queue, this.countOf(job.queue) - 1)
+  }
+}
