fix(cell): starts that wait in the leader's own queue say nothing about the worker

A round gave a worker hundreds of starts at once, five connections carried them, and those that had not left the process after 900 ms counted as an unreachable worker, which was adopted anew; that refused the starts on their way. Evidence: httpClient.test.ts ('a call that finds no free connection in time') fails before. Change: a call that found no free connection has a code of its own (-queued), is no witness against a worker or the store, and a window for each worker (AIMD, 4 to 64 starts) keeps a round from giving more than the worker confirms.

--- a/packages/base/src/__tests__/httpClient.test.ts
+++ b/packages/base/src/__tests__/httpClient.test.ts
@@ -67,3 +67,25 @@
   t.true((await call).ok)
   await client.close()
 })
+
+// Guards against LOST (issue 61): calls that waited in this process for a free connection were taken for an unreachable server.
+test('a call that finds no free connection in time is told from one to a server that can not be reached', async t => {
+  const server = createServer((_req, res) => { setTimeout(() => res.end('{}'), 300) })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  const address = server.address()
+  const port = typeof address === 'object' ? address?.port ?? 0 : 0
+  const options = { clock: SystemClock.create(), timeoutMs: 450, connections: 1, codePrefix: 'test', serverName: 'test server' }
+  const client = HttpClient.create({ ...options, url: `http://127.0.0.1:${port}` })
+  const codes = await Promise.all([1, 2, 3, 4].map(async () => {
+    const res = await client.post('/', {})
+    return res.ok ? 'ok' : res.val.code
+  }))
+  t.deepEqual([codes[0], codes[3]], ['ok', 'test-queued'])
+  await client.close()
+  server.close()
+  server.closeAllConnections()
+  const gone = HttpClient.create({ ...options, url: `http://127.0.0.1:${port}` })
+  const res = await gone.post('/', {})
+  t.true(res.err && res.val.code === 'test-unreachable')
+  await gone.close()
+})
--- a/packages/base/src/httpClient.ts
+++ b/packages/base/src/httpClient.ts
@@ -61,6 +61,8 @@
 export class HttpClient {
   private readonly pool: Pool
   private readonly basePath: string
+  /** Monotonic time in milliseconds at which a call was sent last; a call that waited since before then has waited for a connection. */
+  private lastSentAt = -Infinity
 
   private constructor (private readonly options: HttpClientOptions) {
     const url = new URL(options.url)
@@ -132,6 +134,7 @@
     const timeoutMs = req.timeoutMs ?? this.options.timeoutMs
     return new Promise(resolve => {
       let abort: ((err: Error) => void) | undefined
+      const queuedAt = clock.now()
       let isSent = false
       let isSettled = false
       let status = 0
@@ -147,7 +150,9 @@
       }
       const fail = (problem: string) => settle(Err(isSent
         ? Failure.mayHaveRun(`${codePrefix}-answer-lost`, `The answer of the ${serverName} was lost: ${problem}.`)
-        : Failure.notRun(`${codePrefix}-unreachable`, `The ${serverName} could not be reached: ${problem}.`)))
+        : this.lastSentAt >= queuedAt
+          ? Failure.notRun(`${codePrefix}-queued`, `The call to the ${serverName} waited for a free connection: ${problem}.`)
+          : Failure.notRun(`${codePrefix}-unreachable`, `The ${serverName} could not be reached: ${problem}.`)))
 
       const cancelTimer = clock.after(timeoutMs, () => {
         const problem = `no complete answer within ${timeoutMs} ms`
@@ -172,6 +177,7 @@
               return
             }
             isSent = true
+            this.lastSentAt = clock.now()
           },
           onResponseStart: (_controller, statusCode, responseHeaders) => {
             status = statusCode
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -369,7 +369,7 @@
     }
   }
 
-  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'withdrawn'): void {
+  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'queued' | 'withdrawn'): void {
     const { clock, metrics } = this.options
     metrics.count(`starts_refused_${reason}`)
     const { task } = run
--- a/packages/cell/src/roundCapacity.ts
+++ b/packages/cell/src/roundCapacity.ts
@@ -64,7 +64,8 @@
 
   /** Takes over the free capacity of a worker after a start there. */
   refresh (worker: WorkerLink): void {
-    this.free.set(worker, worker.freeCapacity())
+    if (worker.isStartWindowFull()) this.free.delete(worker)
+    else this.free.set(worker, worker.freeCapacity())
   }
 
   private workerAt (index: number | undefined): readonly WorkerLink[] {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -12,6 +12,7 @@
 import { Run as TaskRun } from './jobs.js'
 import type { HeartbeatCommand, HeartbeatOutcome, RefusalReason, StartCommand, WorkerClient, WorkerClients } from './ports.js'
 import { NO_RESOURCES, add, subtract } from './resources.js'
+import { StartWindow } from './startWindow.js'
 import { formatTaskId } from './types.js'
 import type { FinishedRun, ResourceVector, RunningTask, TaskId, WorkerEntry, WorkerReport } from './types.js'
 
@@ -38,6 +39,9 @@
 /** The announced time of a leave is read late, by up to one heartbeat and one poll of the registry; the worker may leave that much earlier. */
 const LEAVE_MARGIN_MS = 3_000
 
+/** Code of the failure of a start that found no free connection: it says nothing about the worker. */
+const NEVER_SENT_CODE = 'worker-queued'
+
 /** Prefix of the failure code of a start that the worker refused. */
 const REFUSAL_CODE_PREFIX = 'start-refused:'
 
@@ -65,7 +69,7 @@
   /** The incarnation of the worker that may have had these runs is up and doesn't list them, or has left as announced: it has not crashed under them. */
   runsSettled (runs: readonly UnsettledRun[]): void
   /** The worker refused a start, or the start was never sent. */
-  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'withdrawn'): void
+  startRefused (link: WorkerLink, run: Run, reason: RefusalReason | 'unreachable' | 'queued' | 'withdrawn'): void
   /** The worker lists a run that this leader didn't start. Returns undefined if the run must be stopped. */
   adoptRun (link: WorkerLink, listed: RunningTask): Run | undefined
   /** Free capacity, reachability or progress has changed. */
@@ -161,6 +165,7 @@
   /** Monotonic time since which the worker has been unreachable. */
   private unreachableSince: number | undefined
   private readonly client: WorkerClient
+  private readonly startWindow = StartWindow.create()
   /** Starts can be hedged because the worker accepts each run number once. */
   private readonly startHedge: Hedge
 
@@ -183,13 +188,18 @@
     return link
   }
 
+  /** Whether as many starts are under way as the worker confirms in time. */
+  isStartWindowFull (): boolean {
+    return this.startWindow.isFull()
+  }
+
   freeCapacity (): ResourceVector {
     return this.runsWithUnknownNeed > 0 ? NO_RESOURCES : subtract(this.entry.capacity, this.usedCapacity)
   }
 
   canStart (now = this.options.clock.now()): boolean {
     return this.isAdopted && !this.isDead && this.entry.state === 'ready' && this.runsWithUnknownNeed === 0 &&
-      now >= this.notBefore
+      !this.startWindow.isFull() && now >= this.notBefore
   }
 
   /** Time for which the worker has been unreachable, in milliseconds; 0 while it is reachable. */
@@ -367,7 +377,8 @@
     task.addRun(run)
     task.lastRunNumber = Math.max(task.lastRunNumber, number)
     this.addRun(run)
-    this.inBackground('start', this.sendStart(run, payload, ticket, this.options.events.startPlanned(this, run)))
+    this.startWindow.begin()
+    this.inBackground('start', this.sendStart(run, payload, ticket, this.options.events.startPlanned(this, run)).finally(() => this.endStart(run)))
     return run
   }
 
@@ -403,6 +414,13 @@
     this.inBackground('stop', this.sendStop(run))
   }
 
+  private endStart (run: Run) {
+    const wasFull = this.startWindow.isFull()
+    const isConfirmed = run.isSent && run.confirmedAtMs !== undefined && run.state === 'running'
+    this.startWindow.end(isConfirmed ? this.options.clock.now() - run.startedAt : undefined)
+    if (wasFull) this.options.events.workerChanged(this)
+  }
+
   private async sendStart (run: Run, payload: string, ticket: string, mayBeSent: Promise<void>) {
     const { clock, log, events } = this.options
     await mayBeSent
@@ -729,6 +747,7 @@
   return `${formatTaskId(task)}#${run}`
 }
 
-function refusalReasonOf ({ code }: Failure): RefusalReason | 'unreachable' {
+function refusalReasonOf ({ code }: Failure): RefusalReason | 'unreachable' | 'queued' {
+  if (code === NEVER_SENT_CODE) return 'queued'
   return code.startsWith(REFUSAL_CODE_PREFIX) ? code.slice(REFUSAL_CODE_PREFIX.length) as RefusalReason : 'unreachable'
 }
