fix(cell): ends are acknowledged up to the first one that is not stored

All ends of a report waited for the last of them, so that one that could not be stored kept those before it on the worker's list of 500. Evidence: workerLink.test.ts, 'ends are acknowledged up to the first one that is not stored', fails before. Change: each stored end moves the acknowledgement up to the first one that is pending.

--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -81,3 +81,19 @@
   t.true(sentWhileLeading.length > 2, 'it is repeated while the lease is valid')
   t.false(sentWhileLeading.includes(false))
 })
+
+// Guards against LOST (issue 58): an end that could not be stored kept those before it on the worker's list, which shows 500.
+test('ends are acknowledged up to the first one that is not stored', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: ({ index }) => ({ durationMs: 100 + 20 * index, end: 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  const [worker] = cell.workers.all()
+  if (worker === undefined) throw new Error('no worker')
+  const stored = await cell.submit(daemon, [createStep()])
+  const rejected = await cell.submit(daemon, [createStep({ count: 2 })])
+  cell.store.writeFault = tx => tx.puts.some(({ table, key }) => table === 'progress' && key.startsWith(rejected)) ? { kind: 'rejected' } : undefined
+  await cell.advanceUntil(() => cell.audit.startsOf(rejected).length === 2)
+  await cell.clock.advance(2_000)
+  t.is(cell.leader()?.stateOf(stored), 'completed')
+  t.deepEqual(worker.endedTasks().map(task => task.split('.')[0]), [rejected, rejected])
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -182,6 +182,11 @@
     return this.options.clockRate ?? 1
   }
 
+  /** Names of the tasks whose ends aren't acknowledged, in order. */
+  endedTasks (): readonly string[] {
+    return this.finishedRuns.map(({ task }) => formatTaskId(task))
+  }
+
   runningTasks (): readonly string[] {
     this.finishDueRuns()
     return [...this.activeRuns.values()].map(({ task }) => formatTaskId(task))
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -102,6 +102,7 @@
 interface PendingWrite {
   readonly jobId: string
   readonly stored: Promise<void>
+  isStored: boolean
 }
 
 /** A heartbeat that may still be answered. */
@@ -148,7 +149,7 @@
   private runsWithUnknownNeed = 0
   private token: number
   private acknowledgedSequence = 0
-  /** Pending writes of finished runs by sequence number; the worker lists these runs until they are acknowledged. */
+  /** Pending writes of finished runs by sequence number, in its order; the worker lists these runs until they are acknowledged. */
   private readonly pendingWrites = new Map<number, PendingWrite>()
   /** The worker's clock in the latest report; -1 before the first. */
   private workerClockMs = -1
@@ -621,14 +622,21 @@
       const run = this.runs.get(runKeyOf(finishedRun.task, finishedRun.run))
       if (run !== undefined) this.removeRun(run)
       const write = events.runFinished(this, finishedRun, run)
-      this.pendingWrites.set(finishedRun.sequence, { jobId: finishedRun.task.jobId, stored: write })
-      return write
-    })
-    const lastSequence = Math.max(...unacknowledged.map(finishedRun => finishedRun.sequence))
-    return Promise.all(stored).then(() => {
-      this.acknowledgedSequence = Math.max(this.acknowledgedSequence, lastSequence)
-      for (const { sequence } of unacknowledged) this.pendingWrites.delete(sequence)
+      const pending: PendingWrite = { jobId: finishedRun.task.jobId, stored: write.then(() => this.acknowledgeStored(pending)), isStored: false }
+      this.pendingWrites.set(finishedRun.sequence, pending)
+      return pending.stored
     })
+    return Promise.all(stored)
+  }
+
+  /** Acknowledges the stored ends before the first one that is not stored; a worker forgets ends in order. */
+  private acknowledgeStored (pending: PendingWrite) {
+    pending.isStored = true
+    for (const [sequence, { isStored }] of this.pendingWrites) {
+      if (!isStored) return
+      this.pendingWrites.delete(sequence)
+      this.acknowledgedSequence = Math.max(this.acknowledgedSequence, sequence)
+    }
   }
 
   private applyRunning (report: WorkerReport, token: number) {
