fix(cell): members of a gang that a successor meets first resume from the gang's checkpoint

Evidence: progressRows.test.ts, 'all members of a restored gang resume from its checkpoint', fails before. Change: the step keeps the checkpoint that the members of a gang share.

--- a/packages/cell/src/__tests__/progressRows.test.ts
+++ b/packages/cell/src/__tests__/progressRows.test.ts
@@ -89,6 +89,18 @@
   }), { seed: 58, numRuns: 40 })
 })
 
+// Guards against UNASKED: members of a gang that a successor had not met before started without the gang's checkpoint.
+test('all members of a restored gang resume from its checkpoint', t => {
+  const shape = { steps: [createStep({ count: 5, gang: true, checkpoints: true })], repetitions: 1, maxAttempts: 3 }
+  const job = createJob(shape)
+  const [first] = tasksOf(job)
+  first?.step.saveCheckpoint(first, 'c1')
+  const restored = createJob(shape)
+  const value = decodeProgress(JSON.parse(JSON.stringify(job.value(0))))
+  if (value !== undefined && !('outcome' in value)) restored.restoreFirstRow(value, 1)
+  t.deepEqual(tasksOf(restored).map(task => task.checkpoint), Array.from({ length: 5 }, () => 'c1'))
+})
+
 test('ranges of numbers are read as they were written', t => {
   t.is(formatRanges([0, 1, 2, 5, 7, 8]), '0-2,5,7-8')
   t.deepEqual(parseRanges('0-2,5,7-8'), [[0, 2], [5, 5], [7, 8]])
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -250,6 +250,8 @@
   /** Tasks that aren't done, or have runs, and of which something is known. */
   private readonly known = new Map<number, Task>()
   private readonly done: Marks
+  /** Checkpoint that all members of a gang share; empty if there is none, or the step is no gang. */
+  private gangCheckpoint = ''
   /** No task before this index is untouched. */
   private firstUntouched = 0
   /** Rows of their own for ranges of tasks, if the job doesn't fit into one. */
@@ -282,7 +284,7 @@
     const known = this.known.get(index)
     if (known !== undefined) return known
     if (this.done.has(index)) return Task.createDone(this, index)
-    const task = Task.create(this, index)
+    const task = this.createTask(index)
     this.keep(task)
     return task
   }
@@ -301,7 +303,7 @@
   * untouchedTasks (): Iterable<Task> {
     for (let index = this.firstUntouched; index < this.spec.count; index++) {
       const isUntouched = !this.known.has(index) && !this.done.has(index)
-      if (isUntouched) yield Task.create(this, index)
+      if (isUntouched) yield this.createTask(index)
       else if (index === this.firstUntouched) this.firstUntouched++
     }
   }
@@ -387,6 +389,12 @@
     return Math.max(lastRunNumber, (epoch - 1) * RUNS_PER_EPOCH) + 1
   }
 
+  private createTask (index: number): Task {
+    const task = Task.create(this, index)
+    task.checkpoint = this.gangCheckpoint
+    return task
+  }
+
   /** Keeps a task of which something is known. */
   keep (task: Task): void {
     this.known.set(task.index, task)
@@ -414,6 +422,7 @@
   /** Records the checkpoint from which a task resumes. All members of a gang share one checkpoint. */
   saveCheckpoint (task: Task, checkpoint: string): void {
     if (checkpoint === '') return
+    if (this.spec.gang) this.gangCheckpoint = checkpoint
     for (const member of this.spec.gang ? this.knownTasks() : [task]) member.checkpoint = checkpoint
   }
 
--- a/soak/src/faults.ts
+++ b/soak/src/faults.ts
@@ -14,6 +14,8 @@
   readonly emulator: Emulator
   /** Daemons whose listener for peers refuses connections; each fault removes its own. */
   readonly refusedPeers: Set<DaemonProcess>
+  /** Daemons whose connections from peers hold what is sent until the fault is over; each fault removes its own. */
+  readonly heldPeers: Set<DaemonProcess>
   /** Writes the next version of the configuration. */
   readonly changeConfig: () => void
 }
--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -75,6 +75,36 @@
   ...pickFaults('kill', 'terminate', 'reload', 'pause', 'storeLink', 'workerLink', 'storeDown', 'storeLosesAnswers', 'storeLosesHistory', 'workerStalls', 'workerRestarts', 'rollingRestart', 'configChange')
 }
 
+/** Time for which a leader is cut off from the store, and until its successor is; by then the first one leads again, in milliseconds. */
+const CUT_MS = 5_500
+const NEXT_CUT_MS = 6_000
+/** Time for which a cut holds a message up: TCP repeats it at 6.2 s and at 12.6 s. */
+const HELD_MS = 13_000
+
+/** Faults of the shape `late-messages`: messages between daemons arrive after two takeovers, and leaders live on under their successors. */
+export const LATE_MESSAGE_FAULTS: Readonly<Record<string, Fault>> = {
+  holdLeaders: targets => {
+    holdLeader(targets)
+    setTimeout(() => holdLeader(targets), NEXT_CUT_MS)
+  },
+  refusePeers: (targets, random) => refusePeers(targets, random.between(1_000, 4_000)),
+  refusePeersAgain: (targets, random) => {
+    for (let index = 0; index < 4; index++) setTimeout(() => refusePeers(targets, random.between(300, 1_500)), index * 1_800)
+  },
+  ...pickFaults('kill', 'terminate', 'pause', 'storeLosesHistory')
+}
+
+function holdLeader (targets: FaultTargets) {
+  const { daemons, storeLinks, heldPeers } = targets
+  const leader = leaderOf(targets)
+  const storeLink = leader === undefined ? undefined : storeLinks[daemons.indexOf(leader)]
+  if (leader === undefined || storeLink === undefined) return
+  heldPeers.add(leader)
+  setTimeout(() => heldPeers.delete(leader), HELD_MS)
+  storeLink.fault = 'drop-all'
+  setTimeout(() => { storeLink.fault = 'none' }, CUT_MS)
+}
+
 /** The daemon that the store names as the leader. */
 function leaderOf ({ daemons, store }: FaultTargets) {
   const row = store.get(...LEADER_ROW)?.value as { readonly holder: string } | undefined
--- a/soak/src/peerProxies.ts
+++ b/soak/src/peerProxies.ts
@@ -8,9 +8,13 @@
   return `127.0.0.${10 + Number(daemonName.slice(1))}`
 }
 
-/** Proxies in the place of the daemons' listeners for peers. Each accepts connections while its daemon runs and isn't among the refused ones. */
+/**
+ * Proxies in the place of the daemons' listeners for peers. Each accepts connections while its daemon runs and isn't among
+ * the refused ones, and holds what is sent to and by its daemon while that is among the held ones.
+ */
 export class PeerProxies {
   readonly refused = new Set<DaemonProcess>()
+  readonly held = new Set<DaemonProcess>()
   private readonly timer: NodeJS.Timeout
 
   private constructor (private readonly proxies: ReadonlyMap<DaemonProcess, TcpProxy>) {
@@ -39,6 +43,7 @@
 
   private update () {
     for (const [daemon, proxy] of this.proxies) {
+      proxy.fault = this.held.has(daemon) ? 'hold' : 'none'
       if (daemon.isRunning() && !this.refused.has(daemon)) proxy.accept()
       else proxy.refuse()
     }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -164,7 +164,7 @@
   const probeTimer = setInterval(() => track(configProbe.probe()), PROBE_INTERVAL_MS)
 
   const faults: string[] = []
-  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, refusedPeers: peerProxies.refused, changeConfig: () => configProbe.change() }
+  const targets: FaultTargets = { daemons, storeLinks, workerLinks, store, workers, emulator, refusedPeers: peerProxies.refused, heldPeers: peerProxies.held, changeConfig: () => configProbe.change() }
   const kinds = Object.fromEntries(Object.entries(shape.faults).filter(([name]) => only.length === 0 || only.includes(name)))
   if (allFaults && shape.hasChangeSeries) startChangeSeries(targets, Random.create(seed), faultPeriodMs)
   const faultsEndMs = clock.now() + faultPeriodMs
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -2,7 +2,7 @@
 import type { JobSpec, ResourceVector, TaskId } from '@citronnotch/cell'
 import { FAULTS, MORE_FAULTS, REFUSAL_FAULTS } from './faults.js'
 import type { Fault } from './faults.js'
-import { LEADER_FAULTS } from './leaderFaults.js'
+import { LATE_MESSAGE_FAULTS, LEADER_FAULTS } from './leaderFaults.js'
 import type { Random } from './random.js'
 
 /** What kind of cell a soak plays: its jobs, workers, bounds and faults. */
@@ -75,4 +75,17 @@
 /** Daemons that the store refuses, for long and many at a time, beside changes of the configuration. */
 const REFUSED_DAEMONS: Shape = { ...DEFAULT_SHAPE, faults: REFUSAL_FAULTS, maxPauseMs: 5_000, hasChangeSeries: false }
 
-export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS }
+/** Messages that arrive after two takeovers and leaders that live on, beside jobs of many tasks. */
+const LATE_MESSAGES: Shape = {
+  ...DEFAULT_SHAPE,
+  // Enough for ended jobs to be moved within seconds.
+  submitIntervalMs: 8,
+  randomSteps: random => random.chance(0.002) ? [{ count: 400, cpu: 100, mem_mb: 10, estimated_ms: 100 }] : [{ count: 1, cpu: 500, mem_mb: 100, estimated_ms: 100 }],
+  durationMsOf: () => 50,
+  faults: LATE_MESSAGE_FAULTS,
+  maxPauseMs: 6_000,
+  hasChangeSeries: false,
+  hasPeerProxies: true
+}
+
+export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS, 'late-messages': LATE_MESSAGES }
