--- a/packages/cell/src/__tests__/admissionRoom.test.ts
+++ b/packages/cell/src/__tests__/admissionRoom.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import { CELL_FULL, QUEUE_FULL } from '../admissionRoom.js'
+import { jobBytes } from '../jobMemory.js'
 import { JOB_TOO_LARGE } from '../jobService.js'
-import { TestCell, createQueue, createStep } from '../testing/index.js'
+import { TestCell, createJob, createQueue, createStep } from '../testing/index.js'
 import type { TestDaemon } from '../testing/index.js'
 import type { JobSpec, Queue } from '../types.js'
 
@@ -79,7 +80,8 @@
   cell.leader = () => undefined
   const accepted = (await Promise.all([flood(cell, daemons, FLOOD), flood(cell, daemons, OTHER), flood(cell, daemons, THIRD)])).flatMap(result => result.accepted)
   t.true(accepted.length > 100)
-  t.true(accepted.length * 4_200 <= BUDGET_BYTES)
+  const { record } = createJob({ jobId: '00000000000000aa', steps: [createStep()] })
+  t.true(accepted.length * jobBytes(record, 0) <= BUDGET_BYTES)
 })
 
 for (const [what, spec] of [
