perf(cell): calls between daemons carry a deadline only where a late one counts; rows are sized without encoding their runs

Each call between daemons got metadata, and each row encoded its open runs twice. Change: metadata for expiring requests alone, and a fixed bound of 300 bytes an open run.

--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -58,6 +58,8 @@
 /** Metadata with the time until which the sender waits for the answer, on the store's clock in milliseconds. */
 const WAITS_UNTIL_KEY = 'waits-until-ms'
 
+const NO_METADATA = new Metadata()
+
 /** Bounds of the store's clock, which all daemons read; undefined before the store's first answer. */
 export type SharedClock = () => ClockBounds | undefined
 
@@ -139,7 +141,7 @@
     if (!isSocketAddress(address)) return Promise.resolve(Err(Failure.notRun('peer-unreachable', 'The daemon has no usable address.')))
     return new Promise(resolve => {
       this.client(address).makeUnaryRequest<PeerMethods[M]['req'], PeerMethods[M]['res']>(
-        definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, this.metadata(timeoutMs), { deadline: Date.now() + timeoutMs },
+        definition.path, definition.requestSerialize, definition.responseDeserialize as (data: Buffer) => PeerMethods[M]['res'], req, EXPIRING_METHODS.has(method) ? this.waitsUntil(timeoutMs) : NO_METADATA, { deadline: Date.now() + timeoutMs },
         (err, res) => {
           if (err === null && res !== undefined) resolve(Ok(res))
           else resolve(Err(peerFailure(address, err?.details ?? 'no response')))
@@ -151,7 +153,7 @@
     for (const client of this.clients.values()) client.close()
   }
 
-  private metadata (timeoutMs: number): Metadata {
+  private waitsUntil (timeoutMs: number): Metadata {
     const metadata = new Metadata()
     const now = this.sharedClock()
     if (now !== undefined) metadata.set(WAITS_UNTIL_KEY, String(Math.ceil(now.latest + timeoutMs)))
--- a/packages/cell/src/progressRows.ts
+++ b/packages/cell/src/progressRows.ts
@@ -15,6 +15,8 @@
 const TASK_BYTES = 384
 /** Bytes of the key and the brackets of one task in a list. */
 const ENTRY_BYTES = 12
+/** Bytes of one open run, with the longest id of a worker. */
+const OPEN_RUN_BYTES = 300
 /** Bytes of the names of all fields of a step. */
 const STEP_BYTES = 128
 /** Bytes around the steps. */
@@ -62,7 +64,7 @@
   let openRuns = 0
   const open = steps.map(({ tasks }) => entriesOf(tasks, task => {
     const runs = task.openRuns().map(({ number, workerId, born, startedAtMs }): StoredOpenRun => [number, workerId, born, startedAtMs])
-    return runs.filter(run => openRuns < MAX_STORED_OPEN_RUNS && hasRoomFor(ENTRY_BYTES + jsonBytes(run)) && ++openRuns > 0)
+    return runs.filter(run => openRuns < MAX_STORED_OPEN_RUNS && hasRoomFor(OPEN_RUN_BYTES) && ++openRuns > 0)
   }, runs => runs.length > 0))
   const checkpoints = steps.map(({ tasks }) => {
     // The members of a gang share one checkpoint.
