perf(cell): a round looks at the same untouched task of a step again, instead of making another one

Since each round made a task object, with three collections, for each waiting step, and dropped it if there was no worker. Change: the step keeps the untouched task that was looked at last.

--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -252,6 +252,8 @@
   private readonly done: Marks
   /** Checkpoint that all members of a gang share; empty if there is none, or the step is no gang. */
   private gangCheckpoint = ''
+  /** The untouched task that was looked at last. */
+  private nextUntouched: Task | undefined
   /** No task before this index is untouched. */
   private firstUntouched = 0
   /** Rows of their own for ranges of tasks, if the job doesn't fit into one. */
@@ -303,7 +305,7 @@
   * untouchedTasks (): Iterable<Task> {
     for (let index = this.firstUntouched; index < this.spec.count; index++) {
       const isUntouched = !this.known.has(index) && !this.done.has(index)
-      if (isUntouched) yield this.createTask(index)
+      if (isUntouched) yield this.untouchedTask(index)
       else if (index === this.firstUntouched) this.firstUntouched++
     }
   }
@@ -389,6 +391,12 @@
     return Math.max(lastRunNumber, (epoch - 1) * RUNS_PER_EPOCH) + 1
   }
 
+  /** The same object in each round until the task gets a run: in a burst, rounds ask for it thousands of times a second. */
+  private untouchedTask (index: number): Task {
+    if (this.nextUntouched?.index !== index) this.nextUntouched = this.createTask(index)
+    return this.nextUntouched
+  }
+
   private createTask (index: number): Task {
     const task = Task.create(this, index)
     task.checkpoint = this.gangCheckpoint
