--- a/packages/cell/src/__tests__/wideJobs.test.ts
+++ b/packages/cell/src/__tests__/wideJobs.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { TABLES } from '../constants.js'
+import { MAX_FINISHED_RUNS_LISTED, TABLES } from '../constants.js'
 import { leaderPartitionName, leaderPartitionOf } from '../jobs.js'
 import { TestCell, createQueue, createStep, createWorkerEntry } from '../testing/index.js'
 
@@ -34,6 +34,8 @@
   await cell.clock.advance(1_500)
   t.deepEqual(small.map(jobId => cell.leader()?.stateOf(jobId)), small.map(() => 'completed'))
   t.true(cell.audit.startsOf(wide).length > 100)
+  // A worker lists no more ends than this, so that it isn't used any more once as many wait.
+  t.true(cell.workers.all().every(worker => worker.endedTasks().length < MAX_FINISHED_RUNS_LISTED))
   t.deepEqual(cell.audit.violations, [])
 })
 
