feat(cell): logs tell how long a lease is counted, and what lets a successor count runs as gone

Cause: the logs named neither the bound of a worker's leases at its adoption nor its age, and a successor logged only that it no longer waits, not for which worker and by which time. Decisions are unchanged.

--- a/packages/cell/src/__tests__/earlierJobs.test.ts
+++ b/packages/cell/src/__tests__/earlierJobs.test.ts
@@ -15,7 +15,7 @@
 test('of ended jobs that may have unknown runs, only those of accounts are kept', async t => {
   const jobs = [createEndedJob(1, 'a'), createEndedJob(2)]
   const table = { get: () => undefined, live: () => [], size: () => 0, parked: { size: () => 0 } } as unknown as JobTable
-  const workers = { jobsWithUnknownRuns: () => new Set(jobs.map(({ id }) => id)), capacityWithUnknownRuns: () => undefined, haveEarlierLeasesExpired: () => false } as unknown as WorkerPool
+  const workers = { logExpiredMembers: () => {}, jobsWithUnknownRuns: () => new Set(jobs.map(({ id }) => id)), capacityWithUnknownRuns: () => undefined, haveEarlierLeasesExpired: () => false } as unknown as WorkerPool
   const stopping = new AbortController()
   const earlierJobs = EarlierJobs.create({ epochStartVersion: 10, mayPredecessorBeActive: false, jobs: table, workers, onEnabled: () => {}, clock: ManualClock.create(), log: silentLog })
   const enabled = earlierJobs.enable(stopping.signal)
--- a/packages/cell/src/earlierJobs.ts
+++ b/packages/cell/src/earlierJobs.ts
@@ -90,6 +90,7 @@
     const { clock, log, workers, jobs, onEnabled } = this.options
     const startedAt = clock.now()
     while (!signal.aborted) {
+      workers.logExpiredMembers()
       const heldBack = workers.jobsWithUnknownRuns()
       const isChanged = sizeOf(heldBack) !== sizeOf(this.heldBack)
       this.heldBack = heldBack
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -72,6 +72,8 @@
   /** Highest fencing tokens of dropped workers, by worker id: a worker may start again under the same id. */
   private readonly lastTokens = new Map<string, number>()
   private readonly roster: Roster
+  /** Monotonic time of the takeover. */
+  private readonly createdAt: number
   /** Started when the last successful read of the registry was sent. */
   private sinceRegistryRead: Stopwatch | undefined
   /** Ids of the workers that could not be used, each of which is logged once. */
@@ -88,13 +90,16 @@
   private readonly goneLinks = new Map<string, WorkerLink>()
   /** Runs of earlier leaders by worker id, until an incarnation of the worker is seen. */
   private readonly earlierRuns = new Map<string, EarlierRun[]>()
+  /** Members of earlier leaders whose runs count as gone because their leases have expired, each of which is logged once. */
+  private readonly expiredMembers = new Set<RosterMember>()
   /** Jobs that may have runs on each worker that gets no more work, as recorded in the roster. */
   private readonly remainingJobs = new Map<WorkerLink, readonly string[]>()
 
   private constructor (private readonly options: WorkerPoolOptions) {
     const { store, epochVersion, clock, log, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs } = options
-    this.earlierLeasesExpireAt = clock.now() + predecessorActiveMs + latestExpiryMs(taskLeaseMs)
-    this.earlierStartsExpireAt = clock.now() + predecessorActiveMs + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs)
+    this.createdAt = clock.now()
+    this.earlierLeasesExpireAt = this.createdAt + predecessorActiveMs + latestExpiryMs(taskLeaseMs)
+    this.earlierStartsExpireAt = this.createdAt + predecessorActiveMs + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs)
     this.health = WorkerHealth.create(clock, log, () => this.links.size)
     this.roster = Roster.create({ store, epochVersion, log })
   }
@@ -173,6 +178,17 @@
 
   // Commands
 
+  /** Logs the workers whose runs of earlier leaders have come to count as gone without a report of the worker. */
+  logExpiredMembers (): void {
+    for (const member of this.roster.membersOfEarlierLeaders()) {
+      const { id, born, lapsesAtMs } = member
+      const link = this.links.get(id)
+      if (link?.isAdopted === true || this.expiredMembers.has(member) || !this.areRunsKnown(member)) continue
+      this.expiredMembers.add(member)
+      this.options.log.info('Leases of earlier leaders have expired.', { worker: id, born, registeredBorn: link?.entry.born, recordedLapse: lapsesAtMs, afterMs: Math.round(this.options.clock.now() - this.createdAt) })
+    }
+  }
+
   /** Reads the roster of earlier leaders; returns false when the read failed. */
   load (): Promise<boolean> {
     return this.roster.load()
