fix(cell): 'Worker adopted.' names no time since the worker's start

Cause: the first plays with the line showed upMs of 1,066 s for a life that was 0.5 s old, after 4,309 s for the one before: a life's clock begins anew at any value, so its reading tells nothing about its age.

--- /dev/null
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava'
+import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
+import type { CommandFault, MemoryWorker } from '../testing/index.js'
+
+const MAX_TASK_LEASE_MS = 10_000
+/** Longer than any lease: a run ends only when its lease lapses. */
+const LONG_RUN_MS = 60_000
+
+/** Readings of the worker's clock at the start of its incarnations: deadlines on the first one lie far in the future of the second one's. */
+const CLOCK_STARTS_MS = [0, 4_000_000, 1_000_000]
+
+/** Time in which a leader learns of a restart from the registry and adopts the worker: one poll and a margin. */
+const ADOPTION_MS = 800
+
+const SMALL = { milliCores: 2_000, memoryMb: 16_000, accelerators: 0 }
+
+/** A cell whose tasks start on w1, the worker with less free capacity, while it can be reached. */
+async function createCell () {
+  const entries = (born: number) => [createWorkerEntry('w1', { capacity: SMALL, born }), createWorkerEntry('w2')]
+  const cell = TestCell.create({ workers: entries(1), maxTaskLeaseMs: MAX_TASK_LEASE_MS, clockStartMs: born => CLOCK_STARTS_MS[born] ?? 0, behaviour: () => ({ durationMs: LONG_RUN_MS, end: 'done' }) })
+  const [worker, other] = cell.workers.all()
+  if (worker === undefined || other === undefined) throw new Error('no workers')
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  return { cell, worker, other, daemon, register: (born: number) => cell.setRegistry(entries(born)) }
+}
+
+/** Holds the next command of a kind back in the network, which delivers it after this time, also to a later incarnation. Returns whether it has been sent. */
+function delayNext (worker: MemoryWorker, delayed: 'start' | 'hold', afterMs: number): () => boolean {
+  let isSent = false
+  worker.fault = (command): CommandFault | undefined => {
+    if (command !== delayed) return undefined
+    isSent = true
+    return { kind: 'applied-late', afterMs }
+  }
+  return () => isSent
+}
+
+/** The same, with a run on the next incarnation of w1, to which a late heartbeat has given the longest lease. */
+async function createCellWithLongLease () {
+  const { cell, worker, other, daemon, register } = await createCell()
+  await cell.advanceUntil(delayNext(worker, 'hold', 900))
+  worker.restart(2)
+  worker.fault = command => command === 'hold' ? { kind: 'answer-lost' } : undefined
+  await cell.clock.advance(1_000)
+  worker.fault = () => undefined
+  register(2)
+  await cell.clock.advance(ADOPTION_MS)
+  const jobId = await cell.submit(daemon, [createStep()])
+  if (!await cell.advanceUntil(() => worker.runningTasks().length === 1, 1_000)) throw new Error('the next incarnation has not been adopted')
+  return { cell, worker, other, daemon, jobId }
+}
+
+// Guards against TWICE: a new leader counted with the lease that its predecessor gave, while a heartbeat to the former
+// incarnation of the worker had made the lease of the next one as long as a worker grants.
+test('a new leader waits for the lease that a late heartbeat gave the next incarnation of a worker', async t => {
+  const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
+  daemon.crash()
+  worker.isCutOff = true
+  cell.startDaemon('d2')
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: the longest lease of the next incarnation was counted from when the leader learned of the restart,
+// though it takes starts of the former incarnation until it is adopted.
+test('a start that reaches the next incarnation of a worker seconds later is not repeated while its lease lasts', async t => {
+  const { cell, worker, other, daemon, register } = await createCell()
+  delayNext(worker, 'start', 6_000)
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(200)
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 8_000), 'the start has reached the next incarnation')
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere in the end')
+})
+
+// Guards against TWICE: a new leader adopted an incarnation whose lease was longer than any that it had given itself.
+test('a leader that adopts a worker counts with the lease that heartbeats of its predecessor may have given', async t => {
+  const { cell, worker, other, daemon, register } = await createCell()
+  t.true(await cell.advanceUntil(delayNext(worker, 'hold', 4_000)))
+  daemon.crash()
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  const successor = cell.startDaemon('d2')
+  await cell.clock.advance(4_000)
+  worker.fault = () => undefined
+  worker.isCutOff = false
+  await cell.clock.advance(1_500)
+  const jobId = await cell.submit(successor, [createStep()])
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 1_000), 'the successor has adopted the worker')
+  worker.isCutOff = true
+  await cell.clock.advance(15_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`])
+})
+
+// Guards against TWICE: a new leader counted with shorter leases than its predecessor had recorded for an unreachable worker.
+test('a new leader waits for the lease that its predecessor recorded for an unreachable worker', async t => {
+  const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
+  worker.isCutOff = true
+  cell.startDaemon('d2')
+  await cell.clock.advance(2_500)
+  await cell.advanceUntilSettled(daemon.lease.release(0))
+  daemon.crash()
+  await cell.clock.advance(20_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: a new leader that had adopted a worker gave up its run, which it had found there, before its lease had passed.
+test('a new leader counts with the lease that a late heartbeat gave before its predecessor adopted the worker', async t => {
+  const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
+  cell.startDaemon('d2')
+  await cell.clock.advance(ADOPTION_MS)
+  await cell.advanceUntilSettled(daemon.lease.release(0))
+  daemon.crash()
+  await cell.clock.advance(ADOPTION_MS)
+  worker.isCutOff = true
+  await cell.clock.advance(20_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -51,6 +51,11 @@
    * @default 1
    */
   readonly clockRate?: number
+  /**
+   * Reading of the worker's clock at the start of each incarnation, in milliseconds.
+   * @default 0
+   */
+  readonly clockStartMs?: (born: number) => number
   /**
    * Time that a stop takes, in milliseconds.
    * @default 0
@@ -136,7 +141,11 @@
   }
 
   clockMs (): number {
-    return Math.floor((this.options.clock.now() - this.bootedAt) * this.rate())
+    return this.clockStartMs() + Math.floor((this.options.clock.now() - this.bootedAt) * this.rate())
+  }
+
+  private clockStartMs (): number {
+    return this.options.clockStartMs?.(this.entry.born) ?? 0
   }
 
   private rate (): number {
@@ -373,7 +382,7 @@
     const restoreMs = savedMs > 0 ? this.options.restoreMs ?? 0 : 0
     if (!this.isGangMember(task)) return startedAt + restoreMs
     const completeAt = this.options.gangs?.completeAt(task, run)
-    return completeAt === undefined ? Infinity : (completeAt - this.bootedAt) * this.rate() + restoreMs
+    return completeAt === undefined ? Infinity : this.clockStartMs() + (completeAt - this.bootedAt) * this.rate() + restoreMs
   }
 
   /** The members of a gang end together, so the slowest one determines the duration of all. */
--- a/packages/cell/src/testing/testCell.ts
+++ b/packages/cell/src/testing/testCell.ts
@@ -45,6 +45,7 @@
 const CONFIG_POLL_MS = 20
 const PROBE_TIMEOUT_MS = 1_000
 const DEFAULT_JOB_MEMORY_MB = 200
+const DEFAULT_MAX_TASK_LEASE_MS = 6_000
 const silentLogs = LogFactory.create({ levels: { '*': 'fatal' } })
 
 export function createQueue (fields: Partial<Queue> = {}): Queue {
@@ -98,6 +99,13 @@
   readonly agents?: readonly AdviceAgent[]
   /** Work between two checkpoints of a task, in milliseconds; without it, tasks save none. */
   readonly checkpointIntervalMs?: number
+  /**
+   * Longest lease that the workers grant, in milliseconds.
+   * @default 6000
+   */
+  readonly maxTaskLeaseMs?: number
+  /** As in `MemoryWorkerOptions`. */
+  readonly clockStartMs?: (born: number) => number
   /**
    * As in `CellFeatures`.
    * @default false
@@ -197,6 +205,8 @@
         needOf: task => this.audit.needOf(task),
         gangSizeOf: task => this.audit.gangSizeOf(task),
         gangs: this.gangs,
+        maxLeaseMs: options.maxTaskLeaseMs ?? DEFAULT_MAX_TASK_LEASE_MS,
+        ...(options.clockStartMs === undefined ? {} : { clockStartMs: options.clockStartMs }),
         ...(options.checkpointIntervalMs === undefined ? {} : { checkpointIntervalMs: options.checkpointIntervalMs })
       }))
     }
@@ -318,7 +328,7 @@
           onDeposed: stopLeading,
           onRefused: () => lease.renewNow(),
           taskLeaseMs: 5_000,
-          maxTaskLeaseMs: 6_000,
+          maxTaskLeaseMs: options.maxTaskLeaseMs ?? DEFAULT_MAX_TASK_LEASE_MS,
           statusRetentionMs: 120_000,
           drainMs: DRAIN_MS,
           startWindows: options.startWindows,
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -633,7 +633,7 @@
       this.hasReported = true
       this.settleRuns()
       this.unreachableSince = undefined
-      log.info('Worker adopted.', { worker: this.id, born: this.entry.born, address: this.entry.address, token, running: report.running.length, ended: report.ended.length, upMs: Math.round(report.clockMs), leaseEndedMsAgo: Math.round(report.clockMs - this.lastLeaseUntilMs), lapsesInMs: Math.round(this.leasesExpireAt - clock.now()) })
+      log.info('Worker adopted.', { worker: this.id, born: this.entry.born, address: this.entry.address, token, running: report.running.length, ended: report.ended.length, leaseEndedMsAgo: Math.round(report.clockMs - this.lastLeaseUntilMs), lapsesInMs: Math.round(this.leasesExpireAt - clock.now()) })
     }
     events.workerChanged(this)
     return stored
