fix(cell): count with the leases that calls to a worker's former life give, also as a successor

Cause: a call to the former life that the next one carries out has a deadline far ahead on its clock, so that the lease is the longest that a worker grants, 10 s there. Only the leader that had seen the restart knew of it; its successor counted with 5 s, also after it had adopted the worker and found the run there, and also where the roster named a later time. The first leader counted the longest lease from when it learned of the restart and 0.9 s more, though such a call comes up to 12 s late. Ruled out: two leaders (no order of the earlier epoch after the takeover); late starts in the plays traced, which are a path of their own (second test). Change: the first adoption of a life, whose token fences such calls, bounds its lease; before it, the longest delay of a call and the longest lease count. The roster row that makes starts on a life possible names the end of that lease, and a successor waits for it, begins its own bound with it and passes it on. Workers without a former life cost nothing more. Tests changed: two bounds of workerRestart.test.ts were the former bound of 0.9 s and a lease; they are the longest delay and a lease now, as a start may still be carried out until then.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -54,7 +54,7 @@
 
 // Guards against TWICE: a new leader counted with the lease that its predecessor gave, while a heartbeat to the former
 // incarnation of the worker had made the lease of the next one as long as a worker grants.
-test.failing('a new leader waits for the lease that a late heartbeat gave the next incarnation of a worker', async t => {
+test('a new leader waits for the lease that a late heartbeat gave the next incarnation of a worker', async t => {
   const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
   daemon.crash()
   worker.isCutOff = true
@@ -66,7 +66,7 @@
 
 // Guards against TWICE: the longest lease of the next incarnation was counted from when the leader learned of the restart,
 // though it takes starts of the former incarnation until it is adopted.
-test.failing('a start that reaches the next incarnation of a worker seconds later is not repeated while its lease lasts', async t => {
+test('a start that reaches the next incarnation of a worker seconds later is not repeated while its lease lasts', async t => {
   const { cell, worker, other, daemon, register } = await createCell()
   delayNext(worker, 'start', 6_000)
   const jobId = await cell.submit(daemon, [createStep()])
@@ -81,7 +81,7 @@
 })
 
 // Guards against TWICE: a new leader adopted an incarnation whose lease was longer than any that it had given itself.
-test.failing('a leader that adopts a worker counts with the lease that heartbeats of its predecessor may have given', async t => {
+test('a leader that adopts a worker counts with the lease that heartbeats of its predecessor may have given', async t => {
   const { cell, worker, other, daemon, register } = await createCell()
   t.true(await cell.advanceUntil(delayNext(worker, 'hold', 4_000)))
   daemon.crash()
@@ -102,7 +102,7 @@
 })
 
 // Guards against TWICE: a new leader counted with shorter leases than its predecessor had recorded for an unreachable worker.
-test.failing('a new leader waits for the lease that its predecessor recorded for an unreachable worker', async t => {
+test('a new leader waits for the lease that its predecessor recorded for an unreachable worker', async t => {
   const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
   worker.isCutOff = true
   cell.startDaemon('d2')
@@ -115,7 +115,7 @@
 })
 
 // Guards against TWICE: a new leader that had adopted a worker gave up its run, which it had found there, before its lease had passed.
-test.failing('a new leader counts with the lease that a late heartbeat gave before its predecessor adopted the worker', async t => {
+test('a new leader counts with the lease that a late heartbeat gave before its predecessor adopted the worker', async t => {
   const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
   cell.startDaemon('d2')
   await cell.clock.advance(ADOPTION_MS)
--- a/packages/cell/src/__tests__/workerRestart.test.ts
+++ b/packages/cell/src/__tests__/workerRestart.test.ts
@@ -2,6 +2,8 @@
 import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
 
 const LONG_RUN_MS = 4_000
+/** Time until a start that was sent to a worker's former incarnation can't be running any more: the longest delay, the longest lease, and 2 s for the takeover or the round after it. */
+const NOTHING_LEFT_MS = 12_000 + 6_400 + 2_000
 
 const SMALL = { milliCores: 2_000, memoryMb: 16_000, accelerators: 0 }
 
@@ -52,7 +54,7 @@
   register(2)
   daemon.kill()
   cell.startDaemon('d2')
-  await cell.clock.advance(12_000)
+  await cell.clock.advance(2_200 + NOTHING_LEFT_MS)
   t.deepEqual(worker.runningTasks(), [], 'the lease of the worker has expired')
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once no run of it can be left')
@@ -81,7 +83,7 @@
   worker.restart(2)
   await cell.clock.advance(300)
   cell.setRegistry([createWorkerEntry('w2')])
-  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 12_000))
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', NOTHING_LEFT_MS))
   t.deepEqual(cell.audit.violations, [])
 })
 
--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -12,6 +12,8 @@
   readonly born: number
   /** Time on the store's clock at which all leases have expired; set for an unreachable worker. */
   readonly lapsesAtMs?: number
+  /** Time on the store's clock at which a lease has expired that calls to former incarnations may have given this one, beyond the usual ones. */
+  readonly strayLeaseUntilMs?: number
   /**
    * Ids of all jobs that may have runs on the worker; set for a worker that gets no more work and whose runs the leader
    * knows. A successor that can't reach the worker holds back only these jobs.
@@ -35,6 +37,7 @@
   private stored: ReadonlyMap<string, RosterMember> = new Map()
   private earlierMembers: readonly RosterMember[] = []
   private isEarlierRowReadable = true
+  private wasRowMissing = false
   private version = 0
   /** Whether the row is known to contain exactly `stored`; false after a write without a confirmed result. */
   private isRowCurrent = true
@@ -56,11 +59,22 @@
     return this.hasActive(worker) && this.stored.get(worker.id)?.jobs === undefined
   }
 
+  /** Whether the row lets a successor wait for a stray lease up to this time on the store's clock. */
+  coversStrayLease ({ id, born }: Pick<RosterMember, 'id' | 'born'>, untilMs: number): boolean {
+    const member = this.stored.get(id)
+    return member?.born === born && (member.strayLeaseUntilMs ?? -Infinity) >= untilMs
+  }
+
   /** Whether the row that was loaded could be read. If not, any worker may have runs of earlier leaders. */
   isComplete (): boolean {
     return this.isEarlierRowReadable
   }
 
+  /** Whether there was no row when it was loaded, so that no leader has sent anything to a worker before. */
+  isFirst (): boolean {
+    return this.wasRowMissing
+  }
+
   /** Members that the row listed when it was loaded. */
   membersOfEarlierLeaders (): readonly RosterMember[] {
     return this.earlierMembers
@@ -80,6 +94,7 @@
     }
     const row = res.val.rows.find(({ key }) => key === 'roster')
     this.version = row?.version ?? 0
+    this.wasRowMissing = row === undefined
     const { workers } = recordOf(row?.value)
     this.isEarlierRowReadable = row === undefined || isListOf(workers, isMember)
     this.earlierMembers = isListOf(workers, isMember) ? workers : []
@@ -120,19 +135,22 @@
   /** What both the stored row and the row being written allow for a worker; none if either of them does not list it as active. */
   private storedOrRestricted (member: RosterMember): readonly RosterMember[] {
     if (member.lapsesAtMs !== undefined || !this.hasActive(member)) return []
-    const jobs = member.jobs ?? this.stored.get(member.id)?.jobs
-    return [jobs === undefined ? { id: member.id, born: member.born } : { id: member.id, born: member.born, jobs }]
+    const { id, born } = member
+    const stored = this.stored.get(id)
+    const jobs = member.jobs ?? stored?.jobs
+    const strayLeaseUntilMs = Math.min(member.strayLeaseUntilMs ?? -Infinity, stored?.strayLeaseUntilMs ?? -Infinity)
+    return [{ id, born, ...(strayLeaseUntilMs === -Infinity ? {} : { strayLeaseUntilMs }), ...(jobs === undefined ? {} : { jobs }) }]
   }
 
-  private isStored ({ id, born, lapsesAtMs, jobs }: RosterMember): boolean {
+  private isStored ({ id, born, lapsesAtMs, strayLeaseUntilMs, jobs }: RosterMember): boolean {
     const member = this.stored.get(id)
-    return member?.born === born && member.lapsesAtMs === lapsesAtMs && member.jobs?.length === jobs?.length && (jobs ?? []).every(job => member.jobs?.includes(job))
+    return member?.born === born && member.lapsesAtMs === lapsesAtMs && member.strayLeaseUntilMs === strayLeaseUntilMs && member.jobs?.length === jobs?.length && (jobs ?? []).every(job => member.jobs?.includes(job))
   }
 }
 
 function isMember (value: unknown): value is RosterMember {
-  const { id, born, lapsesAtMs, jobs } = recordOf(value)
-  return isString(id) && isCount(born) && (lapsesAtMs === undefined || isFiniteNumber(lapsesAtMs)) && (jobs === undefined || isListOf(jobs, isString))
+  const { id, born, lapsesAtMs, strayLeaseUntilMs, jobs } = recordOf(value)
+  return isString(id) && isCount(born) && [lapsesAtMs, strayLeaseUntilMs].every(ms => ms === undefined || isFiniteNumber(ms)) && (jobs === undefined || isListOf(jobs, isString))
 }
 
 function byId (members: readonly RosterMember[]): ReadonlyMap<string, RosterMember> {
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -4,7 +4,7 @@
 import { Err, Ok } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
 import {
-  HEARTBEAT_OVERDUE_MS, HEARTBEAT_WAIT_MS, LEASE_EXPIRY_MARGIN_MS, MAX_FINISHED_RUNS_LISTED, MIN_HEARTBEAT_INTERVAL_MS,
+  HEARTBEAT_OVERDUE_MS, HEARTBEAT_WAIT_MS, LEASE_EXPIRY_MARGIN_MS, MAX_CALL_DELAY_MS, MAX_FINISHED_RUNS_LISTED, MIN_HEARTBEAT_INTERVAL_MS,
   MIN_WORKER_CLOCK_RATE, STOP_RETRY_MS, WORKER_RETRY_MS, WORKER_TIMEOUT_MS
 } from './constants.js'
 import { Hedge } from './hedge.js'
@@ -169,8 +169,16 @@
   private lateAnswerAt = -Infinity
   /** Latest end of a lease sent so far, on the worker's clock. */
   private lastLeaseUntilMs = 0
-  /** Monotonic time at which every lease sent so far has expired. */
+  /** Monotonic time at which every lease sent so far to this incarnation has expired. */
   private leasesExpireAt: number
+  /**
+   * Monotonic time at which the lease has expired that stray calls, those to former incarnations, may have given this one:
+   * their deadlines lie in the future of its clock, so that the lease is as long as the worker grants. -Infinity if there
+   * is none, undefined until that is known.
+   */
+  private strayLeaseExpiresAt: number | undefined
+  /** The same if stray calls were sent until this link was created. */
+  private readonly lastStrayLeaseExpiresAt: number
   /** Monotonic time at which the worker leaves, if that is announced. */
   private leavesAt: number | undefined
   /** Monotonic time since which the worker has been unreachable. */
@@ -180,14 +188,16 @@
   /** Starts can be hedged because the worker accepts each run number once. */
   private readonly startHedge: Hedge
 
-  private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions, unknownRunsExpireInMs: number) {
+  private constructor (public entry: WorkerEntry, private readonly options: WorkerLinkOptions) {
     this.id = entry.id
     this.tracked = TrackedRuns.create(options.usage)
     this.hasAnnouncedLeave = entry.state === 'draining'
     this.token = options.firstToken
     this.unreachableSince = options.clock.now() + ADOPTION_GRACE_MS
     // An earlier leader may have extended the lease up to this moment, or may still do so.
-    this.leasesExpireAt = options.clock.now() + options.predecessorActiveMs + unknownRunsExpireInMs
+    const callsSentUntil = options.clock.now() + options.predecessorActiveMs
+    this.leasesExpireAt = callsSentUntil + latestExpiryMs(options.taskLeaseMs)
+    this.lastStrayLeaseExpiresAt = callsSentUntil + latestStrayExpiryMs(options.maxTaskLeaseMs)
     this.client = options.clients.create(entry)
     this.startWindow = StartWindow.create(options.startWindow)
     this.startHedge = Hedge.create({ clock: options.clock, initialTypicalMs: TYPICAL_START_MS, minOverdueMs: MIN_OVERDUE_START_MS })
@@ -195,8 +205,9 @@
 
   /** Takes over the runs of the link to the previous incarnation, if there is one, which must have ended. */
   static create (options: WorkerLinkOptions, previous?: WorkerLink): WorkerLink {
-    if (previous === undefined) return new WorkerLink(options.entry, options, latestExpiryMs(options.taskLeaseMs))
-    const link = new WorkerLink(options.entry, options, latestExpiryOnNextIncarnationMs(options.maxTaskLeaseMs))
+    const link = new WorkerLink(options.entry, options)
+    if (previous === undefined) return link
+    link.expectStrayLease(link.lastStrayLeaseExpiresAt)
     link.takeOverRuns(previous)
     return link
   }
@@ -241,12 +252,20 @@
 
   /** Monotonic time after which no run started so far can still be running here. */
   latestLeaseExpiry (): number {
-    return this.leasesExpireAt
+    return Math.max(this.leasesExpireAt, this.strayLeaseExpiresAt ?? -Infinity)
+  }
+
+  /**
+   * Monotonic time at which the lease has expired that stray calls may have given this incarnation, or may still give it
+   * before it is adopted; -Infinity if there is none.
+   */
+  latestStrayLeaseExpiry (): number {
+    return this.strayLeaseExpiresAt ?? this.lastStrayLeaseExpiresAt
   }
 
   /** Whether the worker is unreachable and the lease on every run that it may have had has expired. */
   haveLeasesExpired (): boolean {
-    return !this.isAdopted && this.runs.size === 0 && this.options.clock.now() > this.leasesExpireAt
+    return !this.isAdopted && this.runs.size === 0 && this.options.clock.now() > this.latestLeaseExpiry()
   }
 
   /**
@@ -350,7 +369,7 @@
     const { clock, log, maxTaskLeaseMs } = this.options
     this.markDead()
     this.unreachableSince ??= clock.now()
-    this.leasesExpireAt = Math.max(this.leasesExpireAt, clock.now() + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs))
+    this.expectStrayLease(clock.now() + latestStrayExpiryMs(maxTaskLeaseMs))
     this.reportCrash()
     this.reportLost('worker-restarted', run => !run.mayOutliveIncarnation())
     if (this.runs.size > 0) log.info('Starts are kept until the next incarnation of the worker is adopted.', { worker: this.id, runs: [...this.runs.keys()] })
@@ -381,6 +400,11 @@
     return this.hasAnnouncedLeave && (this.leavesInMs() ?? 0) <= LEAVE_MARGIN_MS
   }
 
+  /** Takes note that stray calls may have given this incarnation, or the next one, a lease up to this monotonic time; -Infinity if it is known that they haven't. */
+  expectStrayLease (expiresAt: number): void {
+    this.strayLeaseExpiresAt = Math.max(this.strayLeaseExpiresAt ?? -Infinity, expiresAt)
+  }
+
   /** Adds runs of earlier leaders, which this incarnation may have. */
   addUnsettledRuns (runs: readonly UnsettledRun[]): void {
     this.unsettledRuns = [...this.unsettledRuns, ...runs]
@@ -396,8 +420,9 @@
    * from before then are waited for: they may list an end under the lease, which counts as acknowledged soon after.
    */
   reportExpired (): void {
-    if (this.isAdopted || this.runs.size === 0 || this.options.clock.now() <= this.leasesExpireAt) return
-    if (!this.isDead && this.isSlow() && [...this.pendingHeartbeats].some(({ sentAt }) => sentAt <= this.leasesExpireAt)) return
+    const leasesExpireAt = this.latestLeaseExpiry()
+    if (this.isAdopted || this.runs.size === 0 || this.options.clock.now() <= leasesExpireAt) return
+    if (!this.isDead && this.isSlow() && [...this.pendingHeartbeats].some(({ sentAt }) => sentAt <= leasesExpireAt)) return
     if (!this.isDead) this.addUnsettledRuns(this.trackedRuns())
     this.reportLost('lease-lapsed', () => true)
   }
@@ -544,7 +569,7 @@
     const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
     if (res.ok && !res.val.accepted && res.val.reason === 'other-life') this.declareDead()
     if (this.isAdopted) {
-      log.warn('Worker lost.', { worker: this.id, address: this.entry.address, token, reason, runs: this.runs.size, lapsesInMs: Math.round(this.leasesExpireAt - clock.now()) })
+      log.warn('Worker lost.', { worker: this.id, address: this.entry.address, token, reason, runs: this.runs.size, lapsesInMs: Math.round(this.latestLeaseExpiry() - clock.now()) })
       this.isAdopted = false
       this.unreachableSince = clock.now()
       events.workerChanged(this)
@@ -630,15 +655,22 @@
     if (isNewest) this.applyRunning(report, token)
     if (!this.isAdopted && mayAdopt && token === this.token) {
       this.isAdopted = true
+      if (!this.hasReported) this.limitStrayLease()
       this.hasReported = true
       this.settleRuns()
       this.unreachableSince = undefined
-      log.info('Worker adopted.', { worker: this.id, born: this.entry.born, address: this.entry.address, token, running: report.running.length, ended: report.ended.length, leaseEndedMsAgo: Math.round(report.clockMs - this.lastLeaseUntilMs), lapsesInMs: Math.round(this.leasesExpireAt - clock.now()) })
+      log.info('Worker adopted.', { worker: this.id, born: this.entry.born, address: this.entry.address, token, running: report.running.length, ended: report.ended.length, leaseEndedMsAgo: Math.round(report.clockMs - this.lastLeaseUntilMs), lapsesInMs: Math.round(this.latestLeaseExpiry() - clock.now()) })
     }
     events.workerChanged(this)
     return stored
   }
 
+  /** The token fences stray calls from the adoption on; before it, a call to a former incarnation may have come. */
+  private limitStrayLease () {
+    const { clock, maxTaskLeaseMs } = this.options
+    this.strayLeaseExpiresAt = Math.min(this.latestStrayLeaseExpiry(), clock.now() + latestExpiryMs(maxTaskLeaseMs))
+  }
+
   /** Reports the runs that were given up or are of earlier leaders: the worker was cut off, or not adopted yet, and has not crashed. */
   private settleRuns () {
     const runs = this.unsettledRuns.filter(({ id, number }) => !this.runs.has(runKeyOf(id, number)))
@@ -760,9 +792,9 @@
   return leaseMs / MIN_WORKER_CLOCK_RATE + LEASE_EXPIRY_MARGIN_MS
 }
 
-/** The same for a start that was sent to an incarnation that has ended: the next one may receive it until the call is closed, and grants at most its longest lease. */
-export function latestExpiryOnNextIncarnationMs (maxLeaseMs: number): number {
-  return WORKER_TIMEOUT_MS + latestExpiryMs(maxLeaseMs)
+/** The same for a call that the next incarnation of its worker may carry out, which grants its longest lease from then on. */
+export function latestStrayExpiryMs (maxLeaseMs: number): number {
+  return MAX_CALL_DELAY_MS + latestExpiryMs(maxLeaseMs)
 }
 
 function refusalReasonOf ({ code }: Failure): RefusalReason | 'unreachable' | 'queued' {
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -16,7 +16,7 @@
 import type { WorkerObstacle } from './workerObstacles.js'
 import { ratingsOf } from './workerPreference.js'
 import type { RatingOptions, WorkerRatings } from './workerPreference.js'
-import { WorkerLink, latestExpiryMs, latestExpiryOnNextIncarnationMs } from './workerLink.js'
+import { WorkerLink, latestExpiryMs, latestStrayExpiryMs } from './workerLink.js'
 import type { UnsettledRun, WorkerEvents } from './workerLink.js'
 
 /** Time without progress after which a run counts as stalled; a task that runs ten times slower still gains one percent in this time. */
@@ -65,6 +65,14 @@
   readonly log: Log
 }
 
+/** Time at which a lease ends that stray calls may have given a worker. */
+interface StrayLease {
+  /** Monotonic time of this daemon. */
+  readonly expiresAt: number
+  /** The same time on the store's clock. */
+  readonly storeMs: number
+}
+
 /** The workers of the registry, each with the leader's link to its current incarnation. */
 export class WorkerPool {
   readonly health: WorkerHealth
@@ -78,14 +86,16 @@
   private sinceRegistryRead: Stopwatch | undefined
   /** Ids of the workers that could not be used, each of which is logged once. */
   private readonly unusable = new Set<string>()
-  /** Monotonic time after which every lease of earlier leaders has expired. */
+  /** Monotonic time after which every lease has expired that earlier leaders gave the incarnations that they knew. */
   private readonly earlierLeasesExpireAt: number
-  /** The same for starts of earlier leaders that a later incarnation of the worker may have executed. */
-  private readonly earlierStartsExpireAt: number
+  /** The same for leases that their calls may give later incarnations. */
+  private readonly earlierStrayLeasesExpireAt: number
   /** The same time on the store's clock; undefined until that clock is known. */
   private earlierLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
   private readonly leaseExpiries = new Map<WorkerLink, number>()
+  /** Stray lease of each worker, as written to the roster last. */
+  private readonly strayLeases = new Map<WorkerLink, StrayLease>()
   /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
   private readonly goneLinks = new Map<string, WorkerLink>()
   /** Runs of earlier leaders by worker id, until an incarnation of the worker is seen. */
@@ -99,7 +109,7 @@
     const { store, epochVersion, clock, log, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs } = options
     this.createdAt = clock.now()
     this.earlierLeasesExpireAt = this.createdAt + predecessorActiveMs + latestExpiryMs(taskLeaseMs)
-    this.earlierStartsExpireAt = this.createdAt + predecessorActiveMs + latestExpiryOnNextIncarnationMs(maxTaskLeaseMs)
+    this.earlierStrayLeasesExpireAt = this.createdAt + predecessorActiveMs + latestStrayExpiryMs(maxTaskLeaseMs)
     this.health = WorkerHealth.create(clock, log, () => this.links.size)
     this.roster = Roster.create({ store, epochVersion, log })
   }
@@ -125,7 +135,7 @@
 
   /** Why the worker isn't usable; undefined if it is. */
   useObstacle (worker: WorkerLink, now: number): WorkerObstacle | undefined {
-    if (!this.roster.mayStartOn(worker.entry)) return 'not-in-roster'
+    if (!this.roster.mayStartOn(worker.entry) || !this.isStrayLeaseRecorded(worker, now)) return 'not-in-roster'
     return this.health.isSuspended(worker.id, now) ? 'suspended' : undefined
   }
 
@@ -197,7 +207,10 @@
   /** Adds the runs that earlier leaders have stored. Called once, before any report of a worker is applied. */
   addEarlierRuns (runs: readonly EarlierRun[]): void {
     for (const run of runs) this.earlierRuns.set(run.workerId, [...this.earlierRuns.get(run.workerId) ?? [], run])
-    for (const link of this.links.values()) this.settleEarlierRuns(link)
+    for (const link of this.links.values()) {
+      this.expectEarlierLeases(link)
+      this.settleEarlierRuns(link)
+    }
   }
 
   /**
@@ -321,10 +334,21 @@
     // A later worker at the address of one that vanished: that one has not been cut off.
     if (gone !== undefined && entry.born > gone.entry.born) gone.reportCrash()
     this.links.set(entry.id, link)
+    this.expectEarlierLeases(link)
     this.settleEarlierRuns(link)
     supervise(() => link.run(signal), { part: `worker ${link.id}`, signal, clock, log })
   }
 
+  /** Tells the link which leases calls of earlier leaders may have given its incarnation, beyond those that each leader counts with. */
+  private expectEarlierLeases (link: WorkerLink) {
+    const member = this.roster.membersOfEarlierLeaders().find(({ id }) => id === link.id)
+    if (member === undefined && this.roster.isFirst() && !this.lastTokens.has(link.id)) return link.expectStrayLease(-Infinity)
+    if (member === undefined || member.born > link.entry.born) return
+    if (member.born < link.entry.born) return link.expectStrayLease(this.earlierStrayLeasesExpireAt)
+    const recordedMs = Math.max(member.lapsesAtMs ?? -Infinity, member.strayLeaseUntilMs ?? -Infinity)
+    link.expectStrayLease(recordedMs === -Infinity ? -Infinity : this.fromStoreTimeMs(recordedMs))
+  }
+
   /** Gives the runs of earlier leaders to the link of their worker's incarnation; if a later one is listed, the worker has crashed under them or left. */
   private settleEarlierRuns (link: WorkerLink) {
     const { id, born } = link.entry
@@ -346,6 +370,7 @@
   private drop (link: WorkerLink, reason: string) {
     link.declareGone()
     this.leaseExpiries.delete(link)
+    this.strayLeases.delete(link)
     this.remainingJobs.delete(link)
     this.links.delete(link.id)
     this.lastTokens.set(link.id, link.lastToken())
@@ -361,13 +386,13 @@
     const lapsesAtMs = this.earlierLeasesExpireAtStoreMs
     const unlistedMembers = this.roster.membersOfEarlierLeaders()
       .filter(member => !this.links.has(member.id) && !this.haveMemberLeasesExpired(member))
-      .map(member => member.lapsesAtMs !== undefined || lapsesAtMs === undefined ? member : { ...member, lapsesAtMs })
+      .map(member => member.lapsesAtMs !== undefined || lapsesAtMs === undefined ? member : { ...member, lapsesAtMs: Math.max(lapsesAtMs, member.strayLeaseUntilMs ?? 0) })
     if (await this.roster.store([...listedMembers, ...unlistedMembers])) this.options.onChange()
   }
 
   /** Whether workers that the roster doesn't list may have runs of earlier leaders. */
   private mayMembersBeMissing (): boolean {
-    return !this.roster.isComplete() && this.options.clock.now() <= this.earlierStartsExpireAt
+    return !this.roster.isComplete() && this.options.clock.now() <= this.earlierStrayLeasesExpireAt
   }
 
   private areRunsKnown (member: RosterMember): boolean {
@@ -375,14 +400,20 @@
     const link = this.links.get(id)
     if (link === undefined || link.entry.born < born) return this.haveMemberLeasesExpired(member)
     if (link.isAdopted) return true
-    // The incarnation after the one in the roster may have executed starts that were sent to the earlier one.
-    return link.entry.born === born ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStartsExpireAt
+    // The incarnation after the one in the roster may carry out calls that were sent to the earlier one.
+    return link.entry.born === born ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStrayLeasesExpireAt
+  }
+
+  /** Whether every lease that calls of earlier leaders gave this incarnation has expired. */
+  private haveMemberLeasesExpired ({ lapsesAtMs, strayLeaseUntilMs }: RosterMember): boolean {
+    if (this.options.clock.now() > this.earlierStrayLeasesExpireAt) return true
+    if (lapsesAtMs !== undefined) return this.hasStoreTimePassed(lapsesAtMs)
+    return this.haveEarlierLeasesExpired() && (strayLeaseUntilMs === undefined || this.hasStoreTimePassed(strayLeaseUntilMs))
   }
 
-  /** Whether every lease that earlier leaders gave this worker has expired. */
-  private haveMemberLeasesExpired ({ lapsesAtMs }: RosterMember): boolean {
+  private hasStoreTimePassed (ms: number): boolean {
     const storeMs = this.options.store.clockMs()
-    return this.haveEarlierLeasesExpired() || (lapsesAtMs !== undefined && storeMs !== undefined && storeMs.earliest > lapsesAtMs)
+    return storeMs !== undefined && storeMs.earliest > ms
   }
 
   private rosterMemberOf (link: WorkerLink): RosterMember {
@@ -392,8 +423,31 @@
     if (!isUnreachable && link.entry.state === 'ready') this.remainingJobs.delete(link)
     const lapsesAtMs = isUnreachable ? this.leaseExpiries.get(link) ?? this.toStoreTimeMs(link.latestLeaseExpiry()) : undefined
     if (lapsesAtMs !== undefined) this.leaseExpiries.set(link, lapsesAtMs)
+    const strayLeaseUntilMs = lapsesAtMs === undefined ? this.strayLeaseUntilMs(link) : undefined
     const jobs = lapsesAtMs !== undefined || link.entry.state === 'draining' ? this.remainingJobsOf(link) : undefined
-    return { id, born, ...(lapsesAtMs === undefined ? {} : { lapsesAtMs }), ...(jobs === undefined ? {} : { jobs }) }
+    return { id, born, ...(lapsesAtMs === undefined ? {} : { lapsesAtMs }), ...(strayLeaseUntilMs === undefined ? {} : { strayLeaseUntilMs }), ...(jobs === undefined ? {} : { jobs }) }
+  }
+
+  /** End of the worker's stray lease on the store's clock; undefined if a successor counts with a later one anyway. */
+  private strayLeaseUntilMs (link: WorkerLink): number | undefined {
+    const expiresAt = link.latestStrayLeaseExpiry()
+    if (!this.mustRecordStrayLease(link, this.options.clock.now())) return undefined
+    const known = this.strayLeases.get(link)
+    if (known?.expiresAt === expiresAt) return known.storeMs
+    const storeMs = this.toStoreTimeMs(expiresAt)
+    if (storeMs !== undefined) this.strayLeases.set(link, { expiresAt, storeMs })
+    return storeMs
+  }
+
+  private mustRecordStrayLease (link: WorkerLink, now: number): boolean {
+    return link.latestStrayLeaseExpiry() > now + latestExpiryMs(this.options.taskLeaseMs)
+  }
+
+  /** Whether a successor that reads the roster row counts with the worker's stray lease. */
+  private isStrayLeaseRecorded (link: WorkerLink, now: number): boolean {
+    if (!this.mustRecordStrayLease(link, now)) return true
+    const known = this.strayLeases.get(link)
+    return known !== undefined && known.expiresAt >= link.latestStrayLeaseExpiry() && this.roster.coversStrayLease(link.entry, known.storeMs)
   }
 
   /** Jobs that may have runs on a worker that gets no more work; undefined if this leader doesn't know all of its runs. */
@@ -411,6 +465,13 @@
     const storeMs = this.options.store.clockMs()
     return storeMs === undefined ? undefined : Math.ceil(storeMs.latest + monotonicMs - this.options.clock.now())
   }
+
+  /** Converts a time on the store's clock to a monotonic time of this daemon, rounded up, at most the end of all leases of earlier leaders. */
+  private fromStoreTimeMs (ms: number): number {
+    const storeMs = this.options.store.clockMs()
+    const { earlierStrayLeasesExpireAt: latest } = this
+    return storeMs === undefined ? latest : Math.min(latest, this.options.clock.now() + Math.ceil(ms - storeMs.earliest))
+  }
 }
 
 /**
