fix(cell): a successor waits for the next life of a worker also where only a report has shown it

A successor whose registry still shows the former life learns of the restart from a report, connects to the former life's entry again, and waited for the leases of that life only, while the next one may run starts of the predecessor under its longest lease. Change: the pool keeps which life of a worker a report has shown to have ended, and waits as if the registry showed it. Measured: the test fails before with 'run 1001 started on w2 while run 1 is on w1'.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -127,3 +127,18 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
 })
+
+// Guards against TWICE: a new leader that learned of a restart from a report, before the registry showed it, waited for the former incarnation only.
+test('a new leader waits for starts of its predecessor on an incarnation that only a report has shown', async t => {
+  const { cell, worker, other, daemon } = await createCell()
+  worker.restart(2)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 200), 'the leader does not know of the restart yet')
+  daemon.crash()
+  cell.startDaemon('d2')
+  await cell.clock.advance(3_300)
+  worker.isCutOff = true
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -147,6 +147,8 @@
   private hasReported = false
   /** True once this incarnation of the worker has certainly ended. */
   isDead = false
+  /** True once the worker is known to have restarted under its id, so that its next incarnation may carry out calls to this one. */
+  hasRestarted = false
   /** True once the link is closed; a successor adopts the remaining runs. */
   private isClosed = false
   /** Monotonic time in milliseconds before which no run is started here, because the worker lacked free capacity or was unhealthy. */
@@ -368,6 +370,7 @@
     if (this.isDead) return
     const { clock, log, maxTaskLeaseMs } = this.options
     this.markDead()
+    this.hasRestarted = true
     this.unreachableSince ??= clock.now()
     this.expectStrayLease(clock.now() + latestStrayExpiryMs(maxTaskLeaseMs))
     this.reportCrash()
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -94,6 +94,8 @@
   private earlierLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
   private readonly leaseExpiries = new Map<WorkerLink, number>()
+  /** Latest incarnation of each worker that reports have shown to have ended, before the registry shows the next one. */
+  private readonly restartedBorn = new Map<string, number>()
   /** Stray lease of each worker, as written to the roster last. */
   private readonly strayLeases = new Map<WorkerLink, StrayLease>()
   /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
@@ -307,6 +309,7 @@
     if (isRestarted) link.declareRestarted()
     // A worker with another id refuses what was sent to this one.
     if (isReplaced) link.declareDead()
+    if (link.hasRestarted) this.restartedBorn.set(link.id, link.entry.born)
     // A worker that is missing gets no new work; its runs stay tracked until they have finished or are lost.
     link.markUnlisted()
     if (link.isDead && entry !== undefined) return this.connect(entry, signal, link)
@@ -401,7 +404,8 @@
     if (link === undefined || link.entry.born < born) return this.haveMemberLeasesExpired(member)
     if (link.isAdopted) return true
     // The incarnation after the one in the roster may carry out calls that were sent to the earlier one.
-    return link.entry.born === born ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStrayLeasesExpireAt
+    const isSameIncarnation = link.entry.born === born && this.restartedBorn.get(id) !== born
+    return isSameIncarnation ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStrayLeasesExpireAt
   }
 
   /** Whether every lease that calls of earlier leaders gave this incarnation has expired. */
