test(cell): a start that a worker has fenced may be carried out by its next life

A start without an answer is fenced by a higher token, its run is started elsewhere, the worker restarts, and the start reaches the next life, which has seen no token and can't be reached.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -142,3 +142,17 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
 })
+
+// Guards against TWICE: a start that the former incarnation has refused by its token is carried out by the next one, which has seen none.
+test.failing('a start that a worker has fenced before it restarts is not carried out beside its repetition', async t => {
+  const { cell, worker, daemon, register } = await createCell()
+  let delayedToken: number | undefined
+  worker.fault = (command, _task, token) => command === 'start' && token === (delayedToken ??= token) ? { kind: 'applied-late', afterMs: 8_000 } : undefined
+  await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(6_000)
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  await cell.clock.advance(10_000)
+  t.deepEqual(cell.audit.violations, [])
+})
