fix(cell): a successor waits for the next life of a worker also where it has left the registry

A new leader dropped its link to a worker that had restarted and then vanished from the registry, and with it the knowledge of the restart: it counted with ordinary leases. A worker whose restart only a report had shown was left out of the roster, and counted with ordinary leases, until the registry was read.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava'
+import { Failure } from '@citronnotch/base/errors'
+import { Err } from '@citronnotch/base/result'
 import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
 import type { CommandFault, MemoryWorker } from '../testing/index.js'
 
@@ -156,3 +158,100 @@
   await cell.clock.advance(10_000)
   t.deepEqual(cell.audit.violations, [])
 })
+
+/** The same cell with a run of the crashed leader on the next incarnation of w1, of which nobody knows. */
+async function createCellWithStrayRun () {
+  const { cell, worker, other, daemon, register } = await createCell()
+  worker.restart(2)
+  const jobId = await cell.submit(daemon, [createStep()])
+  if (!await cell.advanceUntil(() => worker.runningTasks().length === 1, 200)) throw new Error('the start has not reached the next incarnation')
+  daemon.crash()
+  return { cell, worker, other, jobId, register }
+}
+
+// Guards against TWICE: a new leader that had seen a restart counted with ordinary leases once the registry listed the worker no more.
+test('a new leader waits for starts of its predecessor on an incarnation that has left the registry', async t => {
+  const { cell, worker, other, jobId, register } = await createCellWithStrayRun()
+  worker.isCutOff = true
+  register(2)
+  cell.startDaemon('d2')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(2_000)
+  cell.setRegistry([createWorkerEntry('w2')])
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: the same where only a report had shown the restart.
+test('a new leader waits for starts of its predecessor on an incarnation that only a report has shown and that has left the registry', async t => {
+  const { cell, worker, other, jobId } = await createCellWithStrayRun()
+  cell.startDaemon('d2')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(ADOPTION_MS)
+  worker.isCutOff = true
+  cell.setRegistry([createWorkerEntry('w2')])
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: the first of two new leaders had seen the restart, the second found neither it nor the worker.
+test('the second of two new leaders waits for starts on an incarnation that has left the registry', async t => {
+  const { cell, worker, other, jobId, register } = await createCellWithStrayRun()
+  worker.isCutOff = true
+  register(2)
+  const second = cell.startDaemon('d2')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(2_000)
+  cell.setRegistry([createWorkerEntry('w2')])
+  await cell.clock.advance(1_000)
+  cell.startDaemon('d3')
+  await cell.clock.advance(300)
+  await cell.advanceUntilSettled(second.lease.release(0))
+  second.crash()
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: a new leader that learned of a restart from a report left the worker out of the roster until the registry was read.
+test('a new leader keeps in the roster a worker of which only a report has shown the restart', async t => {
+  const { cell, worker, other, jobId, register } = await createCellWithStrayRun()
+  worker.isCutOff = true
+  const successor = cell.startDaemon('d2')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(ADOPTION_MS)
+  cell.beforeRegistryRead = () => Err(Failure.notRun('store-unavailable', 'The store is unavailable.'))
+  worker.isCutOff = false
+  await cell.clock.advance(1_500)
+  worker.isCutOff = true
+  cell.startDaemon('d3')
+  await cell.clock.advance(300)
+  register(2)
+  await cell.advanceUntilSettled(successor.lease.release(0))
+  successor.crash()
+  cell.beforeRegistryRead = () => undefined
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
+
+// Guards against TWICE: a new leader that learned of a restart from a report counted with ordinary leases until the registry was read.
+test('a new leader waits for starts of its predecessor as soon as a report has shown the restart', async t => {
+  const { cell, worker, other, jobId, register } = await createCellWithStrayRun()
+  worker.isCutOff = true
+  cell.startDaemon('d2')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(4_700)
+  cell.beforeRegistryRead = () => Err(Failure.notRun('store-unavailable', 'The store is unavailable.'))
+  worker.isCutOff = false
+  await cell.clock.advance(500)
+  worker.isCutOff = true
+  await cell.clock.advance(800)
+  cell.beforeRegistryRead = () => undefined
+  register(2)
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -90,11 +90,12 @@
   private readonly earlierLeasesExpireAt: number
   /** The same for leases that their calls may give later incarnations. */
   private readonly earlierStrayLeasesExpireAt: number
-  /** The same time on the store's clock; undefined until that clock is known. */
+  /** The same times on the store's clock; undefined until that clock is known. */
   private earlierLeasesExpireAtStoreMs: number | undefined
+  private earlierStrayLeasesExpireAtStoreMs: number | undefined
   /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
   private readonly leaseExpiries = new Map<WorkerLink, number>()
-  /** Latest incarnation of each worker that reports have shown to have ended, before the registry shows the next one. */
+  /** Latest incarnation of each worker after which it is known to have restarted, also where the registry doesn't show the next one, or not any more. */
   private readonly restartedBorn = new Map<string, number>()
   /** Stray lease of each worker, as written to the roster last. */
   private readonly strayLeases = new Map<WorkerLink, StrayLease>()
@@ -347,7 +348,10 @@
     const member = this.roster.membersOfEarlierLeaders().find(({ id }) => id === link.id)
     if (member === undefined && this.roster.isFirst() && !this.lastTokens.has(link.id)) return link.expectStrayLease(-Infinity)
     if (member === undefined || member.born > link.entry.born) return
-    if (member.born < link.entry.born) return link.expectStrayLease(this.earlierStrayLeasesExpireAt)
+    if (member.born < link.entry.born) {
+      this.restartedBorn.set(member.id, member.born)
+      return link.expectStrayLease(this.earlierStrayLeasesExpireAt)
+    }
     const recordedMs = Math.max(member.lapsesAtMs ?? -Infinity, member.strayLeaseUntilMs ?? -Infinity)
     link.expectStrayLease(recordedMs === -Infinity ? -Infinity : this.fromStoreTimeMs(recordedMs))
   }
@@ -384,12 +388,13 @@
   /** Stores the workers that may have runs. A worker must be in the roster before a run is started on it. */
   private async updateRoster () {
     const listedMembers = [...this.links.values()].filter(mayHaveRuns).map(link => this.rosterMemberOf(link))
-    // A worker that is missing from the registry may still have runs that an earlier leader started.
+    const listedIds = new Set(listedMembers.map(({ id }) => id))
     this.earlierLeasesExpireAtStoreMs ??= this.toStoreTimeMs(this.earlierLeasesExpireAt)
-    const lapsesAtMs = this.earlierLeasesExpireAtStoreMs
+    this.earlierStrayLeasesExpireAtStoreMs ??= this.toStoreTimeMs(this.earlierStrayLeasesExpireAt)
+    // A worker that is missing from the registry, or has restarted, may still have runs that an earlier leader started.
     const unlistedMembers = this.roster.membersOfEarlierLeaders()
-      .filter(member => !this.links.has(member.id) && !this.haveMemberLeasesExpired(member))
-      .map(member => member.lapsesAtMs !== undefined || lapsesAtMs === undefined ? member : { ...member, lapsesAtMs: Math.max(lapsesAtMs, member.strayLeaseUntilMs ?? 0) })
+      .filter(member => !listedIds.has(member.id) && !this.areRunsKnown(member))
+      .map(member => this.withLapse(member))
     if (await this.roster.store([...listedMembers, ...unlistedMembers])) this.options.onChange()
   }
 
@@ -398,14 +403,25 @@
     return !this.roster.isComplete() && this.options.clock.now() <= this.earlierStrayLeasesExpireAt
   }
 
+  /** Adds the time at which all leases have expired to a member that this leader doesn't reach. */
+  private withLapse (member: RosterMember): RosterMember {
+    const ordinaryMs = member.lapsesAtMs ?? this.earlierLeasesExpireAtStoreMs
+    const lapsesAtMs = this.hasRestarted(member) ? this.earlierStrayLeasesExpireAtStoreMs : ordinaryMs
+    return lapsesAtMs === undefined ? member : { ...member, lapsesAtMs: Math.max(lapsesAtMs, member.strayLeaseUntilMs ?? 0) }
+  }
+
   private areRunsKnown (member: RosterMember): boolean {
-    const { id, born } = member
-    const link = this.links.get(id)
-    if (link === undefined || link.entry.born < born) return this.haveMemberLeasesExpired(member)
-    if (link.isAdopted) return true
+    const link = this.links.get(member.id)
+    if (link?.isAdopted === true && link.entry.born >= member.born) return true
     // The incarnation after the one in the roster may carry out calls that were sent to the earlier one.
-    const isSameIncarnation = link.entry.born === born && this.restartedBorn.get(id) !== born
-    return isSameIncarnation ? this.haveMemberLeasesExpired(member) : this.options.clock.now() > this.earlierStrayLeasesExpireAt
+    return this.hasRestarted(member) ? this.options.clock.now() > this.earlierStrayLeasesExpireAt : this.haveMemberLeasesExpired(member)
+  }
+
+  /** Whether the worker is known to have restarted since the incarnation in the roster. */
+  private hasRestarted ({ id, born }: RosterMember): boolean {
+    const link = this.links.get(id)
+    const isLinkLater = link !== undefined && (link.entry.born > born || (link.entry.born === born && link.hasRestarted))
+    return isLinkLater || (this.restartedBorn.get(id) ?? -Infinity) >= born
   }
 
   /** Whether every lease that calls of earlier leaders gave this incarnation has expired. */
