fix(cell): a repeated heartbeat acknowledges no ends

It is repeated where the worker may have restarted. The next life forgot its own ends up to the number that it named, and the leader repeated tasks that had ended. It isn't repeated either once the incarnation has ended or the leader may issue no commands: stray leases are counted from then.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -255,3 +255,23 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
 })
+
+// Guards against TWICE: a heartbeat of a leader that did not know of a restart acknowledged the end of a run on the next incarnation.
+test('an end on the next incarnation of a worker is not acknowledged by a heartbeat to the former one', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1', { capacity: SMALL, born: 1 }), createWorkerEntry('w2')], clockStartMs: born => CLOCK_STARTS_MS[born] ?? 0, behaviour: () => ({ durationMs: 50, end: 'done' }) })
+  const [worker] = cell.workers.all()
+  if (worker === undefined) throw new Error('no worker')
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  const first = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(first) === 'completed', 5_000))
+  await cell.clock.advance(1_000)
+  worker.restart(2)
+  const second = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(3_000)
+  cell.setRegistry([createWorkerEntry('w1', { capacity: SMALL, born: 2 }), createWorkerEntry('w2')])
+  await cell.clock.advance(5_000)
+  t.is(cell.leader()?.stateOf(second), 'completed')
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -599,10 +599,10 @@
         for (const cancel of cancels) cancel()
         resolve(res)
       }
-      const send = async (waitMs: number) => {
+      const send = async (sent: HeartbeatCommand) => {
         pendingSends++
         const sentAt = clock.now()
-        const res = await this.client.heartbeat({ ...cmd, waitMs }, waitMs + WORKER_TIMEOUT_MS + LATE_ANSWER_MS)
+        const res = await this.client.heartbeat(sent, sent.waitMs + WORKER_TIMEOUT_MS + LATE_ANSWER_MS)
           .catch((err: unknown) => Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`)))
         pendingSends--
         if (pendingSends === 0) this.pendingHeartbeats.delete(pending)
@@ -611,14 +611,16 @@
       }
       cancels.push(
         clock.after(cmd.waitMs + HEARTBEAT_OVERDUE_MS, () => {
-          if (!this.isSlow() || this.overdueHeartbeats() === 0) this.inBackground('heartbeat', send(0))
+          if (this.isDead || !this.options.mayIssueCommands() || (this.isSlow() && this.overdueHeartbeats() > 0)) return
+          // The worker may have restarted, and its next incarnation numbers its finished runs anew.
+          this.inBackground('heartbeat', send({ ...cmd, waitMs: 0, acknowledged: 0 }))
         }),
         clock.after(cmd.waitMs + WORKER_TIMEOUT_MS, () => {
           pending.isOverdue = true
           settle(Err(Failure.mayHaveRun('worker-answer-overdue', `No answer of the worker within ${WORKER_TIMEOUT_MS} ms.`)))
         })
       )
-      this.inBackground('heartbeat', send(cmd.waitMs))
+      this.inBackground('heartbeat', send(cmd))
     })
   }
 
