fix(cell): the roster names a stray lease also for a worker that was unreachable before

The end of the leases of an unreachable worker was named as it stood when the worker became unreachable, also after a report had shown its restart.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -275,3 +275,25 @@
   t.is(cell.leader()?.stateOf(second), 'completed')
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against TWICE: the roster kept the end of the ordinary leases that it had named before a report showed the restart.
+test('a new leader waits for the stray lease of a worker that was unreachable before a report showed its restart', async t => {
+  const { cell, worker, other, daemon } = await createCell()
+  worker.restart(2)
+  worker.fault = () => ({ kind: 'answer-lost' })
+  const jobId = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(2_500)
+  cell.beforeRegistryRead = () => Err(Failure.notRun('store-unavailable', 'The store is unavailable.'))
+  worker.fault = () => undefined
+  await cell.clock.advance(1_000)
+  worker.isCutOff = true
+  cell.startDaemon('d2')
+  await cell.clock.advance(300)
+  await cell.advanceUntilSettled(daemon.lease.release(0))
+  daemon.crash()
+  cell.beforeRegistryRead = () => undefined
+  cell.setRegistry([createWorkerEntry('w2')])
+  await cell.clock.advance(30_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -65,8 +65,8 @@
   readonly log: Log
 }
 
-/** Time at which a lease ends that stray calls may have given a worker. */
-interface StrayLease {
+/** Time at which a lease on a worker ends. */
+interface LeaseEnd {
   /** Monotonic time of this daemon. */
   readonly expiresAt: number
   /** The same time on the store's clock. */
@@ -93,12 +93,12 @@
   /** The same times on the store's clock; undefined until that clock is known. */
   private earlierLeasesExpireAtStoreMs: number | undefined
   private earlierStrayLeasesExpireAtStoreMs: number | undefined
-  /** Time on the store's clock at which the leases of each unreachable worker expire, as recorded in the roster. */
-  private readonly leaseExpiries = new Map<WorkerLink, number>()
+  /** End of all leases of each unreachable worker, as written to the roster last. */
+  private readonly leaseEnds = new Map<WorkerLink, LeaseEnd>()
   /** Latest incarnation of each worker after which it is known to have restarted, also where the registry doesn't show the next one, or not any more. */
   private readonly restartedBorn = new Map<string, number>()
   /** Stray lease of each worker, as written to the roster last. */
-  private readonly strayLeases = new Map<WorkerLink, StrayLease>()
+  private readonly strayLeases = new Map<WorkerLink, LeaseEnd>()
   /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
   private readonly goneLinks = new Map<string, WorkerLink>()
   /** Runs of earlier leaders by worker id, until an incarnation of the worker is seen. */
@@ -376,7 +376,7 @@
 
   private drop (link: WorkerLink, reason: string) {
     link.declareGone()
-    this.leaseExpiries.delete(link)
+    this.leaseEnds.delete(link)
     this.strayLeases.delete(link)
     this.remainingJobs.delete(link)
     this.links.delete(link.id)
@@ -439,10 +439,9 @@
   private rosterMemberOf (link: WorkerLink): RosterMember {
     const { id, born } = link.entry
     const isUnreachable = link.unreachableMs() >= UNREACHABLE_MS
-    if (!isUnreachable) this.leaseExpiries.delete(link)
+    if (!isUnreachable) this.leaseEnds.delete(link)
     if (!isUnreachable && link.entry.state === 'ready') this.remainingJobs.delete(link)
-    const lapsesAtMs = isUnreachable ? this.leaseExpiries.get(link) ?? this.toStoreTimeMs(link.latestLeaseExpiry()) : undefined
-    if (lapsesAtMs !== undefined) this.leaseExpiries.set(link, lapsesAtMs)
+    const lapsesAtMs = isUnreachable ? this.toRecordedMs(link, link.latestLeaseExpiry(), this.leaseEnds) : undefined
     const strayLeaseUntilMs = lapsesAtMs === undefined ? this.strayLeaseUntilMs(link) : undefined
     const jobs = lapsesAtMs !== undefined || link.entry.state === 'draining' ? this.remainingJobsOf(link) : undefined
     return { id, born, ...(lapsesAtMs === undefined ? {} : { lapsesAtMs }), ...(strayLeaseUntilMs === undefined ? {} : { strayLeaseUntilMs }), ...(jobs === undefined ? {} : { jobs }) }
@@ -452,10 +451,15 @@
   private strayLeaseUntilMs (link: WorkerLink): number | undefined {
     const expiresAt = link.latestStrayLeaseExpiry()
     if (!this.mustRecordStrayLease(link, this.options.clock.now())) return undefined
-    const known = this.strayLeases.get(link)
+    return this.toRecordedMs(link, expiresAt, this.strayLeases)
+  }
+
+  /** Converts the end of a lease to the store's clock, once for each end: the conversion is not exact. */
+  private toRecordedMs (link: WorkerLink, expiresAt: number, recorded: Map<WorkerLink, LeaseEnd>): number | undefined {
+    const known = recorded.get(link)
     if (known?.expiresAt === expiresAt) return known.storeMs
     const storeMs = this.toStoreTimeMs(expiresAt)
-    if (storeMs !== undefined) this.strayLeases.set(link, { expiresAt, storeMs })
+    if (storeMs !== undefined) recorded.set(link, { expiresAt, storeMs })
     return storeMs
   }
 
