fix(base): listeners take their address as options, so that cases of review can move them

Cause: review/lib-2/link.mjs moves a listener that is given as `listen({ port, host })`, as gRPC's own server did. The listener for other daemons has been ours since it bounds connections, and `listenAt` called `listen(port, host)`, so that every case with review/lib-2/region-cell.mjs ended with exit code 2, "not started" (seen on review/7 and review/8).

Change: `listenAt` passes the parsed address as options.

--- a/packages/base/src/utils.ts
+++ b/packages/base/src/utils.ts
@@ -11,10 +11,9 @@
 
 /** Has a server listen at `ip:port`; rejects when the address can't be bound. */
 export function listenAt (server: Server, address: string): Promise<void> {
-  const { host, port } = parseAddress(address)
   return new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(port, host, () => resolve())
+    server.listen(parseAddress(address), () => resolve())
   })
 }
 
