fix(platform): as many clients as the listener takes can wait to be accepted

A daemon that stands still, or is slow, accepted connections later than they came, and the system drops what exceeds the listener's backlog of 511, fewer than the 1,170 connections that the listener takes.

The backlog is now the number of connections that the listener takes, 511 at least.

--- a/packages/base/src/utils.ts
+++ b/packages/base/src/utils.ts
@@ -9,11 +9,14 @@
   return separator < 0 ? { host: address, port: 0 } : { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
 }
 
-/** Has a server listen at `ip:port`; rejects when the address can't be bound. */
-export function listenAt (server: Server, address: string): Promise<void> {
+/** Connections that wait to be accepted before the system drops further ones, at least. */
+const MIN_BACKLOG = 511
+
+/** Has a server listen at `ip:port` to so many clients at once; rejects when the address can't be bound. */
+export function listenAt (server: Server, address: string, connections = 0): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject)
-    server.listen(parseAddress(address), () => resolve())
+    server.listen({ ...parseAddress(address), backlog: Math.max(MIN_BACKLOG, connections) }, () => resolve())
   })
 }
 
