fix(cell): a worker that is new long after a takeover counts with ordinary leases

Change: once the longest stray lease of earlier leaders has expired, only workers that this leader has known count so. What is known to have no stray lease has a method of its own.

--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -252,7 +252,10 @@
     return this.isAdopted || this.unreachableSince === undefined ? 0 : Math.max(0, this.options.clock.now() - this.unreachableSince)
   }
 
-  /** Monotonic time after which no run started so far can still be running here. */
+  /**
+   * Monotonic time after which no run started so far can still be running here. What isn't known of stray calls is left out:
+   * before the adoption nothing was started here, and the adoption bounds them.
+   */
   latestLeaseExpiry (): number {
     return Math.max(this.leasesExpireAt, this.strayLeaseExpiresAt ?? -Infinity)
   }
@@ -403,11 +406,16 @@
     return this.hasAnnouncedLeave && (this.leavesInMs() ?? 0) <= LEAVE_MARGIN_MS
   }
 
-  /** Takes note that stray calls may have given this incarnation, or the next one, a lease up to this monotonic time; -Infinity if it is known that they haven't. */
+  /** Takes note that stray calls may have given this incarnation, or the next one, a lease up to this monotonic time. */
   expectStrayLease (expiresAt: number): void {
     this.strayLeaseExpiresAt = Math.max(this.strayLeaseExpiresAt ?? -Infinity, expiresAt)
   }
 
+  /** Takes note that there is no former incarnation whose calls may still come, or that they are known to have given no lease. */
+  expectNoStrayLease (): void {
+    this.strayLeaseExpiresAt ??= -Infinity
+  }
+
   /** Adds runs of earlier leaders, which this incarnation may have. */
   addUnsettledRuns (runs: readonly UnsettledRun[]): void {
     this.unsettledRuns = [...this.unsettledRuns, ...runs]
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -346,14 +346,16 @@
   /** Tells the link which leases calls of earlier leaders may have given its incarnation, beyond those that each leader counts with. */
   private expectEarlierLeases (link: WorkerLink) {
     const member = this.roster.membersOfEarlierLeaders().find(({ id }) => id === link.id)
-    if (member === undefined && this.roster.isFirst() && !this.lastTokens.has(link.id)) return link.expectStrayLease(-Infinity)
+    const mayHaveBeenKnown = this.lastTokens.has(link.id) || (!this.roster.isFirst() && this.options.clock.now() <= this.earlierStrayLeasesExpireAt)
+    if (member === undefined && !mayHaveBeenKnown) return link.expectNoStrayLease()
     if (member === undefined || member.born > link.entry.born) return
     if (member.born < link.entry.born) {
       this.restartedBorn.set(member.id, member.born)
       return link.expectStrayLease(this.earlierStrayLeasesExpireAt)
     }
     const recordedMs = Math.max(member.lapsesAtMs ?? -Infinity, member.strayLeaseUntilMs ?? -Infinity)
-    link.expectStrayLease(recordedMs === -Infinity ? -Infinity : this.fromStoreTimeMs(recordedMs))
+    if (recordedMs === -Infinity) link.expectNoStrayLease()
+    else link.expectStrayLease(this.fromStoreTimeMs(recordedMs))
   }
 
   /** Gives the runs of earlier leaders to the link of their worker's incarnation; if a later one is listed, the worker has crashed under them or left. */
