--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -159,6 +159,20 @@
   t.deepEqual(cell.audit.violations, [])
 })
 
+// Guards against TWICE: a worker that is cut off restarts after its leases have expired and carries out a start of its former incarnation.
+test.failing('a late start is not carried out on an incarnation that began after the leases of the former one had expired', async t => {
+  const { cell, worker, daemon } = await createCell()
+  delayNext(worker, 'start', 9_000)
+  await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(100)
+  worker.isCutOff = true
+  await cell.clock.advance(6_500)
+  worker.restart(2)
+  worker.isCutOff = true
+  await cell.clock.advance(10_000)
+  t.deepEqual(cell.audit.violations, [])
+})
+
 /** The same cell with a run of the crashed leader on the next incarnation of w1, of which nobody knows. */
 async function createCellWithStrayRun () {
   const { cell, worker, other, daemon, register } = await createCell()
