--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -75,7 +75,7 @@
 export const MIN_WORKER_CLOCK_RATE = 0.98
 /** Margin after the computed expiry of a lease before its runs count as lost. */
 export const LEASE_EXPIRY_MARGIN_MS = 250
-/** Longest time after which a worker still carries out a call that it has not answered, in milliseconds. The platform delays orders by up to this. */
+/** Longest time after which a worker is assumed to carry out a call that it has not answered, in milliseconds (docs/questions.md, 3). */
 export const MAX_CALL_DELAY_MS = 12_000
 /** Time for which a worker may wait for a finished run before it answers a heartbeat. */
 export const HEARTBEAT_WAIT_MS = 800
