test(soak): workers that restart within the time of a call and are cut off

In the shape short-restarts a third of the workers return under their ids after at most 1.2 s, carry out what was sent in the 0.3 s before and while they were down, and are cut off for 8 to 10 s; leaders are killed around it. Workers grant leases of 10 s, and a third of the jobs outlasts them. A lease that a leader counts as lapsed while its worker holds it counts as a violation there, also by the line of a successor on leases of earlier leaders, which the record of leases did not read before.

--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -1,3 +1,4 @@
+import type { MemoryWorker } from '@citronnotch/cell/testing'
 import type { DaemonProcess } from '@citronnotch/platform/testing'
 import { pickFaults } from './faults.js'
 import type { Fault, FaultTargets } from './faults.js'
@@ -94,6 +95,60 @@
   ...pickFaults('kill', 'terminate', 'pause', 'storeLosesHistory')
 }
 
+/** Time before a restart within which calls are carried out by the next incarnation only, and the spread of these after it is back, in milliseconds. */
+const CALLS_HELD_MS = 300
+const HELD_SPREAD_MS = 250
+/** Longest time without power of a worker that restarts within the time of a call, in milliseconds. */
+const MAX_SHORT_DOWN_MS = 1_200
+/** Time from the return of a worker until it is cut off again, and for which it stays so, in milliseconds. */
+const MIN_UNTIL_CUT_MS = 300
+const MAX_UNTIL_CUT_MS = 2_500
+const MIN_CUT_MS = 8_000
+const MAX_CUT_MS = 10_000
+
+/** Faults of the shape `short-restarts`: workers are back under their ids before calls to them have ended, and are cut off soon after. */
+export const SHORT_RESTART_FAULTS: Readonly<Record<string, Fault>> = {
+  restartThenCut: (targets, random) => restartThenCut(targets, random),
+  restartThenCutAndKill: (targets, random) => {
+    const restartAfterMs = restartThenCut(targets, random)
+    setTimeout(() => leaderOf(targets)?.signal('SIGKILL'), random.between(0, restartAfterMs + MAX_UNTIL_CUT_MS))
+  },
+  ...pickFaults('terminate')
+}
+
+const restartingWorkers = new WeakSet<MemoryWorker>()
+
+/** A third of the workers return under their ids, carry out what was sent to their former incarnations, and are cut off. Returns the time until they are back. */
+function restartThenCut ({ workers, workerLinks, emulator }: FaultTargets, random: Random): number {
+  const first = random.between(0, workers.length - 1)
+  const restartAfterMs = CALLS_HELD_MS + random.between(0, MAX_SHORT_DOWN_MS)
+  const cutAfterMs = restartAfterMs + random.between(MIN_UNTIL_CUT_MS, MAX_UNTIL_CUT_MS)
+  const cutMs = random.between(MIN_CUT_MS, MAX_CUT_MS)
+  const fault = random.pick(['hold', 'drop-all'] as const)
+  for (let offset = 0; offset < Math.ceil(workers.length / 3); offset++) {
+    const index = (first + offset) % workers.length
+    const [worker, link] = [workers[index], workerLinks[index]]
+    if (worker === undefined || link === undefined || restartingWorkers.has(worker)) continue
+    restartingWorkers.add(worker)
+    const backAtMs = Date.now() + restartAfterMs
+    worker.fault = () => ({ kind: 'applied-late', afterMs: Math.max(0, backAtMs - Date.now()) + random.between(1, HELD_SPREAD_MS) })
+    setTimeout(() => {
+      worker.crash()
+      // Calls arrive, and the network holds them until the worker is back.
+      worker.isCutOff = false
+    }, CALLS_HELD_MS)
+    setTimeout(() => {
+      worker.fault = () => undefined
+      worker.restart(Date.now())
+      emulator.register(worker.entry)
+      restartingWorkers.delete(worker)
+    }, restartAfterMs)
+    setTimeout(() => { link.fault = fault }, cutAfterMs)
+    setTimeout(() => { link.fault = 'none' }, cutAfterMs + cutMs)
+  }
+  return restartAfterMs
+}
+
 function holdLeader (targets: FaultTargets) {
   const { daemons, storeLinks, heldPeers } = targets
   const leader = leaderOf(targets)
--- a/soak/src/leaseRecord.ts
+++ b/soak/src/leaseRecord.ts
@@ -8,6 +8,9 @@
   readonly untilMs: number
 }
 
+/** What marks the log lines of daemons that count leases of a worker as lapsed. */
+const LAPSE_MARKS = ['"reason":"lease-lapsed"', '"message":"Leases of earlier leaders have expired."']
+
 /** Writes the log of the workers beside those of the daemons, and keeps the leases that the workers have held. */
 export class LeaseRecord implements Log {
   private readonly leases = new Map<unknown, HeldLease[]>()
@@ -33,12 +36,12 @@
 
   /** Lines of the daemons' logs that count a lease as lapsed although its worker held it then, each with the time that was left. */
   earlyLapses (logPaths: readonly string[]): readonly string[] {
-    const lines = logPaths.flatMap(path => readFileSync(path, 'utf8').split('\n')).filter(line => line.includes('"reason":"lease-lapsed"'))
+    const lines = logPaths.flatMap(path => readFileSync(path, 'utf8').split('\n')).filter(line => LAPSE_MARKS.some(mark => line.includes(mark)))
     return lines.flatMap(line => {
-      const { time, worker, task, run } = JSON.parse(line) as { readonly time: string, readonly worker: string, readonly task: string, readonly run: number }
+      const { time, worker, task, run } = JSON.parse(line) as { readonly time: string, readonly worker: string, readonly task?: string, readonly run?: number }
       const atMs = Date.parse(time)
       const leftMs = Math.max(0, ...(this.leases.get(worker) ?? []).filter(({ fromMs }) => fromMs < atMs).map(({ untilMs }) => untilMs - atMs))
-      return leftMs > 0 ? [`${time} ${task} run ${run} counted as lapsed, but the lease of ${worker} had ${Math.round(leftMs)} ms left`] : []
+      return leftMs > 0 ? [`${time} ${task === undefined ? 'the runs of earlier leaders' : `${task} run ${run}`} counted as lapsed, but the lease of ${worker} had ${Math.round(leftMs)} ms left`] : []
     })
   }
 }
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -205,7 +205,7 @@
     jobs: client.jobs.length,
     accepted: client.jobs.filter(({ isAccepted }) => isAccepted).length,
     faults,
-    violations,
+    violations: [...violations, ...(shape.checksLeases ? earlyLapses : [])],
     startsAfterIdleLapse: audit.startsAfterIdleLapse,
     earlyLapses,
     longestStallMs: stalls.max / NANOSECONDS_PER_MS,
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -2,7 +2,7 @@
 import type { JobSpec, ResourceVector, TaskId } from '@citronnotch/cell'
 import { FAULTS, MORE_FAULTS, REFUSAL_FAULTS } from './faults.js'
 import type { Fault } from './faults.js'
-import { LATE_MESSAGE_FAULTS, LEADER_FAULTS } from './leaderFaults.js'
+import { LATE_MESSAGE_FAULTS, LEADER_FAULTS, SHORT_RESTART_FAULTS } from './leaderFaults.js'
 import type { Random } from './random.js'
 
 /** What kind of cell a soak plays: its jobs, workers, bounds and faults. */
@@ -24,6 +24,8 @@
   readonly hasChangeSeries: boolean
   /** Whether proxies stand in front of the daemons' listeners for peers. */
   readonly hasPeerProxies: boolean
+  /** Whether it is a violation to count a lease as lapsed that its worker still holds, also if no task is started twice by that. */
+  readonly checksLeases: boolean
 }
 
 export const DEFAULT_SHAPE: Shape = {
@@ -41,7 +43,8 @@
   maxPauseMs: 3_000,
   recoveryMs: 25_000,
   hasChangeSeries: true,
-  hasPeerProxies: false
+  hasPeerProxies: false,
+  checksLeases: false
 }
 
 /** Tasks of the users' stave cluster: count, thousandths of a core, and run time in milliseconds. */
@@ -69,7 +72,21 @@
   // The last order is carried out 20 s after its fault has begun.
   recoveryMs: 45_000,
   hasChangeSeries: false,
-  hasPeerProxies: true
+  hasPeerProxies: true,
+  checksLeases: false
+}
+
+/** A task that outlasts every lease; it runs for 14 to 26 s. */
+const LONG_JOB = { count: 2, cpu: 1_000, mem_mb: 500, estimated_ms: 20_000 }
+
+/** Workers that restart under their ids within the time of a call, beside tasks that outlast every lease. */
+const SHORT_RESTARTS: Shape = {
+  ...TANGLAW_SKED,
+  randomSteps: random => random.chance(0.35) ? [LONG_JOB] : TANGLAW_SKED.randomSteps(random),
+  faults: SHORT_RESTART_FAULTS,
+  // Some of the leaders must live until they count leases as expired.
+  maxPauseMs: 12_000,
+  checksLeases: true
 }
 
 /** Daemons that the store refuses, for long and many at a time, beside changes of the configuration. */
@@ -88,4 +105,4 @@
   hasPeerProxies: true
 }
 
-export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS, 'late-messages': LATE_MESSAGES }
+export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS, 'late-messages': LATE_MESSAGES, 'short-restarts': SHORT_RESTARTS }
