--- a/packages/cell/src/peers.ts
+++ b/packages/cell/src/peers.ts
@@ -16,7 +16,7 @@
 import type { RoomReport } from './jobMemory.js'
 import type { AdmittedJob, JobStatus } from './jobService.js'
 import type { Peer } from './membership.js'
-import { MAX_PEER_CONNECTIONS, MAX_UNFINISHED_BYTES, PeerListener } from './peerListener.js'
+import { MAX_PEER_CONNECTIONS, PeerListener } from './peerListener.js'
 import type { TakeoverRequest } from './leaderLease.js'
 
 /** Result of a call that one daemon makes on behalf of another. */
@@ -102,8 +102,7 @@
   requestStream: false,
   responseStream: false,
   requestSerialize: encode,
-  // Requests are decoded once their call has ended.
-  requestDeserialize: data => data,
+  requestDeserialize: decode,
   responseSerialize: encode,
   responseDeserialize: decode
 }]))
@@ -128,7 +127,7 @@
     server.addService(service, implementation)
     // The library binds addresses itself without a limit of connections.
     const injector = server.createConnectionInjector(ServerCredentials.createInsecure())
-    const listener = await PeerListener.create({ address: listen, maxConnections: MAX_PEER_CONNECTIONS, maxUnfinishedBytes: MAX_UNFINISHED_BYTES, onConnection: connection => injector.injectConnection(connection), now: () => performance.now(), log })
+    const listener = await PeerListener.create({ address: listen, maxConnections: MAX_PEER_CONNECTIONS, onConnection: socket => injector.injectConnection(socket), now: () => performance.now(), log })
     return new PeerServer(server, listener)
   }
 
@@ -141,7 +140,7 @@
 type Handler = (req: unknown) => unknown
 
 function unaryHandler (name: PeerMethod, handle: Handler, sharedClock: SharedClock, log: Log) {
-  return async (call: ServerUnaryCall<Buffer, unknown>, callback: sendUnaryData<unknown>) => {
+  return async (call: ServerUnaryCall<unknown, unknown>, callback: sendUnaryData<unknown>) => {
     const lateMs = EXPIRING_METHODS.has(name) ? latenessMs(call.metadata, sharedClock()) : 0
     if (lateMs > 0) {
       log.info('Late peer request ignored.', { method: name, lateMs: Math.round(lateMs) })
@@ -149,7 +148,7 @@
       return
     }
     try {
-      callback(null, await handle(decode(call.request)))
+      callback(null, await handle(call.request))
     } catch (err) {
       log.error('Peer request failed.', { method: name, err })
       callback({ code: status.INTERNAL, details: `${name} failed` })
