perf(cell): a new leader finds the earlier roster's member of a worker by its id

Cause: since the leases of former lives are bounded, each link looks for its worker in the list of the earlier roster when it is created and once the state is loaded: n times n comparisons in a takeover, on its critical path. Two older look-ups of the same kind searched the list as well. Change: the roster has its members by id; all three ask it. Behaviour is the same, as ids are unique in a row.

--- a/packages/cell/src/roster.ts
+++ b/packages/cell/src/roster.ts
@@ -36,6 +36,7 @@
   /** Members that the stored row is known to contain, by worker id. */
   private stored: ReadonlyMap<string, RosterMember> = new Map()
   private earlierMembers: readonly RosterMember[] = []
+  private earlierMembersById: ReadonlyMap<string, RosterMember> = new Map()
   private isEarlierRowReadable = true
   private wasRowMissing = false
   private version = 0
@@ -80,6 +81,11 @@
     return this.earlierMembers
   }
 
+  /** The incarnation of a worker that the row listed when it was loaded. */
+  memberOfEarlierLeaders (workerId: string): RosterMember | undefined {
+    return this.earlierMembersById.get(workerId)
+  }
+
   size (): number {
     return this.stored.size
   }
@@ -99,7 +105,8 @@
     this.isEarlierRowReadable = row === undefined || isListOf(workers, isMember)
     this.earlierMembers = isListOf(workers, isMember) ? workers : []
     if (!this.isEarlierRowReadable) log.error('Roster row is not readable; all jobs wait until the leases of earlier leaders have expired.', { version: this.version })
-    this.stored = byId(this.earlierMembers)
+    this.earlierMembersById = byId(this.earlierMembers)
+    this.stored = this.earlierMembersById
     return true
   }
 
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -345,7 +345,7 @@
 
   /** Tells the link which leases calls of earlier leaders may have given its incarnation, beyond those that each leader counts with. */
   private expectEarlierLeases (link: WorkerLink) {
-    const member = this.roster.membersOfEarlierLeaders().find(({ id }) => id === link.id)
+    const member = this.roster.memberOfEarlierLeaders(link.id)
     const mayHaveBeenKnown = this.lastTokens.has(link.id) || (!this.roster.isFirst() && this.options.clock.now() <= this.earlierStrayLeasesExpireAt)
     if (member === undefined && !mayHaveBeenKnown) return link.expectNoStrayLease()
     if (member === undefined || member.born > link.entry.born) return
@@ -368,8 +368,8 @@
     if (later.length > 0) this.earlierRuns.set(id, later)
     link.addUnsettledRuns(runs.filter(run => run.born === born))
     for (const endedBorn of new Set(runs.map(run => run.born).filter(runBorn => runBorn < born))) {
-      const member = this.roster.membersOfEarlierLeaders().find(other => other.id === id && other.born === endedBorn)
-      const hasAnnouncedLeave = member?.jobs !== undefined && member.lapsesAtMs === undefined
+      const member = this.roster.memberOfEarlierLeaders(id)
+      const hasAnnouncedLeave = member?.born === endedBorn && member.jobs !== undefined && member.lapsesAtMs === undefined
       const ended = runs.filter(run => run.born === endedBorn)
       if (hasAnnouncedLeave) this.options.events.runsSettled(ended)
       else this.options.events.workerCrashed({ id, born: endedBorn }, ended)
@@ -481,7 +481,8 @@
     const known = this.remainingJobs.get(link)
     if (known !== undefined) return known
     const { id, born } = link.entry
-    const jobs = link.unsettledJobs() ?? this.roster.membersOfEarlierLeaders().find(member => member.id === id && member.born === born)?.jobs
+    const member = this.roster.memberOfEarlierLeaders(id)
+    const jobs = link.unsettledJobs() ?? (member?.born === born ? member.jobs : undefined)
     if (jobs !== undefined) this.remainingJobs.set(link, jobs)
     return jobs
   }
