test(cell): the tests of restarted workers share the cell that they start

The fixture of workerRestart.test.ts stood again in restartLeases.test.ts, with other options, and a third time in one of its tests. Assertions are unchanged.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { Failure } from '@citronnotch/base/errors'
 import { Err } from '@citronnotch/base/result'
-import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
+import { createRestartCell, createStep, createWorkerEntry } from '../testing/index.js'
 import type { CommandFault, MemoryWorker } from '../testing/index.js'
 
 const MAX_TASK_LEASE_MS = 10_000
@@ -14,19 +14,9 @@
 /** Time in which a leader learns of a restart from the registry and adopts the worker: one poll and a margin. */
 const ADOPTION_MS = 800
 
-const SMALL = { milliCores: 2_000, memoryMb: 16_000, accelerators: 0 }
+const clockStartMs = (born: number) => CLOCK_STARTS_MS[born] ?? 0
 
-/** A cell whose tasks start on w1, the worker with less free capacity, while it can be reached. */
-async function createCell () {
-  const entries = (born: number) => [createWorkerEntry('w1', { capacity: SMALL, born }), createWorkerEntry('w2')]
-  const cell = TestCell.create({ workers: entries(1), maxTaskLeaseMs: MAX_TASK_LEASE_MS, clockStartMs: born => CLOCK_STARTS_MS[born] ?? 0, behaviour: () => ({ durationMs: LONG_RUN_MS, end: 'done' }) })
-  const [worker, other] = cell.workers.all()
-  if (worker === undefined || other === undefined) throw new Error('no workers')
-  const daemon = cell.startDaemon('d1')
-  await cell.advanceUntil(() => cell.leader() !== undefined)
-  await cell.clock.advance(1_000)
-  return { cell, worker, other, daemon, register: (born: number) => cell.setRegistry(entries(born)) }
-}
+const createCell = () => createRestartCell({ durationMs: LONG_RUN_MS, maxTaskLeaseMs: MAX_TASK_LEASE_MS, clockStartMs })
 
 /** Holds the next command of a kind back in the network, which delivers it after this time, also to a later incarnation. Returns whether it has been sent. */
 function delayNext (worker: MemoryWorker, delayed: 'start' | 'hold', afterMs: number): () => boolean {
@@ -272,19 +262,14 @@
 
 // Guards against TWICE: a heartbeat of a leader that did not know of a restart acknowledged the end of a run on the next incarnation.
 test('an end on the next incarnation of a worker is not acknowledged by a heartbeat to the former one', async t => {
-  const cell = TestCell.create({ workers: [createWorkerEntry('w1', { capacity: SMALL, born: 1 }), createWorkerEntry('w2')], clockStartMs: born => CLOCK_STARTS_MS[born] ?? 0, behaviour: () => ({ durationMs: 50, end: 'done' }) })
-  const [worker] = cell.workers.all()
-  if (worker === undefined) throw new Error('no worker')
-  const daemon = cell.startDaemon('d1')
-  await cell.advanceUntil(() => cell.leader() !== undefined)
-  await cell.clock.advance(1_000)
+  const { cell, worker, daemon, register } = await createRestartCell({ durationMs: 50, clockStartMs })
   const first = await cell.submit(daemon, [createStep()])
   t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(first) === 'completed', 5_000))
   await cell.clock.advance(1_000)
   worker.restart(2)
   const second = await cell.submit(daemon, [createStep()])
   await cell.clock.advance(3_000)
-  cell.setRegistry([createWorkerEntry('w1', { capacity: SMALL, born: 2 }), createWorkerEntry('w2')])
+  register(2)
   await cell.clock.advance(5_000)
   t.is(cell.leader()?.stateOf(second), 'completed')
   t.deepEqual(cell.audit.violations, [])
--- a/packages/cell/src/__tests__/workerRestart.test.ts
+++ b/packages/cell/src/__tests__/workerRestart.test.ts
@@ -1,23 +1,11 @@
 import test from 'ava'
-import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
+import { createRestartCell, createStep, createWorkerEntry } from '../testing/index.js'
 
 const LONG_RUN_MS = 4_000
 /** Time until a start that was sent to a worker's former incarnation can't be running any more: the longest delay, the longest lease, and 2 s for the takeover or the round after it. */
 const NOTHING_LEFT_MS = 12_000 + 6_400 + 2_000
 
-const SMALL = { milliCores: 2_000, memoryMb: 16_000, accelerators: 0 }
-
-/** A cell whose tasks start on w1, the worker with less free capacity, while it can be reached. */
-async function createCell (durationMs = LONG_RUN_MS) {
-  const entries = (born: number) => [createWorkerEntry('w1', { capacity: SMALL, born }), createWorkerEntry('w2')]
-  const cell = TestCell.create({ workers: entries(1), behaviour: () => ({ durationMs, end: 'done' }) })
-  const [worker, other] = cell.workers.all()
-  if (worker === undefined || other === undefined) throw new Error('no workers')
-  const daemon = cell.startDaemon('d1')
-  await cell.advanceUntil(() => cell.leader() !== undefined)
-  await cell.clock.advance(1_000)
-  return { cell, worker, other, daemon, register: (born: number) => cell.setRegistry(entries(born)) }
-}
+const createCell = (durationMs = LONG_RUN_MS) => createRestartCell({ durationMs })
 
 // Guards against TWICE: the leader took a restart of the worker as proof that an unanswered start had not been executed.
 test('an unanswered start that the next incarnation of a worker executes is not repeated on another worker', async t => {
