test(cell): a late answer of a former incarnation, marked as failing

Cause: the answer to a start names no incarnation. A leader compares the clock in it with that of a report, also if these are the clocks of two incarnations of the worker, and takes the run for gone. Change: the stand-in of a worker can deliver an answer that left it before its crash.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { Failure } from '@citronnotch/base/errors'
 import { Err } from '@citronnotch/base/result'
+import { HEARTBEAT_WAIT_MS } from '../constants.js'
 import { createRestartCell, createStep, createWorkerEntry } from '../testing/index.js'
 import type { CommandFault, MemoryWorker } from '../testing/index.js'
 
@@ -296,3 +297,23 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
 })
+
+// Guards against TWICE: the answer of a former incarnation to a heartbeat counted as proof that a run was gone which the next one had confirmed.
+test.failing('a run that the next incarnation of a worker has confirmed is not repeated because of a late answer of the former one', async t => {
+  const { cell, worker, other, daemon, register } = await createCell()
+  let heldAnswers = 0
+  worker.fault = command => command === 'hold' && heldAnswers++ === 0 ? { kind: 'answer-late', afterMs: 850, outlivesCrash: true } : undefined
+  t.true(await cell.advanceUntil(() => heldAnswers > 0, 2_000))
+  await cell.clock.advance(HEARTBEAT_WAIT_MS + 20)
+  worker.crash()
+  await cell.clock.advance(600)
+  worker.restart(2)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 100), 'the next incarnation has taken the start')
+  await cell.clock.advance(1_500)
+  register(2)
+  await cell.clock.advance(3_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
+  t.deepEqual(other.runningTasks(), [])
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -16,8 +16,8 @@
 /** Fault injected into a command to a worker. */
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
-  /** The command is executed at once, and its answer takes this long. */
-  | { readonly kind: 'answer-late', readonly afterMs: number }
+  /** The command is executed at once, and its answer takes this long. `outlivesCrash`: the answer arrives although its incarnation ends meanwhile. */
+  | { readonly kind: 'answer-late', readonly afterMs: number, readonly outlivesCrash?: boolean }
   /** `isQueued`: the worker holds the command back, which is lost with the incarnation; otherwise the network does. */
   | {
     readonly kind: 'applied-late'
@@ -216,8 +216,9 @@
     if (fault?.kind === 'answer-late') {
       const outcome = await execute(IN_TIME)
       this.noteListedEnds(outcome)
+      const hasLeft = fault.outlivesCrash === true && this.crashes === crashes
       await clock.sleep(Math.min(fault.afterMs, timeoutMs))
-      if (this.crashes === crashes && fault.afterMs < timeoutMs) return Ok(outcome)
+      if ((hasLeft || this.crashes === crashes) && fault.afterMs < timeoutMs) return Ok(outcome)
       return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
     }
     if (fault?.kind === 'refused') return Ok(refuse(fault.reason) as T)
