feat(cell): the log of a lost run says what its loss was concluded from

Cause: Run lost. named a reason, not its basis. The hypotheses on two runs that one daemon ordered differ in it: a lease that was counted too short, an answer of another incarnation, a start that may still be carried out. Change: the line has the worker's incarnation, whether a report listed the run, the starts without an answer, the age of the latest report and the time since its leases ended.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -378,7 +378,19 @@
   }
 
   runLost (link: WorkerLink, run: Run, reason: LossReason): void {
-    this.log.info('Run lost.', { task: formatTaskId(run.id), run: run.number, worker: link.id, reason })
+    const now = this.options.clock.now()
+    this.log.info('Run lost.', {
+      task: formatTaskId(run.id),
+      run: run.number,
+      worker: link.id,
+      born: link.entry.born,
+      reason,
+      startedMsAgo: Math.round(now - run.startedAt),
+      wasListed: run.isListed,
+      unansweredStarts: run.unansweredStarts,
+      reportedMsAgo: Math.round(now - link.reportedAt()),
+      leaseEndedMsAgo: Math.round(now - link.latestLeaseExpiry())
+    })
     this.options.metrics.count('runs_lost')
     this.unreadJobs.remove(run.id, run.number, link.id)
     if (run.task !== undefined) {
