test(spec): an answer that a worker's former life has sent arrives after its restart

Cause: the model let no answer outlive its life, and so couldn't show what a leader may conclude from one. Change: one answer of the former life may be held up until the leader learns of the restart. The variant LATE_ANSWER concludes from it, as the code does, that a run which the start's answer has confirmed is gone; the model only if the heartbeat was sent after that answer.

--- a/spec/restart.pml
+++ b/spec/restart.pml
@@ -18,7 +18,8 @@
  *   (LATER_RESTART drops the second half).
  * - A start that an answer under a higher token has proved not to run on the former life isn't carried out by the next one
  *   (FENCED_START drops this).
- * - The former life answers no call after the restart, so that its leader takes it for lost at most NOTICE ticks later.
+ * - The former life answers no call after the restart, so that its leader takes it for lost at most NOTICE ticks later; one
+ *   answer to a heartbeat that has left it before may come later.
  *   The registry of a new leader shows what that of its predecessor has shown, and only one leader sends calls.
  * Safety property: the task never runs twice at the same time.
  *
@@ -29,8 +30,8 @@
  * (a new leader counts with ordinary leases for each life that the roster lists, whatever is recorded), FROM_RESTART (the
  * longest lease is counted from when the restart was learned and one call more, also once the life is adopted),
  * ADOPT_SHORT (from the adoption of a life on only the leader's own leases count), REGISTERED_ONLY (a new leader waits for
- * the leases of stray calls if the registry shows the restart, but not if only a report does), and those that drop an
- * assumption.
+ * the leases of stray calls if the registry shows the restart, but not if only a report does), LATE_ANSWER (an answer to a
+ * heartbeat that was sent before the start was confirmed proves that the run has ended), and those that drop an assumption.
  */
 #define WORKERS 2
 #define FIRST 0
@@ -67,6 +68,12 @@
 byte extensionToken = 0;
 byte extensionSentAt = 0;
 
+/* an answer of the former life to a heartbeat, on its way to the leader */
+bool answerLeft = false;
+byte answerToken = 0;
+bool answerLists = false;
+bool answerFollowsStart = false; /* the heartbeat was sent after the start was confirmed */
+
 /* the roster row of each worker */
 bit rowLife[WORKERS];
 byte rowLapse[WORKERS];
@@ -87,6 +94,7 @@
 byte runOn = NONE;         /* worker on which the task runs or may run */
 byte runToken = 0;
 bool isUnlisted = false;   /* no report of a known life has listed that run yet */
+bool isConfirmed = false;  /* the start of that run was answered, by whichever life */
 
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
 #define MIN(a, b) ((a) < (b) -> (a) : (b))
@@ -169,7 +177,11 @@
 /* Leaders */
 
 inline forget_run () {
-  runOn = NONE; isUnlisted = false; runToken = 0
+  runOn = NONE; isUnlisted = false; runToken = 0; isConfirmed = false
+}
+
+inline forget_answer () {
+  answerLeft = false; answerToken = 0; answerLists = false; answerFollowsStart = false
 }
 
 inline start () {
@@ -179,7 +191,8 @@
   :: else
   fi;
   startSent[w] = true; startLife[w] = knownLife[w]; startToken[w] = token[w]; startSentAt[w] = now;
-  runOn = w; runToken = token[w]; isUnlisted = true; starts++; ownUntil[w] = now + RUN_LEASE
+  runOn = w; runToken = token[w]; isUnlisted = true; isConfirmed = false; starts++; ownUntil[w] = now + RUN_LEASE;
+  answerFollowsStart = false
 }
 
 inline extend () {
@@ -198,6 +211,7 @@
 
 inline learn_restart () {
   adopted[w] = false;
+  forget_answer();
 #ifdef FROM_RESTART
   strayUntil[w] = MAX(strayUntil[w], now + CALL_TICKS + MAX_LEASE);
 #else
@@ -273,6 +287,26 @@
   fi
 }
 
+/* The former life answers a heartbeat, and the answer is held up. */
+inline send_answer () {
+  highestToken[w] = token[w];
+  assume_start_gone();
+  answerLeft = true; answerToken = token[w]; answerLists = running[w]; answerFollowsStart = (runOn == w && isConfirmed)
+}
+
+inline receive_answer () {
+  if
+  :: !answerLists && runOn == w && isUnlisted && runToken < answerToken && !isConfirmed -> forget_run()
+#ifdef LATE_ANSWER
+  :: !answerLists && runOn == w && isConfirmed -> forget_run()
+#else
+  :: !answerLists && runOn == w && isConfirmed && answerFollowsStart -> forget_run()
+#endif
+  :: else
+  fi;
+  forget_answer()
+}
+
 inline write_active_row () {
   rowLife[w] = knownLife[w]; rowLapse[w] = 0; rowStray[w] = (strayUntil[w] > now + RUN_LEASE -> strayUntil[w] : 0)
 }
@@ -283,7 +317,7 @@
 }
 
 inline take_over (isNextShown) {
-  tookOver = true; forget_run(); strayMemberUntil = now + LATE + MAX_LEASE;
+  tookOver = true; forget_run(); forget_answer(); strayMemberUntil = now + LATE + MAX_LEASE;
   if
   :: isNextShown -> knownLife[0] = NEXT
   :: else
@@ -379,6 +413,9 @@
   :: d_step { now < MAX_TICKS && adopted[1] -> w = 1; lose(); w = 0 }
   :: d_step { now < MAX_TICKS && CAN_ANSWER(0) -> w = 0; answer(); w = 0 }
   :: d_step { now < MAX_TICKS && CAN_ANSWER(1) -> w = 1; answer(); w = 0 }
+  :: d_step { now < MAX_TICKS && runOn == 0 && isUnlisted && running[0] && !startSent[0] && !isConfirmed -> isConfirmed = true }
+  :: d_step { now < MAX_TICKS && CAN_ANSWER(0) && life[0] == FIRST && !answerLeft -> w = 0; send_answer(); w = 0 }
+  :: d_step { now < MAX_TICKS && answerLeft && knownLife[0] == FIRST && !isDead[0] && answerToken == token[0] -> w = 0; receive_answer(); w = 0 }
   :: d_step { now < MAX_TICKS && life[0] != knownLife[0] -> w = 0; connect(); w = 0 }
   :: d_step { now < MAX_TICKS && HAVE_LEASES_EXPIRED -> w = runOn; assume_calls_gone(); forget_run(); w = 0 }
   :: d_step { now < MAX_TICKS && (adopted[0] || !isDead[0]) -> w = 0; write_active_row(); w = 0 }
