fix(cell): an answer of a worker's former incarnation ends no run that the next one has confirmed

Cause: the answer to a start names no incarnation. A report that didn't list a confirmed run proved it gone if its clock was later, though that may be the clock of a former incarnation whose answer was held up; and a run that the former incarnation had listed counted as ended with it, though the next one had answered a repeated start. Change: a report proves something of a confirmed run only if its heartbeat was sent after the latest answer that confirmed a start of it: incarnations follow each other, so the one that answers later has answered the start, or came after that one.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -299,7 +299,7 @@
 })
 
 // Guards against TWICE: the answer of a former incarnation to a heartbeat counted as proof that a run was gone which the next one had confirmed.
-test.failing('a run that the next incarnation of a worker has confirmed is not repeated because of a late answer of the former one', async t => {
+test('a run that the next incarnation of a worker has confirmed is not repeated because of a late answer of the former one', async t => {
   const { cell, worker, other, daemon, register } = await createCell()
   let heldAnswers = 0
   worker.fault = command => command === 'hold' && heldAnswers++ === 0 ? { kind: 'answer-late', afterMs: 850, outlivesCrash: true } : undefined
@@ -317,3 +317,27 @@
   t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
   t.deepEqual(other.runningTasks(), [])
 })
+
+// Guards against TWICE: a run that the former incarnation of a worker had listed counted as ended with it, though the next one had answered a repeated start.
+test('a run of which the next incarnation of a worker has answered a repeated start does not end with the former one', async t => {
+  const { cell, worker, other, daemon, register } = await createCell()
+  let holds = 0
+  let starts = 0
+  worker.fault = command => {
+    if (command === 'hold') holds++
+    return command === 'start' && starts++ < 2 ? { kind: 'answer-late', afterMs: 650, outlivesCrash: true } : undefined
+  }
+  t.true(await cell.advanceUntil(() => holds > 0, 2_000))
+  await cell.clock.advance(HEARTBEAT_WAIT_MS - 100)
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => starts === 2, 400), 'the start has been repeated')
+  await cell.clock.advance(30)
+  worker.restart(2)
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 400), 'the next incarnation has taken the repeated start')
+  await cell.clock.advance(700)
+  register(2)
+  await cell.clock.advance(3_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
+  t.deepEqual(other.runningTasks(), [])
+})
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -67,7 +67,9 @@
   isSent = false
   /** Reading of the worker's clock when it confirmed the start; undefined until it has. */
   confirmedAtMs: number | undefined
-  /** True once a report of the worker's current incarnation has listed the run. The answer to a start names no incarnation. */
+  /** Monotonic time in milliseconds of the latest answer that confirmed a start of the run; it names no incarnation of the worker. */
+  answeredAt = -Infinity
+  /** Whether the worker's current incarnation has listed the run in answer to a heartbeat that was sent after `answeredAt`. */
   isListed = false
   /** Number of times that the start was sent without learning whether it was executed. */
   unansweredStarts = 0
@@ -110,6 +112,12 @@
     this.progressAt = now
   }
 
+  /** Records an answer that confirms a start: it may be of a later incarnation than the one that has listed the run. */
+  markAnswered (now: number): void {
+    this.answeredAt = now
+    this.isListed = false
+  }
+
   /** Records that the worker has confirmed the start. */
   markRunning (): void {
     if (this.state === 'starting') this.state = 'running'
@@ -126,6 +134,7 @@
     this.worker = worker
     if (this.state !== 'stopping') this.state = 'starting'
     this.confirmedAtMs = undefined
+    this.answeredAt = -Infinity
     this.isListed = false
     this.percent = 0
     this.startPercent = 0
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -126,6 +126,13 @@
   isOverdue: boolean
 }
 
+/** What an answer to a heartbeat can prove depends on when the heartbeat was sent. */
+interface SentHeartbeat {
+  readonly token: number
+  /** Monotonic time in milliseconds. */
+  readonly sentAt: number
+}
+
 /** Result of an accepted heartbeat. The promise is wrapped because an async function awaits a promise that it returns. */
 interface HeartbeatResult {
   /** Resolves once the finished runs that the worker listed are stored. */
@@ -537,6 +544,7 @@
     const res = await this.client.start(cmd, WORKER_TIMEOUT_MS)
     if (res.ok || res.val.verdict === 'not-run') run.unansweredStarts--
     if (res.err) return res
+    if (res.val.accepted) run.markAnswered(this.options.clock.now())
     return res.val.accepted ? Ok(res.val.clockMs) : Err(Failure.notRun(`${REFUSAL_CODE_PREFIX}${res.val.reason}`, 'The worker refused the start.'))
   }
 
@@ -574,9 +582,10 @@
     const leaseUntilMs = this.options.mayIssueCommands() ? nextUntilMs : undefined
     // An unreachable worker may have restarted, and its next incarnation numbers its finished runs anew.
     const acknowledged = this.isAdopted ? this.acknowledgedSequence : 0
+    const sentAt = clock.now()
     const res = await this.sendHeartbeat({ fencingToken: token, acknowledged, waitMs, ...(leaseUntilMs === undefined ? {} : { leaseUntilMs }) })
     if (!await this.options.jobsLoaded || this.isDead) return undefined
-    if (res.ok && res.val.accepted) return { finishedRunsStored: this.applyReport(res.val.report, token) }
+    if (res.ok && res.val.accepted) return { finishedRunsStored: this.applyReport(res.val.report, { token, sentAt }) }
     const reason = res.err ? res.val.reason : res.val.accepted ? '' : res.val.reason
     if (res.ok && !res.val.accepted && res.val.reason === 'other-life') this.declareDead()
     if (this.isAdopted) {
@@ -646,11 +655,12 @@
     if (clock.now() - sentAt > WORKER_TIMEOUT_MS) this.lateAnswerAt = clock.now()
     if (!res.val.accepted || !await jobsLoaded || this.isDead || this.isClosed) return
     log.debug('Heartbeat was answered late.', { worker: this.id, token, afterMs: Math.round(clock.now() - sentAt), ended: res.val.report.ended.length })
-    await this.applyReport(res.val.report, token, clock.now() - sentAt <= MAX_ADOPTION_ANSWER_MS)
+    await this.applyReport(res.val.report, { token, sentAt }, clock.now() - sentAt <= MAX_ADOPTION_ANSWER_MS)
   }
 
-  private applyReport (report: WorkerReport, token: number, mayAdopt = true): Promise<unknown> {
+  private applyReport (report: WorkerReport, heartbeat: SentHeartbeat, mayAdopt = true): Promise<unknown> {
     const { clock, log, events } = this.options
+    const { token } = heartbeat
     if (report.born !== this.entry.born) {
       log.info('Worker has restarted.', { worker: this.id, born: report.born, knownBorn: this.entry.born, runs: this.runs.size })
       this.declareRestarted()
@@ -665,7 +675,7 @@
       this.lastReportAt = clock.now()
     }
     const stored = this.applyFinishedRuns(report)
-    if (isNewest) this.applyRunning(report, token)
+    if (isNewest) this.applyRunning(report, heartbeat)
     if (!this.isAdopted && mayAdopt && token === this.token) {
       this.isAdopted = true
       if (!this.hasReported) this.limitStrayLease()
@@ -718,7 +728,7 @@
     }
   }
 
-  private applyRunning (report: WorkerReport, token: number) {
+  private applyRunning (report: WorkerReport, { token, sentAt }: SentHeartbeat) {
     const { clock, events } = this.options
     const listedKeys = new Set<string>()
     for (const listedRun of report.running) {
@@ -731,13 +741,14 @@
         run.progressAt = clock.now()
       }
       run.markRunning()
-      run.isListed = true
+      run.isListed = sentAt >= run.answeredAt
       run.confirmedAtMs ??= report.clockMs
     }
     if (report.ended.length >= MAX_FINISHED_RUNS_LISTED) return
     for (const [key, run] of [...this.runs]) {
       if (listedKeys.has(key)) continue
-      const wasConfirmed = run.confirmedAtMs !== undefined && report.clockMs > run.confirmedAtMs
+      // A heartbeat that was sent before may have been answered by the incarnation before the one that confirmed the run.
+      const wasConfirmed = run.confirmedAtMs !== undefined && report.clockMs > run.confirmedAtMs && sentAt >= run.answeredAt
       const cannotStart = run.confirmedAtMs === undefined && run.fencingToken < token
       if (!wasConfirmed && !cannotStart) continue
       this.removeRun(run)
