test(spec): the first leader may send a start twice

Cause: the model knew one call of each start, so that it couldn't show what a second one does on the next life of its worker. Change: a start that the former life has executed may have a second call, which the next life may carry out. A leader that knows of it keeps the run at a restart; a successor keeps each run that it has found while calls of its predecessor may come. The variant SUCCESSOR_COPY takes such a run for lost, as the code does. That a second call comes after its run has ended on the former life is left to the assumption that FENCED_START drops.

--- a/spec/restart.pml
+++ b/spec/restart.pml
@@ -1,7 +1,7 @@
 /*
  * A worker that restarts under its id. One leader starts one task on one of two workers; a second leader, which knows
  * only the roster and the registry, may take over once. The first worker may restart once, at any moment. Its next life
- * has no runs, has seen no fencing token, and its clock begins anew. Calls, that is starts and the heartbeats that extend
+ * has no runs, has seen no fencing token, and its clock begins anew. The first leader may send a start to it twice. Calls, that is starts and the heartbeats that extend
  * leases, may be carried out until LATE ticks after they were sent, or be lost. A stray call, one that was sent to the
  * former life and is carried out by the next one, has a deadline far ahead on the clock there and makes the lease as long
  * as a worker grants. A lease applies to all that runs on the worker and is never shortened. Heartbeats that extend no
@@ -16,8 +16,8 @@
  * - A restart is shown by the registry or by a report before the leases of the former life have expired. A leader that has
  *   not seen it therefore waits, and what was sent to a life whose leases have expired is carried out by no later one
  *   (LATER_RESTART drops the second half).
- * - A start that an answer under a higher token has proved not to run on the former life isn't carried out by the next one
- *   (FENCED_START drops this).
+ * - A start that an answer under a higher token has proved not to run on the former life isn't carried out by the next one,
+ *   nor is the second send of a start whose run has ended there (FENCED_START drops this).
  * - The former life answers no call after the restart, so that its leader takes it for lost at most NOTICE ticks later; one
  *   answer to a heartbeat that has left it before may come later.
  *   The registry of a new leader shows what that of its predecessor has shown, and only one leader sends calls.
@@ -31,7 +31,9 @@
  * longest lease is counted from when the restart was learned and one call more, also once the life is adopted),
  * ADOPT_SHORT (from the adoption of a life on only the leader's own leases count), REGISTERED_ONLY (a new leader waits for
  * the leases of stray calls if the registry shows the restart, but not if only a report does), LATE_ANSWER (an answer to a
- * heartbeat that was sent before the start was confirmed proves that the run has ended), and those that drop an assumption.
+ * heartbeat that was sent before the start was confirmed proves that the run has ended), SUCCESSOR_COPY (a new leader takes
+ * a run that it has found for lost with its life, though its predecessor may have sent the start twice), and those that
+ * drop an assumption.
  */
 #define WORKERS 2
 #define FIRST 0
@@ -63,6 +65,9 @@
 bit startLife[WORKERS];
 byte startToken[WORKERS];
 byte startSentAt[WORKERS];
+bool copySent = false;     /* a start to the former life was sent twice and has been executed once */
+byte copyToken = 0;
+byte copySentAt = 0;
 bool extensionSent = false;
 bit extensionLife = FIRST;
 byte extensionToken = 0;
@@ -94,6 +99,8 @@
 byte runOn = NONE;         /* worker on which the task runs or may run */
 byte runToken = 0;
 bool isUnlisted = false;   /* no report of a known life has listed that run yet */
+bool mayHaveCopy = false;  /* a start of that run may have been sent twice without an answer to both */
+byte earlierCallsUntil = 0; /* first tick at which no call of the predecessor is carried out any more */
 bool isConfirmed = false;  /* the start of that run was answered, by whichever life */
 
 #define MAX(a, b) ((a) > (b) -> (a) : (b))
@@ -118,6 +125,23 @@
   extensionSent = false; extensionLife = FIRST; extensionToken = 0; extensionSentAt = 0
 }
 
+inline forget_copy () {
+  copySent = false; copyToken = 0; copySentAt = 0
+}
+
+/* The next life carries out the second send of a start that the former one has executed. */
+inline receive_copy () {
+  if
+  :: copyToken >= highestToken[w] ->
+     highestToken[w] = copyToken;
+     assert(!running[0] && !running[1]);
+     running[w] = true;
+     leaseUntil[w] = now + MAX_LEASE
+  :: else
+  fi;
+  forget_copy()
+}
+
 inline receive_start () {
   if
   :: startToken[w] >= highestToken[w] && (startLife[w] != life[w] || startSentAt[w] + RUN_LEASE > now) ->
@@ -152,6 +176,10 @@
   if
   :: startSent[w] && startToken[w] < highestToken[w] -> forget_start()
   :: else
+  fi;
+  if
+  :: w == 0 && life[w] == FIRST && !running[w] -> forget_copy()
+  :: else
   fi
 #else
   skip
@@ -164,7 +192,7 @@
   :: life[w] == FIRST ->
      forget_start();
      if
-     :: w == 0 -> forget_extension()
+     :: w == 0 -> forget_extension(); forget_copy()
      :: else
      fi
   :: else
@@ -177,7 +205,7 @@
 /* Leaders */
 
 inline forget_run () {
-  runOn = NONE; isUnlisted = false; runToken = 0; isConfirmed = false
+  runOn = NONE; isUnlisted = false; runToken = 0; isConfirmed = false; mayHaveCopy = false
 }
 
 inline forget_answer () {
@@ -191,7 +219,7 @@
   :: else
   fi;
   startSent[w] = true; startLife[w] = knownLife[w]; startToken[w] = token[w]; startSentAt[w] = now;
-  runOn = w; runToken = token[w]; isUnlisted = true; isConfirmed = false; starts++; ownUntil[w] = now + RUN_LEASE;
+  runOn = w; runToken = token[w]; isUnlisted = true; isConfirmed = false; mayHaveCopy = false; starts++; ownUntil[w] = now + RUN_LEASE;
   answerFollowsStart = false
 }
 
@@ -223,7 +251,8 @@
 #ifdef LOSE_ALL
   :: runOn == w -> forget_run()
 #else
-  :: runOn == w && !isUnlisted -> forget_run()
+  :: runOn == w && !isUnlisted && !mayHaveCopy -> forget_run()
+  :: runOn == w && !isUnlisted && mayHaveCopy -> isUnlisted = true
 #endif
   :: else
   fi
@@ -278,7 +307,14 @@
 #endif
   :: else ->
      if
-     :: running[w] -> runOn = w; isUnlisted = false; runToken = 0
+     :: running[w] ->
+#ifndef SUCCESSOR_COPY
+        if
+        :: runOn == NONE && earlierCallsUntil != 0 -> mayHaveCopy = true
+        :: else
+        fi;
+#endif
+        runOn = w; isUnlisted = false; runToken = 0
      :: !running[w] && runOn == w && isUnlisted && runToken >= token[w] -> skip /* may still arrive */
      :: !running[w] && runOn == w && !(isUnlisted && runToken >= token[w]) -> forget_run()
      :: else
@@ -317,7 +353,7 @@
 }
 
 inline take_over (isNextShown) {
-  tookOver = true; forget_run(); forget_answer(); strayMemberUntil = now + LATE + MAX_LEASE;
+  tookOver = true; forget_run(); forget_answer(); strayMemberUntil = now + LATE + MAX_LEASE; earlierCallsUntil = now + LATE + 1;
   if
   :: isNextShown -> knownLife[0] = NEXT
   :: else
@@ -367,6 +403,11 @@
   fi;
   if
   :: w == 0 ->
+     zero_if_past(earlierCallsUntil);
+     if
+     :: copySent && copySentAt + LATE + 1 <= now -> forget_copy()
+     :: else
+     fi;
      if
      :: extensionSent && extensionSentAt + (extensionLife == FIRST -> LATE + 1 : RUN_LEASE) <= now -> forget_extension()
      :: else
@@ -402,6 +443,12 @@
   /* workers; a call that is lost is never carried out, or replaced by the next one */
   :: d_step { now < MAX_TICKS && startSent[0] -> w = 0; receive_start(); w = 0 }
   :: d_step { now < MAX_TICKS && startSent[1] -> w = 1; receive_start(); w = 0 }
+  :: d_step {
+       now < MAX_TICKS && !tookOver && runOn == 0 && runToken == startToken[0] && startSent[0] && life[0] == FIRST && startToken[0] >= highestToken[0] && startSentAt[0] + RUN_LEASE > now ->
+       copySent = true; copyToken = startToken[0]; copySentAt = startSentAt[0]; mayHaveCopy = true;
+       w = 0; receive_start(); w = 0
+     }
+  :: d_step { now < MAX_TICKS && copySent && life[0] == NEXT -> w = 0; receive_copy(); w = 0 }
   :: d_step { now < MAX_TICKS && extensionSent -> w = 0; receive_extension(); w = 0 }
   :: d_step { now < MAX_TICKS && life[0] == FIRST -> w = 0; restart(); w = 0 }
 
