fix(cell): a run that a new leader has found may be on the next incarnation of its worker

Cause: a leader that has sent a start twice knows that the second call may still be carried out, and keeps the run when its worker restarts. Its successor knows only that the worker lists the run, and took it for lost with the incarnation.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -341,3 +341,30 @@
   t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
   t.deepEqual(other.runningTasks(), [])
 })
+
+// Guards against TWICE: a new leader took a run that it had found on a worker for lost with that incarnation, while the next
+// one had carried out a start that the predecessor had sent again.
+test('a run that a new leader has found is not repeated where the next incarnation has taken a repeated start of its predecessor', async t => {
+  const { cell, worker, other, daemon, register } = await createCell()
+  let starts = 0
+  worker.fault = command => {
+    if (command !== 'start') return undefined
+    return ++starts === 1 ? { kind: 'answer-late', afterMs: 400 } : { kind: 'applied-late', afterMs: 4_000 }
+  }
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => starts === 2, 400), 'the start has been repeated')
+  await cell.clock.advance(500)
+  daemon.crash()
+  cell.startDaemon('d2')
+  t.true(await cell.advanceUntil(() => cell.leader() !== undefined, 3_000))
+  await cell.clock.advance(ADOPTION_MS)
+  t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  await cell.clock.advance(5_000)
+  t.deepEqual(cell.audit.violations, [])
+  await cell.clock.advance(25_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
+})
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -73,6 +73,8 @@
   isListed = false
   /** Number of times that the start was sent without learning whether it was executed. */
   unansweredStarts = 0
+  /** Monotonic time in milliseconds until which a start may be carried out that an earlier leader has sent without learning the same. */
+  earlierStartsUntil = -Infinity
   percent = 0
   /** Progress in percent when this leader started or adopted the run. */
   startPercent = 0
@@ -125,8 +127,8 @@
   }
 
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
-  mayOutliveIncarnation (): boolean {
-    return this.isSent && (!this.isListed || this.unansweredStarts > 0)
+  mayOutliveIncarnation (now: number): boolean {
+    return this.isSent && (!this.isListed || this.unansweredStarts > 0 || now <= this.earlierStartsUntil)
   }
 
   /** Continues the run on the next incarnation of its worker, which hasn't confirmed it yet. */
--- a/packages/cell/src/testing/silentWorkers.ts
+++ b/packages/cell/src/testing/silentWorkers.ts
@@ -27,6 +27,7 @@
       taskLeaseMs: 5_000,
       maxTaskLeaseMs: 6_000,
       predecessorActiveMs: 0,
+      earlierCallsUntil: 0,
       events: { startPlanned: async () => {}, mayStart: () => true } as never,
       usage,
       startWindow: DEFAULT_START_WINDOWS.worker,
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -95,6 +95,8 @@
   readonly maxTaskLeaseMs: number
   /** Time for which an earlier leader may still extend the lease before the worker is adopted, in milliseconds. */
   readonly predecessorActiveMs: number
+  /** Monotonic time until which a call of an earlier leader may be carried out. */
+  readonly earlierCallsUntil: number
   readonly events: WorkerEvents
   /** Takes note of the runs on all workers. */
   readonly usage: RunUsage
@@ -384,7 +386,7 @@
     this.unreachableSince ??= clock.now()
     this.expectStrayLease(clock.now() + latestStrayExpiryMs(maxTaskLeaseMs))
     this.reportCrash()
-    this.reportLost('worker-restarted', run => !run.mayOutliveIncarnation())
+    this.reportLost('worker-restarted', run => !run.mayOutliveIncarnation(clock.now()))
     if (this.runs.size > 0) log.info('Starts are kept until the next incarnation of the worker is adopted.', { worker: this.id, runs: [...this.runs.keys()] })
   }
 
@@ -466,6 +468,7 @@
     run.state = 'running'
     run.isSent = true
     run.isListed = true
+    run.earlierStartsUntil = this.options.earlierCallsUntil
     run.percent = listed.percent
     run.startPercent = listed.percent
     run.checkpoint = listed.checkpoint
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -2,7 +2,7 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import { supervise } from '@citronnotch/base/supervise'
-import { READY_PERCENT, REGISTRY_POLL_MS, REGISTRY_RETRY_OLD_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
+import { MAX_CALL_DELAY_MS, READY_PERCENT, REGISTRY_POLL_MS, REGISTRY_RETRY_OLD_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import type { RunUsage } from './accounts/index.js'
 import type { LeaderStartWindow } from './leaderStartWindow.js'
@@ -330,7 +330,7 @@
     const { clients, epoch, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, usage, startWindow, leaderStartWindow, mayIssueCommands, jobsLoaded, clock, log } = this.options
     const firstToken = (previous?.lastToken() ?? this.lastTokens.get(entry.id) ?? epoch * TOKENS_PER_EPOCH) + 1
     const link: WorkerLink = WorkerLink.create({
-      entry, clients, firstToken, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, events, usage, startWindow, leaderStartWindow, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log
+      entry, clients, firstToken, taskLeaseMs, maxTaskLeaseMs, predecessorActiveMs, earlierCallsUntil: this.createdAt + predecessorActiveMs + MAX_CALL_DELAY_MS, events, usage, startWindow, leaderStartWindow, mayIssueCommands, jobsLoaded, mayExtendLeases: () => this.roster.hasActive(link.entry), clock, log
     }, previous)
     if (previous !== undefined) this.drop(previous, 'restarted')
     const gone = this.goneLinks.get(entry.address)
