fix(cell): a late answer of a worker's former incarnation ends no run that the next one has taken

A worker executes a start, the run fails, the answer that lists the end is held up, the worker restarts, and its next incarnation takes the start that the leader has sent again. Cause: lets no report end a run by not listing it if its heartbeat was sent before the start was answered last. The list of ends had no such condition: the end of the run on the former incarnation counted as the end of the one on the next. Change: the end of a run whose start was sent more than once, other than as done, counts only from a heartbeat that was sent after the latest answer to the start, and once no call of the start is open. An end as done starts nothing again.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -368,3 +368,28 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`], 'the task is started elsewhere once its lease has passed')
 })
+
+// Guards against TWICE: the former incarnation of a worker had listed the end of a failed run in a late answer, and the next one had answered a repeated start.
+test('a run of which the next incarnation of a worker has answered a repeated start does not end with a late end of the former one', async t => {
+  const { cell, worker, other, daemon, register } = await createRestartCell({
+    durationMs: LONG_RUN_MS, clockStartMs, behaviour: (_task, _run, { born }) => born === 1 ? { durationMs: 50, end: 'failed' } : { durationMs: LONG_RUN_MS, end: 'done' }
+  })
+  let holds = 0
+  let starts = 0
+  worker.fault = command => {
+    if (command === 'hold') return holds++ === 0 ? { kind: 'answer-late', afterMs: 600, outlivesCrash: true } : undefined
+    return starts++ === 0 ? { kind: 'answer-lost' } : undefined
+  }
+  t.true(await cell.advanceUntil(() => holds > 0, 2_000))
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => starts === 1, 400))
+  await cell.clock.advance(80)
+  worker.restart(2)
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 400), 'the next incarnation has taken the repeated start')
+  await cell.clock.advance(1_000)
+  register(2)
+  await cell.clock.advance(3_000)
+  t.deepEqual(cell.audit.violations, [])
+  t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
+  t.deepEqual(other.runningTasks(), [])
+})
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -73,6 +73,9 @@
   isListed = false
   /** Number of times that the start was sent without learning whether it was executed. */
   unansweredStarts = 0
+  /** Number of times that the start was sent, and number of these calls that are open. */
+  private sentStarts = 0
+  private openStarts = 0
   /** Monotonic time in milliseconds until which a start may be carried out that an earlier leader has sent without learning the same. */
   earlierStartsUntil = -Infinity
   percent = 0
@@ -114,6 +117,27 @@
     this.progressAt = now
   }
 
+  /** Records that the start is sent once more. */
+  beginStart (): void {
+    this.sentStarts++
+    this.openStarts++
+    this.unansweredStarts++
+  }
+
+  /** Records the outcome of one of these calls. `isCertain`: whether it is known if the start was executed. */
+  endStart (isCertain: boolean): void {
+    this.openStarts--
+    if (isCertain) this.unansweredStarts--
+  }
+
+  /**
+   * Whether a report of an incarnation, in answer to a heartbeat that was sent at this monotonic time, may list the end of
+   * the run while the next incarnation has taken it: the start was sent again, and may have been answered since.
+   */
+  mayBeOnNextIncarnation (sentAt: number): boolean {
+    return this.sentStarts > 1 && (this.openStarts > 0 || sentAt < this.answeredAt)
+  }
+
   /** Records an answer that confirms a start: it may be of a later incarnation than the one that has listed the run. */
   markAnswered (now: number): void {
     this.answeredAt = now
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -543,9 +543,9 @@
   private async startOnce (run: Run, cmd: StartCommand): Promise<Result<number, Failure>> {
     // Checked after the end of the lease was computed: a leader that was suspended before then may have been replaced.
     if (this.isDead || !this.tracked.has(run) || !this.options.mayIssueCommands()) return Err(Failure.notRun('start-withdrawn', 'The start is not needed any more.'))
-    run.unansweredStarts++
+    run.beginStart()
     const res = await this.client.start(cmd, WORKER_TIMEOUT_MS)
-    if (res.ok || res.val.verdict === 'not-run') run.unansweredStarts--
+    run.endStart(res.ok || res.val.verdict === 'not-run')
     if (res.err) return res
     if (res.val.accepted) run.markAnswered(this.options.clock.now())
     return res.val.accepted ? Ok(res.val.clockMs) : Err(Failure.notRun(`${REFUSAL_CODE_PREFIX}${res.val.reason}`, 'The worker refused the start.'))
@@ -677,7 +677,7 @@
       this.workerClockMs = report.clockMs
       this.lastReportAt = clock.now()
     }
-    const stored = this.applyFinishedRuns(report)
+    const stored = this.applyFinishedRuns(report, heartbeat)
     if (isNewest) this.applyRunning(report, heartbeat)
     if (!this.isAdopted && mayAdopt && token === this.token) {
       this.isAdopted = true
@@ -704,11 +704,11 @@
     if (runs.length > 0) this.options.events.runsSettled(runs)
   }
 
-  private applyFinishedRuns (report: WorkerReport): Promise<unknown> {
+  private applyFinishedRuns (report: WorkerReport, heartbeat: SentHeartbeat): Promise<unknown> {
     const { events } = this.options
-    const unacknowledged = report.ended.filter(finishedRun => finishedRun.sequence > this.acknowledgedSequence)
-    if (unacknowledged.length === 0) return Promise.resolve()
-    const stored = unacknowledged.map(finishedRun => {
+    const finishedRuns = this.certainEnds(report, heartbeat)
+    if (finishedRuns.length === 0) return Promise.resolve()
+    const stored = finishedRuns.map(finishedRun => {
       const pendingWrite = this.pendingWrites.get(finishedRun.sequence)
       if (pendingWrite !== undefined) return pendingWrite.stored
       const run = this.runs.get(runKeyOf(finishedRun.task, finishedRun.run))
@@ -721,6 +721,16 @@
     return Promise.all(stored)
   }
 
+  /**
+   * Ends that aren't acknowledged, before the first one after which a task would start again although the next incarnation
+   * may have the run; the worker lists the others again.
+   */
+  private certainEnds (report: WorkerReport, { sentAt }: SentHeartbeat): readonly FinishedRun[] {
+    const ends = report.ended.filter(({ sequence }) => sequence > this.acknowledgedSequence)
+    const uncertain = ends.findIndex(({ task, run, status }) => status !== 'done' && this.runs.get(runKeyOf(task, run))?.mayBeOnNextIncarnation(sentAt) === true)
+    return uncertain === -1 ? ends : ends.slice(0, uncertain)
+  }
+
   /** Acknowledges the stored ends before the first one that is not stored; a worker forgets ends in order. */
   private acknowledgeStored (pending: PendingWrite) {
     pending.isStored = true
