test(cell): ends on the next incarnation, and starts that were sent twice, marked as failing

Cause: reviewing: heartbeats acknowledge ends by a number that each incarnation begins anew, and a call that was sent twice may be carried out by two incarnations. Change: two tests that fail on this code.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -393,3 +393,43 @@
   t.deepEqual(worker.runningTasks(), [`${jobId}.0.0.0`])
   t.deepEqual(other.runningTasks(), [])
 })
+
+// Guards against TWICE: after a late answer of the former incarnation, a leader acknowledged its ends to the next one, which numbers its own anew.
+test.failing('a late answer of the former incarnation of a worker lets no heartbeat forget an end of the next one', async t => {
+  const { cell, worker, daemon, register } = await createRestartCell({ durationMs: 50, clockStartMs })
+  let heldAnswers = 0
+  worker.fault = command => command === 'hold' && heldAnswers++ === 0 ? { kind: 'answer-late', afterMs: 700, outlivesCrash: true } : undefined
+  t.true(await cell.advanceUntil(() => heldAnswers > 0, 2_000))
+  const first = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 200))
+  await cell.clock.advance(80)
+  worker.crash()
+  await cell.clock.advance(500)
+  worker.restart(2)
+  const second = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(3_000)
+  register(2)
+  await cell.clock.advance(5_000)
+  t.is(cell.leader()?.stateOf(first), 'completed')
+  t.is(cell.leader()?.stateOf(second), 'completed')
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against TWICE: a start that was sent twice is carried out by the next incarnation once its run has ended on the former one.
+test.failing('a repeated start is not carried out by the next incarnation of a worker after the end of its run', async t => {
+  const { cell, worker, daemon, register } = await createRestartCell({ durationMs: 1_000, clockStartMs })
+  let starts = 0
+  worker.fault = command => {
+    if (command !== 'start') return undefined
+    return ++starts === 1 ? { kind: 'answer-late', afterMs: 400 } : { kind: 'applied-late', afterMs: 4_000 }
+  }
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 3_000))
+  t.true(starts > 1, 'the start has been repeated')
+  await cell.clock.advance(500)
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  await cell.clock.advance(5_000)
+  t.deepEqual(cell.audit.violations, [])
+})
