test(soak): two runs at once are shown with who ordered them and how they ended

Cause: the violation names the two workers. Whether the runs have the form of an incident (one daemon, in time, the first one ended as done) could be seen only by putting the logs together by hand. Change: the soak prints for each pair the daemon, epoch, times and end of both runs, whether the end was acknowledged, and for which reason a leader repeated the task.

--- a/packages/cell/src/testing/audit.ts
+++ b/packages/cell/src/testing/audit.ts
@@ -3,11 +3,19 @@
 import { formatStepId, formatTaskId } from '../types.js'
 import type { JobSpec, ResourceVector, FinishStatus, TaskId } from '../types.js'
 
-interface ObservedRun {
+export interface ObservedRun {
   readonly workerId: string
   readonly run: number
 }
 
+/** A run that was started while an earlier one of the same task was under way. */
+export interface DoubleRun {
+  readonly task: string
+  readonly run: number
+  readonly workerId: string
+  readonly earlier: ObservedRun
+}
+
 /** A run that has ended as done. */
 interface DoneEnd {
   /** Whether the worker's lease has lapsed since, and whether any run was killed by that. */
@@ -28,6 +36,8 @@
 /** Checks the scheduling guarantees from outside the product: observes what workers run and collects all violations. */
 export class Audit {
   readonly violations: string[] = []
+  /** Runs among the violations that were started beside an earlier one. */
+  readonly doubleRuns: DoubleRun[] = []
   /**
    * Starts after an end that was acknowledged although the worker's lease had passed meanwhile, without a run that it
    * killed: allowed if a lease lapses by its time, and a violation if it takes a run that is killed.
@@ -83,7 +93,11 @@
     else if (spec.payload !== payload) this.violations.push(`${taskName} started with another payload`)
     if (step?.longRunning !== true) this.checkEnds(`${taskName} run ${run} started on ${workerId}`, task, step?.speculative === true, now, isLate)
     const concurrentRuns = this.observedRuns.get(taskName) ?? []
-    if (concurrentRuns.length > 0 && step?.speculative !== true) this.violations.push(`${taskName} run ${run} started on ${workerId} while run ${concurrentRuns[0]?.run} is on ${concurrentRuns[0]?.workerId}`)
+    const [earlier] = concurrentRuns
+    if (earlier !== undefined && step?.speculative !== true) {
+      this.violations.push(`${taskName} run ${run} started on ${workerId} while run ${earlier.run} is on ${earlier.workerId}`)
+      this.doubleRuns.push({ task: taskName, run, workerId, earlier })
+    }
     for (const dependency of step?.after ?? []) {
       if (!this.isStepDone(task, dependency, spec?.steps[dependency]?.count ?? 0)) this.violations.push(`${taskName} started before step ${dependency} was done`)
     }
--- a/soak/src/index.ts
+++ b/soak/src/index.ts
@@ -56,7 +56,7 @@
         console.error(`Port ${usedPort} of 127.0.0.1 is in use, perhaps by the daemons of another soak. End them or choose other ports with --port.`)
         process.exit(1)
       }
-      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, logFolder, crashReport } = await runSeed({
+      const { jobs, accepted, faults, violations, startsAfterIdleLapse, earlyLapses, longestStallMs, knownFailures, doubleRuns, logFolder, crashReport } = await runSeed({
         seed,
         faultPeriodMs: options.seconds * 1_000,
         daemons: options.daemons,
@@ -72,6 +72,7 @@
       for (const failure of knownFailures) console.log(`  known to fail, passed over: ${failure}, before Node.js had started`)
       if (startsAfterIdleLapse.length > 0) console.log(`  ${startsAfterIdleLapse.length} starts after an end under a lease that passed without killing a run, such as: ${startsAfterIdleLapse[0]}`)
       if (earlyLapses.length > 0) console.log(`  ${earlyLapses.length} leases counted as lapsed too early, such as: ${earlyLapses[0]}`)
+      for (const line of doubleRuns) console.log(`  ${line}`)
       for (const line of crashReport) console.log(`  ${line}`)
       if (trouble !== undefined || violations.length > 0) console.log(`  faults: ${trouble ?? faults.join(' ')}\n  logs: ${logFolder}`)
       if (violations.length === 0) continue
--- a/soak/src/leaseRecord.ts
+++ b/soak/src/leaseRecord.ts
@@ -2,6 +2,7 @@
 import type { WriteStream } from 'node:fs'
 import { join } from 'node:path'
 import type { Log, LogFields } from '@citronnotch/base/logger'
+import { RunRecord } from './runRecord.js'
 
 interface HeldLease {
   readonly fromMs: number
@@ -13,6 +14,7 @@
 
 /** Writes the log of the workers beside those of the daemons, and keeps the leases that the workers have held. */
 export class LeaseRecord implements Log {
+  readonly runs = RunRecord.create()
   private readonly leases = new Map<unknown, HeldLease[]>()
 
   private constructor (private readonly file: WriteStream) {}
@@ -27,6 +29,7 @@
 
   info (message: string, fields: LogFields = {}): void {
     const now = Date.now()
+    this.runs.add(message, fields, now)
     const leases = this.leases.get(fields.worker) ?? []
     this.leases.set(fields.worker, leases)
     if (message === 'Lease extended.') leases.push({ fromMs: now, untilMs: now + Number(fields.endsInMs) })
--- a/soak/src/run.ts
+++ b/soak/src/run.ts
@@ -51,6 +51,8 @@
   readonly longestStallMs: number
   /** Exits by a signal that arrived before Node.js had started; see KNOWN-RED.txt. */
   readonly knownFailures: readonly string[]
+  /** Both runs of each task that ran twice at once, one line each. */
+  readonly doubleRuns: readonly string[]
   readonly logFolder: string
   /** What was seen of the tasks that crash their workers, one line each. */
   readonly crashReport: readonly string[]
@@ -194,7 +196,8 @@
   const violations = [...audit.violations, ...daemons.flatMap(daemon => daemon.unexpectedExits()), ...crashRun?.violations() ?? []]
   const knownFailures = daemons.flatMap(daemon => daemon.exitsByEarlySignal())
   await stopDaemons()
-  const earlyLapses = leases.earlyLapses(daemons.map(({ settings }) => join(logFolder, `${settings.name}.log`)))
+  const logsOfDaemons = new Map(daemons.map(({ settings: { name } }) => [name, join(logFolder, `${name}.log`)]))
+  const earlyLapses = leases.earlyLapses([...logsOfDaemons.values()])
   process.off('exit', stopDaemons)
   clearInterval(registerTimer)
   emulator.close()
@@ -210,6 +213,7 @@
     earlyLapses,
     longestStallMs: stalls.max / NANOSECONDS_PER_MS,
     knownFailures,
+    doubleRuns: leases.runs.describe(audit.doubleRuns, logsOfDaemons),
     logFolder,
     crashReport: crashRun?.report() ?? []
   }
