test(soak): workers that restart while an answer of theirs is on its way

Change: the shape late-answers holds the answer to a heartbeat up, restarts the worker as soon as it has left, and lets the registry show the restart later, beside the faults of short restarts and tasks of 5.6 to 10.4 s.

--- a/packages/cell/src/__tests__/memoryWorker.test.ts
+++ b/packages/cell/src/__tests__/memoryWorker.test.ts
@@ -41,3 +41,15 @@
     t.is(worker.runningTasks().length, 1)
   })
 }
+
+// Guards against a soak that never holds an answer up across a restart: a crash at the moment at which it leaves must not take it back.
+test('an answer that has left arrives while the next incarnation runs', async t => {
+  const { clock, worker } = createWorker()
+  worker.fault = () => ({ kind: 'answer-late', afterMs: 300, outlivesCrash: true, onLeft: () => worker.restart(2) })
+  const answer = worker.client().heartbeat({ fencingToken: 1, acknowledged: 0, waitMs: 0 }, TIMEOUT_MS)
+  await clock.advance(200)
+  t.is(worker.entry.born, 2)
+  await clock.advance(200)
+  const res = await answer
+  t.is(res.ok && res.val.accepted ? res.val.report.born : undefined, 1)
+})
--- a/packages/cell/src/testing/memoryWorker.ts
+++ b/packages/cell/src/testing/memoryWorker.ts
@@ -16,8 +16,8 @@
 /** Fault injected into a command to a worker. */
 export type CommandFault =
   | { readonly kind: 'answer-lost' }
-  /** The command is executed at once, and its answer takes this long. `outlivesCrash`: the answer arrives although its incarnation ends meanwhile. */
-  | { readonly kind: 'answer-late', readonly afterMs: number, readonly outlivesCrash?: boolean }
+  /** The command is executed at once, and its answer takes this long. `outlivesCrash`: the answer arrives although its incarnation ends meanwhile. `onLeft` is called when the answer leaves. */
+  | { readonly kind: 'answer-late', readonly afterMs: number, readonly outlivesCrash?: boolean, readonly onLeft?: () => void }
   /** `isQueued`: the worker holds the command back, which is lost with the incarnation; otherwise the network does. */
   | {
     readonly kind: 'applied-late'
@@ -217,6 +217,7 @@
       const outcome = await execute(IN_TIME)
       this.noteListedEnds(outcome)
       const hasLeft = fault.outlivesCrash === true && this.crashes === crashes
+      fault.onLeft?.()
       await clock.sleep(Math.min(fault.afterMs, timeoutMs))
       if ((hasLeft || this.crashes === crashes) && fault.afterMs < timeoutMs) return Ok(outcome)
       return Err(Failure.mayHaveRun('worker-answer-lost', 'The answer of the worker was lost.'))
--- a/soak/src/leaderFaults.ts
+++ b/soak/src/leaderFaults.ts
@@ -116,8 +116,47 @@
   ...pickFaults('terminate')
 }
 
+/** Time for which an answer to a heartbeat is held up, within the timeout of the call, and without power after it has left, in milliseconds. */
+const MIN_ANSWER_HELD_MS = 700
+const MAX_ANSWER_HELD_MS = 860
+const MIN_BRIEF_DOWN_MS = 150
+const MAX_BRIEF_DOWN_MS = 450
+
+/** Faults of the shape `late-answers`: answers of former incarnations arrive when the next ones have taken starts. */
+export const LATE_ANSWER_FAULTS: Readonly<Record<string, Fault>> = {
+  restartBehindHeldAnswer: (targets, random) => restartBehindHeldAnswer(targets, random),
+  ...SHORT_RESTART_FAULTS
+}
+
 const restartingWorkers = new WeakSet<MemoryWorker>()
 
+/** A third of the workers restart while the answers to their latest heartbeats are held up. The registry shows the restarts when it is next renewed. */
+function restartBehindHeldAnswer ({ workers }: FaultTargets, random: Random) {
+  const first = random.between(0, workers.length - 1)
+  for (let offset = 0; offset < Math.ceil(workers.length / 3); offset++) {
+    const worker = workers[(first + offset) % workers.length]
+    const heldMs = random.between(MIN_ANSWER_HELD_MS, MAX_ANSWER_HELD_MS)
+    const downMs = random.between(MIN_BRIEF_DOWN_MS, MAX_BRIEF_DOWN_MS)
+    if (worker === undefined || restartingWorkers.has(worker)) continue
+    restartingWorkers.add(worker)
+    const restart = () => {
+      worker.fault = () => undefined
+      worker.restart(Date.now())
+      restartingWorkers.delete(worker)
+    }
+    const onLeft = () => {
+      worker.crash()
+      setTimeout(restart, downMs)
+    }
+    let isHeld = false
+    worker.fault = command => {
+      if (command !== 'hold' || isHeld) return undefined
+      isHeld = true
+      return { kind: 'answer-late', afterMs: heldMs, outlivesCrash: true, onLeft }
+    }
+  }
+}
+
 /** A third of the workers return under their ids, carry out what was sent to their former incarnations, and are cut off. Returns the time until they are back. */
 function restartThenCut ({ workers, workerLinks, emulator }: FaultTargets, random: Random): number {
   const first = random.between(0, workers.length - 1)
--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -2,7 +2,7 @@
 import type { JobSpec, ResourceVector, TaskId } from '@citronnotch/cell'
 import { FAULTS, MORE_FAULTS, REFUSAL_FAULTS } from './faults.js'
 import type { Fault } from './faults.js'
-import { LATE_MESSAGE_FAULTS, LEADER_FAULTS, SHORT_RESTART_FAULTS } from './leaderFaults.js'
+import { LATE_ANSWER_FAULTS, LATE_MESSAGE_FAULTS, LEADER_FAULTS, SHORT_RESTART_FAULTS } from './leaderFaults.js'
 import type { Random } from './random.js'
 
 /** What kind of cell a soak plays: its jobs, workers, bounds and faults. */
@@ -89,6 +89,18 @@
   checksLeases: true
 }
 
+/** A task that may end while its worker is cut off and its lease lasts; it runs for 5.6 to 10.4 s. */
+const MEDIUM_JOB = { ...LONG_JOB, estimated_ms: 8_000 }
+
+/** Workers that restart while an answer of theirs is on its way, beside tasks that end under the lease of a worker that is cut off. */
+const LATE_ANSWERS: Shape = {
+  ...SHORT_RESTARTS,
+  randomSteps: random => random.chance(0.35) ? [MEDIUM_JOB] : TANGLAW_SKED.randomSteps(random),
+  faults: LATE_ANSWER_FAULTS,
+  // Tasks under which several workers crash may be given up.
+  maxPauseMs: 6_000
+}
+
 /** Daemons that the store refuses, for long and many at a time, beside changes of the configuration. */
 const REFUSED_DAEMONS: Shape = { ...DEFAULT_SHAPE, faults: REFUSAL_FAULTS, maxPauseMs: 5_000, hasChangeSeries: false }
 
@@ -105,4 +117,4 @@
   hasPeerProxies: true
 }
 
-export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS, 'late-messages': LATE_MESSAGES, 'short-restarts': SHORT_RESTARTS }
+export const SHAPES: Readonly<Record<string, Shape>> = { default: DEFAULT_SHAPE, 'tanglaw-sked': TANGLAW_SKED, 'refused-daemons': REFUSED_DAEMONS, 'late-messages': LATE_MESSAGES, 'short-restarts': SHORT_RESTARTS, 'late-answers': LATE_ANSWERS }
