--- a/soak/src/shape.ts
+++ b/soak/src/shape.ts
@@ -96,9 +96,7 @@
 const LATE_ANSWERS: Shape = {
   ...SHORT_RESTARTS,
   randomSteps: random => random.chance(0.35) ? [MEDIUM_JOB] : TANGLAW_SKED.randomSteps(random),
-  faults: LATE_ANSWER_FAULTS,
-  // Tasks under which several workers crash may be given up.
-  maxPauseMs: 6_000
+  faults: LATE_ANSWER_FAULTS
 }
 
 /** Daemons that the store refuses, for long and many at a time, beside changes of the configuration. */
