test(cell): a run that ends under a stray lease is not repeated by the leader that has ordered it

The tests of such leases have runs that outlast them, and most of them a run of a predecessor. Change: a worker restarts, a late heartbeat of the former leader gives the next incarnation the longest lease, the successor starts a run there, the worker is cut off, the run ends and the worker is back. The task runs once.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -94,6 +94,38 @@
   t.deepEqual(other.runningTasks(), [`${jobId}.0.0.0`])
 })
 
+// Guards against TWICE: a leader repeated a run of its own, which ended as done under the lease that a heartbeat of its predecessor had given.
+test('a run that ends under such a lease is not repeated by the leader that has ordered it', async t => {
+  const { cell, worker, other, daemon, register } = await createRestartCell({ durationMs: 7_000, maxTaskLeaseMs: MAX_TASK_LEASE_MS, clockStartMs })
+  t.true(await cell.advanceUntil(delayNext(worker, 'hold', 4_000)))
+  daemon.crash()
+  worker.restart(2)
+  worker.isCutOff = true
+  register(2)
+  const successor = cell.startDaemon('d2')
+  await cell.clock.advance(4_000)
+  worker.fault = () => undefined
+  worker.isCutOff = false
+  await cell.clock.advance(1_500)
+  const commands: string[] = []
+  worker.fault = command => {
+    commands.push(command)
+    return undefined
+  }
+  const jobId = await cell.submit(successor, [createStep()])
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 1, 1_000), 'the successor has adopted the worker')
+  worker.isCutOff = true
+  t.true(await cell.advanceUntil(() => worker.runningTasks().length === 0, 8_000))
+  t.deepEqual(worker.endedTasks(), [`${jobId}.0.0.0`], 'the run has ended under its lease')
+  worker.isCutOff = false
+  await cell.clock.advance(2_000)
+  t.is(cell.leader()?.stateOf(jobId), 'completed')
+  t.deepEqual(worker.endedTasks(), [], 'the end is acknowledged')
+  t.false(commands.includes('stop'))
+  t.deepEqual(other.runningTasks(), [])
+  t.deepEqual(cell.audit.violations, [])
+})
+
 // Guards against TWICE: a new leader counted with shorter leases than its predecessor had recorded for an unreachable worker.
 test('a new leader waits for the lease that its predecessor recorded for an unreachable worker', async t => {
   const { cell, worker, other, daemon, jobId } = await createCellWithLongLease()
