fix(cell): a new leader does not wait for the leases of a worker that another one has replaced

Cause: a worker that crashes, restarts under its id and is then replaced by another one at its address stays a member of the roster until the longest lease that stray calls may have given it has passed, and holds back all earlier jobs. A leader knows of the replacement while it has a link; it drops the link as soon as the registry lists the worker no more, and it passed the member on to its successor. Change: the answer of a later worker at the address of one that is gone shows that nothing runs on that one, whichever comes first; its member counts as known and leaves the roster. Measured: replacedWorkers.test.ts before: not started within 2 s of the replacement, after 16 s with the half of the change that needs a link; after: passes. restartLeases.test.ts and oddRows.test.ts pass as before.

--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -97,6 +97,10 @@
   private readonly leaseEnds = new Map<WorkerLink, LeaseEnd>()
   /** Latest incarnation of each worker after which it is known to have restarted, also where the registry doesn't show the next one, or not any more. */
   private readonly restartedBorn = new Map<string, number>()
+  /** Latest incarnation of each worker that another worker has replaced at its address: nothing runs there, and calls to it are refused. */
+  private readonly replacedBorn = new Map<string, number>()
+  /** The worker that was dropped last at each address, until an answer of a later one shows that it has been replaced. */
+  private readonly goneAt = new Map<string, Pick<WorkerEntry, 'id' | 'born'>>()
   /** Stray lease of each worker, as written to the roster last. */
   private readonly strayLeases = new Map<WorkerLink, LeaseEnd>()
   /** Links to workers that vanished with their runs, by address, until a later worker is seen there. */
@@ -287,6 +291,7 @@
       else this.isolate(link.id, () => this.handleUnlisted(link, entry, entriesByAddress.get(link.entry.address), signal))
     }
     for (const entry of entries) if (!this.links.has(entry.id)) this.isolate(entry.id, () => this.connect(entry, signal))
+    for (const link of this.links.values()) if (link.isAdopted) this.recordReplaced(link)
     this.options.onChange()
   }
 
@@ -309,7 +314,10 @@
     if (isRestarted) this.health.recordRestart(link.id, link.entry.state === 'draining')
     if (isRestarted) link.declareRestarted()
     // A worker with another id refuses what was sent to this one.
-    if (isReplaced) link.declareDead()
+    if (isReplaced) {
+      link.declareDead()
+      this.replacedBorn.set(link.id, link.entry.born)
+    }
     if (link.hasRestarted) this.restartedBorn.set(link.id, link.entry.born)
     // A worker that is missing gets no new work; its runs stay tracked until they have finished or are lost.
     link.markUnlisted()
@@ -317,9 +325,17 @@
     if (link.isDead) link.reportExpired()
     if (link.runs.size > 0 || link.isAdopted) return
     if (link.hasUnsettledRuns()) this.rememberGone(link)
+    if (!isReplaced) this.goneAt.set(link.entry.address, { id: link.id, born: link.entry.born })
     this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
+  private recordReplaced ({ id, entry }: WorkerLink) {
+    const gone = this.goneAt.get(entry.address)
+    if (gone === undefined) return
+    this.goneAt.delete(entry.address)
+    if (gone.id !== id && gone.born < entry.born) this.replacedBorn.set(gone.id, gone.born)
+  }
+
   private rememberGone (link: WorkerLink) {
     const [oldest] = this.goneLinks.keys()
     if (oldest !== undefined && this.goneLinks.size >= MAX_GONE_LINKS) this.goneLinks.delete(oldest)
@@ -415,6 +431,7 @@
   private areRunsKnown (member: RosterMember): boolean {
     const link = this.links.get(member.id)
     if (link?.isAdopted === true && link.entry.born >= member.born) return true
+    if ((this.replacedBorn.get(member.id) ?? -Infinity) >= member.born) return true
     // The incarnation after the one in the roster may carry out calls that were sent to the earlier one.
     return this.hasRestarted(member) ? this.options.clock.now() > this.earlierStrayLeasesExpireAt : this.haveMemberLeasesExpired(member)
   }
