--- a/packages/cell/src/trackedRuns.ts
+++ b/packages/cell/src/trackedRuns.ts
@@ -39,9 +39,9 @@
     return this.suspectRuns > 0
   }
 
-  /** Whether there is a run beside which nothing else may start. */
+  /** Whether nothing else may start beside the runs. A run that must be alone but has company keeps nobody out. */
   haveExclusive (): boolean {
-    return this.exclusiveRuns > 0
+    return this.exclusiveRuns > 0 && this.exclusiveRuns === this.byKey.size
   }
 
   // Commands
