--- a/packages/cell/src/candidates.ts
+++ b/packages/cell/src/candidates.ts
@@ -139,18 +139,18 @@
     const known = step.waitingKnownTasks()
     const heldCount = known.reduce((count, { isHeld }) => isHeld ? count + 1 : count, 0)
     if (step.waitingTasks === heldCount || (spec.gang && heldCount > 0)) return undefined
-    const isProbed = !spec.gang && step.isUnderSuspicion()
-    // The end of a task that runs clears the others.
-    if (isProbed && (heldCount > 0 || step.waitingTasks < step.remainingTasks)) return undefined
-    const suspects = isProbed ? firstOf(waitingTasksOf(known, step)) : known
-    const aloneTasks = spec.gang || !step.hasSuspects ? NO_TASKS : suspects.filter(task => !task.isHeld && this.waitsAlone(task, now))
-    const others = suspects.filter(task => !task.isHeld && !aloneTasks.includes(task))
+    // One task of such a step goes before the others, which its end clears.
+    const goOneByOne = !spec.gang && step.isUnderSuspicion()
+    if (goOneByOne && (heldCount > 0 || step.waitingTasks < step.remainingTasks)) return undefined
+    const tried = goOneByOne ? firstOf(waitingTasksOf(known, step)) : known
+    const aloneTasks = spec.gang || !step.hasSuspects ? NO_TASKS : tried.filter(task => !task.isHeld && this.waitsAlone(task, now))
+    const others = tried.filter(task => !task.isHeld && !aloneTasks.includes(task))
     return {
       step,
       queue,
-      waitingCount: isProbed ? others.length : step.waitingTasks - heldCount - aloneTasks.length,
+      waitingCount: goOneByOne ? others.length : step.waitingTasks - heldCount - aloneTasks.length,
       maxStarts: Infinity,
-      waitingTasks: () => isProbed ? others : waitingTasksOf(others, step),
+      waitingTasks: () => goOneByOne ? others : waitingTasksOf(others, step),
       aloneTasks,
       lateness: latenessOf(step.job, queue, unixMs),
       isExcess: isExcess && !goesFirst,
@@ -231,7 +231,7 @@
     const isOverloaded = this.options.isProcessorOverloaded()
     const isUrgentOnTime = ranked.some(({ queue, lateness }) => lateness === 0 && queue.priority === highestPriority)
     return candidates.filter(({ step, queue, lateness, isExcess, goesFirst }) => {
-      // Its turn passes to another late job, so that it costs few starts; suspects are few at a time, and would crash workers together later.
+      // The turn passes to another late job, so that it costs few starts. Suspects that are put off start together later, and crash workers together.
       if (goesFirst || step.hasSuspects) return true
       const canBeDeferred = isOverloaded && queue.priority === lowestPriority ? canWaitBriefly : canWait
       const isDeferred = (isExcess && owed.length > 0) || (lateness > 0 ? isUrgentOnTime : queue.priority > highestPriority && canBeDeferred(step.job, queue, unixMs))
