fix(cell): a run whose end is put off does not count as lost

Cause: since an end that is not certain, and those after it, are applied later. Their runs stayed among the tracked ones, and as the report doesn't list them as running, they counted as lost and their tasks started again. Change: a run that a report lists as ended is not lost.

--- a/packages/cell/src/__tests__/restartLeases.test.ts
+++ b/packages/cell/src/__tests__/restartLeases.test.ts
@@ -493,3 +493,19 @@
   t.deepEqual(cell.audit.violations, [])
   t.deepEqual(other.runningTasks(), [])
 })
+
+// Guards against TWICE: a run whose end was put off, as that of another one before it was uncertain, counted as lost because it was not listed as running.
+test('a task whose end comes after an uncertain one is not started again', async t => {
+  const failing = new Set<string>()
+  const { cell, worker, daemon } = await createRestartCell({ durationMs: 300, clockStartMs, behaviour: ({ jobId }) => ({ durationMs: failing.has(jobId) ? 250 : 80, end: failing.has(jobId) ? 'failed' : 'done' }) })
+  let starts = 0
+  worker.fault = command => command === 'start' && starts++ === 0 ? { kind: 'answer-late', afterMs: 850 } : undefined
+  const first = cell.newJobId()
+  failing.add(first)
+  await cell.submit(daemon, [createStep()], first)
+  t.true(await cell.advanceUntil(() => starts === 2, 400), 'the start has been repeated')
+  const second = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(3_000)
+  t.is(cell.leader()?.stateOf(second), 'completed')
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -743,7 +743,8 @@
 
   private applyRunning (report: WorkerReport, { token, sentAt }: SentHeartbeat) {
     const { clock, events } = this.options
-    const listedKeys = new Set<string>()
+    // Ends that are not certain yet are applied later; their runs are not lost.
+    const listedKeys = new Set(report.ended.map(({ task, run }) => runKeyOf(task, run)))
     for (const listedRun of report.running) {
       const key = runKeyOf(listedRun.task, listedRun.run)
       listedKeys.add(key)
