--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -329,6 +329,7 @@
     this.drop(link, isReplaced ? 'replaced' : 'gone')
   }
 
+  /** Takes note that an answer of a worker shows the one that was at its address before to be gone for good. */
   private recordReplaced ({ id, entry }: WorkerLink) {
     const gone = this.goneAt.get(entry.address)
     if (gone === undefined) return
