--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -9,7 +9,9 @@
 import { ADMISSION_ORDER } from './room/index.js'
 import type { WaitingOrder } from './room/index.js'
 import { RoundCapacity, isHalfEmpty } from './roundCapacity.js'
+import { formatStepId } from './types.js'
 import type { AdvicePolicy, JobQueue, ResourceVector } from './types.js'
+import type { WaitCause } from './waitTimes.js'
 import type { WorkerLink } from './workerLink.js'
 import { roomObstacle, slotsWithinLimit } from './workerObstacles.js'
 import type { WorkerObstacle } from './workerObstacles.js'
@@ -41,8 +43,25 @@
   readonly onStart: (step: Step, runs: readonly Run[]) => void
 }
 
-/** Numbers of steps with tasks to start, by queue and then by the lateness of their jobs. */
-export type WaitingSteps = Readonly<Record<string, readonly [number, number, number]>>
+/** Steps with tasks to start, summarized. */
+export interface WaitingSummary {
+  /** Numbers of steps by queue, and then by the lateness of their jobs. */
+  readonly byQueue: Readonly<Record<string, readonly [number, number, number]>>
+  /** Numbers of steps by what they wait for now; those that no round has tried yet are left out. */
+  readonly byCause: Readonly<Partial<Record<WaitCause, number>>>
+  /** Number of steps of jobs beyond what their accounts are owed. */
+  readonly excess: number
+  /** The step of the oldest job; undefined if nothing waits. */
+  readonly oldest: WaitingStepReport | undefined
+}
+
+export interface WaitingStepReport {
+  readonly step: string
+  /** Time since the admission of the job, in milliseconds. */
+  readonly ageMs: number
+  readonly cause: WaitCause | undefined
+  readonly isExcess: boolean
+}
 
 /** Score of one penalty point; outweighs any amount of free processor time in the choice of a worker. */
 const PENALTY_WEIGHT = 1e9
@@ -194,12 +213,29 @@
     }
   }
 
-  /** Counts the steps that have tasks to start but no worker yet. */
-  waitingSteps (jobs: Iterable<Job>): WaitingSteps {
+  /** Summarizes the steps that have tasks to start but no worker yet. */
+  waitingSummary (jobs: Iterable<Job>): WaitingSummary {
     this.now = this.options.clock.now()
-    const counts: Record<string, [number, number, number]> = {}
-    for (const { queue, lateness } of this.candidates.find(jobs, this.now)) (counts[queue.name] ??= [0, 0, 0])[lateness]++
-    return counts
+    const byQueue: Record<string, [number, number, number]> = {}
+    const byCause: Partial<Record<WaitCause, number>> = {}
+    const candidates = this.candidates.find(jobs, this.now)
+    for (const { step, queue, lateness } of candidates) {
+      const cause = step.waitTimes.current()
+      if (cause !== undefined) byCause[cause] = (byCause[cause] ?? 0) + 1
+      const counts = byQueue[queue.name] ??= [0, 0, 0]
+      counts[lateness]++
+    }
+    const oldest = minBy(candidates, ({ step }) => step.job.record.admittedAtMs)
+    return { byQueue, byCause, excess: candidates.filter(({ isExcess }) => isExcess).length, oldest: oldest === undefined ? undefined : this.reportOf(oldest) }
+  }
+
+  private reportOf ({ step, isExcess }: Candidate): WaitingStepReport {
+    return {
+      step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
+      ageMs: this.options.clock.date().getTime() - step.job.record.admittedAtMs,
+      cause: step.waitTimes.current(),
+      isExcess
+    }
   }
 
   private mayStartOn (worker: WorkerLink): boolean {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -222,7 +222,8 @@
       clock
     })
     this.loadReport = LoadReport.create({
-      waitingSteps: () => this.dispatcher.waitingSteps(this.dispatchable()),
+      waitingSummary: () => this.dispatcher.waitingSummary(this.dispatchable()),
+      heldBackJobs: () => this.jobs.size() - [...this.dispatchable()].length,
       adviceLoad: () => this.advice.load(),
       commitsWaiting: () => this.commitsWaiting(),
       loopLagMs: () => options.loopLag.meanMs(),
--- a/packages/cell/src/loadReport.ts
+++ b/packages/cell/src/loadReport.ts
@@ -2,13 +2,15 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Log } from '@citronnotch/base/logger'
 import type { AdviceLoad } from './advice.js'
-import type { WaitingSteps } from './dispatcher.js'
+import type { WaitingSummary } from './dispatcher.js'
 
 /** Interval between two reports, in milliseconds. */
 const REPORT_INTERVAL_MS = 1_000
 
 export interface LoadReportOptions {
-  readonly waitingSteps: () => WaitingSteps
+  readonly waitingSummary: () => WaitingSummary
+  /** Number of live jobs that rounds pass over: their runs or the configuration that admitted them are not known yet. */
+  readonly heldBackJobs: () => number
   readonly adviceLoad: () => AdviceLoad
   readonly commitsWaiting: () => number
   /** Mean lag of the event loop now, in milliseconds. */
@@ -49,10 +51,11 @@
 
   /** Logs what happened since the last report, if that is at least an interval ago. */
   tick (): void {
-    const { clock, log, waitingSteps, adviceLoad, commitsWaiting, loopLagMs } = this.options
+    const { clock, log, waitingSummary, heldBackJobs, adviceLoad, commitsWaiting, loopLagMs } = this.options
     const elapsedMs = clock.now() - this.reportedAt
     if (elapsedMs < REPORT_INTERVAL_MS) return
     const utilization = performance.eventLoopUtilization()
+    const { byQueue, byCause, excess, oldest } = waitingSummary()
     log.info('Leader load.', {
       elapsedMs: Math.round(elapsedMs),
       busyPercent: Math.round(100 * performance.eventLoopUtilization(utilization, this.utilization).utilization),
@@ -61,7 +64,11 @@
       roundsMs: Math.round(this.roundsMs),
       longestRoundMs: Math.round(this.longestRoundMs),
       starts: this.starts,
-      waiting: waitingSteps(),
+      waiting: byQueue,
+      waitingFor: byCause,
+      waitingExcess: excess,
+      ...(oldest === undefined ? {} : { oldestWaiting: oldest }),
+      heldBackJobs: heldBackJobs(),
       advice: adviceLoad(),
       commitsWaiting: commitsWaiting()
     })
