fix(cell): the share of late jobs goes to as many of them as it covers, and counts agents

Cause: the share of the cell that late jobs have, also those beyond what their account is owed, was passed to one job at a time, and for 4 s to one that found no free agent, so that a twentieth of the cell became some jobs of 3 tasks a second at most, however little these take. A job without a turn stays behind all work on time, and asks no agent while an owed step waits for one and half of them are busy (Dispatcher.leavesAgents). Change: up to 16 late jobs go first at the same time, as far as the credit covers their work, or the time of the agents if that is more; accounts get equal parts by what they use, not by numbers of jobs. Workers are kept free for the first of them only. A fixture of waitingOrder.test.ts states its number of agents; its checks are unchanged and pass. Measured: overtakenJobs.test.ts, first test, on 118 of 200 jobs wait for more than 28 s; now none. 49 tests of the waiting order, of the leader and of these pass.

--- a/bench/src/overload.ts
+++ b/bench/src/overload.ts
@@ -81,6 +81,7 @@
       return (a, b) => keyAt(a) - keyAt(b)
     },
     goesFirst: () => false,
+    keepsRoom: () => false,
     maxReservingGangs: ADMISSION_ORDER.maxReservingGangs
   }
 }
--- a/packages/cell/src/__tests__/overtakenJobs.test.ts
+++ b/packages/cell/src/__tests__/overtakenJobs.test.ts
@@ -91,7 +91,7 @@
 }
 
 // Guards against LOST (issue 75): jobs of an account that had sent far more than it was owed waited for agents beside idle ones until others sent nothing more.
-test.failing('late jobs beyond what their account is owed start within their share of the cell while long calls of others keep agents busy', async t => {
+test('late jobs beyond what their account is owed start within their share of the cell while long calls of others keep agents busy', async t => {
   const [loud, quiet] = [createAccount('loud', { weight: 2 }), createAccount('quiet', { weight: 100 })]
   const { cell, send, play } = await createCellWithBusyAgents({ shedsLoad: true, accounts: [loud, quiet], steady: { queue: LONG, account: quiet, jobsPerSecond: 12 } })
   const watched: SentJob[] = []
--- a/packages/cell/src/__tests__/waitingOrder.test.ts
+++ b/packages/cell/src/__tests__/waitingOrder.test.ts
@@ -243,7 +243,7 @@
   const clock = ManualClock.create()
   const links = createSilentLinks({ count: 4, capacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 }, clock })
   const queued = createQueuedJob(QUEUE, clock.date().getTime(), { count: 40 })
-  const shedding = LoadShedding.create({ jobs: () => [queued, ...services].map(({ job }) => job), queue: () => QUEUE, isExcess: () => false, canStart: () => true, workers: () => links, clock, metrics: MemoryMetrics.create() })
+  const shedding = LoadShedding.create({ jobs: () => [queued, ...services].map(({ job }) => job), queue: () => QUEUE, isExcess: () => false, canStart: () => true, workers: () => links, agents: () => 1, clock, metrics: MemoryMetrics.create() })
   return { clock, links, job: queued.job, shedding }
 }
 
--- a/packages/cell/src/candidates.ts
+++ b/packages/cell/src/candidates.ts
@@ -18,8 +18,9 @@
   readonly lateness: Lateness
   /** Whether the job came beyond the rate that its account is owed. */
   readonly isExcess: boolean
-  /** Whether the step goes before all others, and workers are kept free for it. */
+  /** Whether the step goes before all others, and whether workers are kept free for it as well. */
   readonly goesFirst: boolean
+  readonly keepsRoom: boolean
 }
 
 type Turn = Pick<Candidate, 'step' | 'queue' | 'lateness' | 'isExcess' | 'goesFirst'>
@@ -149,7 +150,8 @@
       aloneTasks,
       lateness: latenessOf(step.job, queue, unixMs),
       isExcess: isExcess && !goesFirst,
-      goesFirst
+      goesFirst,
+      keepsRoom: goesFirst && this.options.order.keepsRoom(step)
     }
   }
 
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -175,7 +175,7 @@
     }
     const hasRoom = round.capacity.hasRoomFor(step.need)
     if (!hasRoom) step.waitTimes.note('room', this.now)
-    if (!hasRoom && !spec.gang && !candidate.goesFirst) return
+    if (!hasRoom && !spec.gang && !candidate.keepsRoom) return
     if (this.startWindow.roomFor(step.waitingTasks) === 0) {
       this.startWindow.putOff()
       return step.waitTimes.note('starts', this.now)
@@ -187,8 +187,8 @@
     if (isPlaced && startable < waitingCount) step.waitTimes.note('account', this.now)
     // Small tasks would fill each gap before there is room for a large one.
     if (!spec.gang && !hasRoom) this.reserveWorkers(candidate, round, RESERVED_FOR_ONE, 1)
-    if (isPlaced || !spec.gang || (candidate.lateness > 0 && !candidate.goesFirst) || round.reservingGangs >= this.order.maxReservingGangs) return
-    this.reserveWorkers(candidate, round, candidate.goesFirst ? RESERVED_FOR_ONE : candidate.queue.priority, spec.count)
+    if (isPlaced || !spec.gang || (candidate.lateness > 0 && !candidate.keepsRoom) || round.reservingGangs >= this.order.maxReservingGangs) return
+    this.reserveWorkers(candidate, round, candidate.keepsRoom ? RESERVED_FOR_ONE : candidate.queue.priority, spec.count)
     round.reservingGangs++
   }
 
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -189,7 +189,7 @@
         log: logs.for('maintenance')
       })
     this.suggestedWorkers = SuggestedWorkers.create({ workers: () => this.workers.all(), isUsable: (worker, now) => this.useObstacle(worker, now) === undefined })
-    this.shedding = options.shedsLoad ? LoadShedding.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), isExcess: (job, unixMs) => this.accounts.isExcess(job, unixMs), canStart: job => this.canStart(job), workers: () => this.workers.all(), clock, metrics: options.metrics }) : undefined
+    this.shedding = options.shedsLoad ? LoadShedding.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), isExcess: (job, unixMs) => this.accounts.isExcess(job, unixMs), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, clock, metrics: options.metrics }) : undefined
     this.dispatcher = Dispatcher.create({
       epoch,
       accounts: this.accounts,
--- a/packages/cell/src/room/jobCost.ts
+++ b/packages/cell/src/room/jobCost.ts
@@ -1,3 +1,4 @@
+import type { Job } from '../jobs.js'
 import { ADVISED_WORKERS_PER_STEP, LATE_OBJECTIVE_FACTOR, criticalPathOf } from '../lateness.js'
 import type { JobQueue, ResourceVector, StepSpec } from '../types.js'
 import { expectedMs } from './durations.js'
@@ -35,6 +36,16 @@
   return Math.max(Math.max(1, need.milliCores) / Math.max(1, cell.milliCores), need.memoryMb / Math.max(1, cell.memoryMb), need.accelerators / Math.max(1, cell.accelerators))
 }
 
+/** Part of the cell that is kept free for a job: for whole gangs, and for one task of each other step that can start. */
+export function reservedShareOf (job: Job, cell: ResourceVector): number {
+  return [...job.liveSteps()].filter(step => step.obstacle() === undefined).reduce((sum, { spec: { gang, count, need } }) => sum + (gang ? count : 1) * cellShareOf(need, cell), 0)
+}
+
+/** Time that all agents together take for the advice on a step, in milliseconds. */
+export function adviceMsOf ({ advice }: Pick<JobQueue, 'advice'>, agents: number): number {
+  return advice === undefined ? 0 : (advice.decisionMs + ADVISED_WORKERS_PER_STEP * advice.perWorkerMs) / Math.max(1, agents)
+}
+
 /** Time that the longest chain of steps takes, without those that are done, in milliseconds. */
 export function pathMsOf (steps: readonly StepSpec[], known: TaskDurations | undefined, isDone: (step: number) => boolean = () => false): number {
   return criticalPathOf(steps.map(({ estimateMs, after }, index) => ({ durationMs: isDone(index) ? 0 : expectedMs(known, estimateMs), after })))
@@ -42,7 +53,7 @@
 
 /** Time from its admission within which a job should end, by the expected durations of its tasks, in milliseconds. */
 export function expectedObjectiveMs (steps: readonly StepSpec[], known: TaskDurations | undefined, { slackFactor, targetLatencyMs, advice }: JobQueue): number {
-  const adviceMs = advice === undefined ? 0 : advice.decisionMs + ADVISED_WORKERS_PER_STEP * advice.perWorkerMs
+  const adviceMs = adviceMsOf({ advice }, 1)
   return targetLatencyMs + slackFactor * criticalPathOf(steps.map(({ estimateMs, after }) => ({ durationMs: expectedMs(known, estimateMs) + adviceMs, after })))
 }
 
--- a/packages/cell/src/room/lateShare.ts
+++ b/packages/cell/src/room/lateShare.ts
@@ -15,25 +15,42 @@
  * keep all others waiting for 20 minutes.
  */
 const MAX_DEBT_MS = 60_000 * LATE_SHARE
-/** Time after which the turn passes to the next late job, in milliseconds: one of which nothing can start uses up no credit. */
+/** Time after which the turn of a late job passes to the next one, in milliseconds: one of which nothing can start uses up no credit. */
 const MAX_TURN_MS = 4_000
 /** Longest time between two renewals that counts, in milliseconds: a leader that stands still for longer keeps nothing free meanwhile. */
 const MAX_RENEWAL_INTERVAL_MS = 4_000
+/** Maximum number of late jobs that have their turn at the same time; bounds what a scheduling round tries first. */
+const MAX_PARALLEL_TURNS = 16
+
+/** A live job that is too late to count. */
+export interface LateJob {
+  readonly job: Job
+  /** Work of its waiting tasks in milliseconds of the whole cell, or of all agents if the advice for them takes more. */
+  readonly waitingMs: number
+  /** Part of the cell that is kept free for the job while it is the first of those whose turn it is. */
+  readonly reservedShare: () => number
+}
+
+/** What the late jobs of an account have used of their share. */
+interface AccountUse {
+  /** In milliseconds of the whole cell. */
+  usedMs: number
+}
 
 /**
- * Gives jobs that are too late to count their share: one after the other goes before all others until the share is used
- * up. Client accounts take turns, so that the number of late jobs of one doesn't delay those of others.
+ * Gives jobs that are too late to count their share: as many as it covers go before all others at the same time, until
+ * it is used up. Client accounts get equal parts of it, so that the number of late jobs of one doesn't delay those of others.
  */
 export class LateShare {
   private creditMs = 0
   private isTurn = false
   private renewedAt = -Infinity
-  private current: PlannedJob | undefined
-  /** Monotonic time at which the turn of the current job began, in milliseconds. */
-  private turnSince = -Infinity
-  /** Monotonic times of the latest turns in milliseconds, by job, and by account of the late jobs. */
-  private readonly jobTurns = new WeakMap<Job, number>()
-  private accountTurns = new Map<string | undefined, number>()
+  /** Jobs whose turn it is, in the order of their turns, with the monotonic times at which these began, in milliseconds. */
+  private readonly turns = new Map<LateJob['job'], { readonly since: number, readonly late: LateJob }>()
+  /** Number of turns so far, and the number of the latest turn by job. */
+  private turnCount = 0
+  private readonly latestTurns = new WeakMap<Job, number>()
+  private accountUses = new Map<string | undefined, AccountUse>()
 
   private constructor (private readonly canStart: (job: Job) => boolean) {}
 
@@ -49,59 +66,100 @@
 
   /** Whether it is the turn of a job. */
   goesFirst (job: Job): boolean {
-    return this.current?.job === job
+    return this.turns.has(job)
+  }
+
+  /** Whether workers are kept free for a job: only for the first of those whose turn it is. */
+  keepsRoom (job: Job): boolean {
+    return this.first()?.job === job
   }
 
   // Commands
 
-  /** Records the start of tasks of a job; `workMs` in milliseconds of the whole cell. What late jobs get without going first costs them nothing. */
+  /** Records the start of tasks of a job; `workMs` as in `LateJob`. What late jobs get without going first costs them nothing. */
   recordStart (job: Job, workMs: number): void {
-    if (this.goesFirst(job)) this.charge(workMs)
+    if (this.goesFirst(job)) this.charge(job, workMs)
   }
 
-  /** Chooses whose turn it is; `now` is a monotonic time in milliseconds. */
+  /** Chooses whose turn it is among planned jobs; `now` is a monotonic time in milliseconds. */
   renew (jobs: Iterable<PlannedJob>, unixMs: number, now: number): void {
+    this.renewLate([...jobs].filter(planned => standingOf(planned, unixMs) === 3), now)
+  }
+
+  /** Chooses whose turn it is among late jobs; `now` is a monotonic time in milliseconds. */
+  renewLate (late: readonly LateJob[], now: number): void {
     const elapsedMs = this.renewedAt === -Infinity ? 0 : Math.min(MAX_RENEWAL_INTERVAL_MS, now - this.renewedAt)
     this.renewedAt = now
-    if (this.current !== undefined) this.charge(elapsedMs * this.current.reservedShare())
+    const first = this.first()
+    if (first !== undefined) this.charge(first.job, elapsedMs * first.reservedShare())
     this.creditMs = Math.min(TURN_CREDIT_MS, this.creditMs + LATE_SHARE * elapsedMs)
     this.isTurn = this.creditMs >= TURN_CREDIT_MS || (this.isTurn && this.creditMs > 0)
-    const waiting = [...jobs].filter(planned => standingOf(planned, unixMs) === 3 && hasStartableStep(planned.job))
-    this.forgetAccountsWithout(waiting)
-    if (this.current !== undefined) this.recordTurn(this.current.job, now)
-    const ofCurrent = waiting.find(({ job }) => job === this.current?.job)
-    const isTurnOver = !this.isTurn || ofCurrent === undefined || now - this.turnSince >= MAX_TURN_MS || !this.canStart(ofCurrent.job)
-    if (isTurnOver) this.turnSince = now
-    this.current = isTurnOver ? (this.isTurn ? this.next(waiting) : undefined) : ofCurrent
+    const waiting = late.filter(({ job }) => hasStartableStep(job))
+    this.updateAccounts(waiting)
+    this.endTurns(waiting, now)
+    if (this.isTurn) this.beginTurns(waiting, now)
   }
 
-  private charge (workMs: number) {
-    this.creditMs = Math.max(-MAX_DEBT_MS, this.creditMs - workMs)
+  private first (): LateJob | undefined {
+    return this.turns.values().next().value?.late
   }
 
-  private recordTurn (job: Job, now: number) {
-    this.jobTurns.set(job, now)
-    this.accountTurns.set(job.record.account, now)
+  private charge (job: Job, workMs: number) {
+    this.creditMs = Math.max(-MAX_DEBT_MS, this.creditMs - workMs)
+    const use = this.accountUses.get(job.record.account)
+    if (use !== undefined) use.usedMs += workMs
   }
 
-  private forgetAccountsWithout (waiting: readonly PlannedJob[]) {
-    if (this.accountTurns.size === 0) return
+  /** Forgets accounts without late jobs. Those that have some for the first time get no more of the share than the others from now on. */
+  private updateAccounts (waiting: readonly LateJob[]) {
     const accounts = new Set(waiting.map(({ job }) => job.record.account))
-    this.accountTurns = new Map([...this.accountTurns].filter(([account]) => accounts.has(account)))
+    const known = new Map([...this.accountUses].filter(([account]) => accounts.has(account)))
+    const leastMs = known.size === 0 ? 0 : Math.min(...[...known.values()].map(({ usedMs }) => usedMs))
+    this.accountUses = new Map([...accounts].map(account => [account, known.get(account) ?? { usedMs: leastMs }]))
   }
 
-  private next (waiting: PlannedJob[]): PlannedJob | undefined {
-    const jobTurnOf = ({ job }: PlannedJob) => this.jobTurns.get(job) ?? -Infinity
-    const accountTurnOf = ({ job }: PlannedJob) => this.accountTurns.get(job.record.account) ?? -Infinity
-    return waiting
-      .sort((a, b) => compareTimes(accountTurnOf(a), accountTurnOf(b)) || compareTimes(jobTurnOf(a), jobTurnOf(b)) || a.job.record.admittedAtMs - b.job.record.admittedAtMs)
-      .find(({ job }) => this.canStart(job))
+  private endTurns (waiting: readonly LateJob[], now: number) {
+    const byJob = new Map(waiting.map(late => [late.job, late]))
+    for (const [job, { since }] of [...this.turns]) {
+      const late = byJob.get(job)
+      if (!this.isTurn || late === undefined || now - since >= MAX_TURN_MS || !this.canStart(job)) this.turns.delete(job)
+      else this.turns.set(job, { since, late })
+    }
   }
-}
 
-/** Negative if the first time is earlier; unlike a difference, also for two times that are -Infinity. */
-function compareTimes (a: number, b: number): number {
-  return a === b ? 0 : a < b ? -1 : 1
+  /** The first job gets its turn whatever it takes; others join it as far as the rest of the share covers them. */
+  private beginTurns (waiting: readonly LateJob[], now: number) {
+    let restMs = this.creditMs
+    for (const { late } of this.turns.values()) if (!this.keepsRoom(late.job)) restMs -= late.waitingMs
+    for (const late of this.inOrder(waiting.filter(({ job }) => !this.turns.has(job)))) {
+      if (this.turns.size >= MAX_PARALLEL_TURNS) return
+      const isFirst = this.turns.size === 0
+      if ((!isFirst && late.waitingMs > restMs) || !this.canStart(late.job)) continue
+      if (!isFirst) restMs -= late.waitingMs
+      this.turns.set(late.job, { since: now, late })
+      this.latestTurns.set(late.job, this.turnCount++)
+    }
+  }
+
+  /** Late jobs in the order of their turns: of the account that has used least, the one whose latest turn was longest ago. */
+  private * inOrder (waiting: readonly LateJob[]): Iterable<LateJob> {
+    const turnOf = ({ job }: LateJob) => this.latestTurns.get(job) ?? -1
+    const entrants = new Map<string | undefined, { readonly jobs: LateJob[], usedMs: number }>()
+    for (const late of [...waiting].sort((a, b) => turnOf(a) - turnOf(b) || a.job.record.admittedAtMs - b.job.record.admittedAtMs)) {
+      const { account } = late.job.record
+      const entrant = entrants.get(account)
+      if (entrant === undefined) entrants.set(account, { jobs: [late], usedMs: this.accountUses.get(account)?.usedMs ?? 0 })
+      else entrant.jobs.push(late)
+    }
+    for (let count = 0; count < waiting.length; count++) {
+      let next: { readonly jobs: LateJob[], usedMs: number } | undefined
+      for (const entrant of entrants.values()) if (entrant.jobs.length > 0 && (next === undefined || entrant.usedMs < next.usedMs)) next = entrant
+      const late = next?.jobs.shift()
+      if (next === undefined || late === undefined) return
+      next.usedMs += late.waitingMs
+      yield late
+    }
+  }
 }
 
 /** Whether a round may start tasks of the job: others wait for earlier steps, or for the runs of their gang to end. */
--- a/packages/cell/src/room/loadShedding.ts
+++ b/packages/cell/src/room/loadShedding.ts
@@ -7,11 +7,11 @@
 import { Durations } from './durations.js'
 import { Forecast, MAX_FORECAST_AGE_MS } from './forecast.js'
 import type { QueueForecast } from './forecast.js'
-import { workMsOf } from './jobCost.js'
+import { adviceMsOf, workMsOf } from './jobCost.js'
 import { LateShare } from './lateShare.js'
 import { planOrder } from './order.js'
 import type { WaitingOrder } from './order.js'
-import { WaitingPlan } from './waitingPlan.js'
+import { WaitingPlan, standingOf } from './waitingPlan.js'
 import type { QueuedJob } from './waitingPlan.js'
 
 /** Largest share of the processor that renewals may take; with 10,000 live jobs one takes some ten milliseconds. */
@@ -27,6 +27,8 @@
   /** Whether tasks of a job may be started now by what is known of its earlier runs and by the limit of its account. */
   readonly canStart: (job: Job) => boolean
   readonly workers: () => Iterable<Pick<WorkerLink, 'entry' | 'isInService'>>
+  /** Number of daemons that can ask for placement advice. */
+  readonly agents: () => number
   readonly clock: Clock
   readonly metrics: CellMetrics
 }
@@ -90,7 +92,7 @@
     const unixMs = this.options.clock.date().getTime()
     this.forecast.noteAdmission(this.plan.of({ job, queue }), unixMs)
     this.forecast.recordStart(job, unixMs)
-    this.lateShare.recordStart(job, workMsOf([{ spec, tasks }], this.durations.of(job.record.queue), this.cell))
+    this.lateShare.recordStart(job, Math.max(workMsOf([{ spec, tasks }], this.durations.of(job.record.queue), this.cell), adviceMsOf(queue, this.options.agents())))
   }
 
   /** Records that a task is done, with the run that did it. */
@@ -113,7 +115,7 @@
     this.cell = withoutServices(cell, this.options.jobs())
     this.plan.renew(this.queuedJobs(), unixMs)
     this.forecast.renew(this.plan.all(), unixMs, clock.now())
-    this.lateShare.renew(this.plan.all(), unixMs, clock.now())
+    this.lateShare.renewLate([...this.plan.all()].filter(planned => standingOf(planned, unixMs) === 3).map(({ job, queue, waitingMs, reservedShare }) => ({ job, reservedShare, waitingMs: Math.max(waitingMs, adviceMsOf(queue, this.options.agents())) })), clock.now())
     this.forecastAt = clock.now()
   }
 
--- a/packages/cell/src/room/order.ts
+++ b/packages/cell/src/room/order.ts
@@ -18,8 +18,10 @@
   readonly maxReservingGangs: number
   /** Comparison for one round at a Unix time in milliseconds, as `Array.sort` takes it. Steps that compare as equal are of the same rank: accounts take turns among them, and those of one account stay in the order of their admission. */
   at (unixMs: number): (a: WaitingStep, b: WaitingStep) => number
-  /** Whether workers are kept free for nothing but a step until all of it has started. */
+  /** Whether a step goes before all others until all of it has started. */
   goesFirst (step: Step): boolean
+  /** Whether workers are kept free for nothing but a step that goes first. */
+  keepsRoom (step: Step): boolean
   /** How a job stands in the plan, if the order follows one; undefined for a job that the plan has not seen yet. Changes nothing. */
   standing?: (job: Job, unixMs: number) => Standing | undefined
 }
@@ -28,7 +30,8 @@
 export const ADMISSION_ORDER: WaitingOrder = {
   maxReservingGangs: 2,
   at: () => (a, b) => a.lateness - b.lateness || a.queue.priority - b.queue.priority,
-  goesFirst: () => false
+  goesFirst: () => false,
+  keepsRoom: () => false
 }
 
 /**
@@ -50,7 +53,8 @@
       }
       return (a, b) => Number(lateShare.goesFirst(b.step.job)) - Number(lateShare.goesFirst(a.step.job)) || compareJobs(jobOf(a), jobOf(b), unixMs)
     },
-    goesFirst: step => lateShare.goesFirst(step.job),
+    goesFirst: ({ job }) => lateShare.goesFirst(job),
+    keepsRoom: ({ job }) => lateShare.keepsRoom(job),
     standing: (job, unixMs) => {
       const planned = plan.known(job)
       return planned === undefined ? undefined : standingOf(planned, unixMs)
--- a/packages/cell/src/room/waitingPlan.ts
+++ b/packages/cell/src/room/waitingPlan.ts
@@ -2,7 +2,7 @@
 import { isTimed } from '../lateness.js'
 import type { JobQueue, ResourceVector } from '../types.js'
 import type { Durations } from './durations.js'
-import { cellShareOf, expectedObjectiveMs, pathMsOf, totalWorkMsOf, usefulMsOf, valueDensityOf, workMsOf } from './jobCost.js'
+import { expectedObjectiveMs, pathMsOf, reservedShareOf, totalWorkMsOf, usefulMsOf, valueDensityOf, workMsOf } from './jobCost.js'
 
 /** Share of the workers' capacity that is in use while work waits; gangs and uneven needs leave the rest idle. */
 export const USABLE_SHARE = 0.85
@@ -159,10 +159,6 @@
   }
 }
 
-function reservedShareOf (job: Job, cell: ResourceVector): number {
-  return [...job.liveSteps()].filter(step => step.obstacle() === undefined).reduce((sum, { spec: { gang, count, need } }) => sum + (gang ? count : 1) * cellShareOf(need, cell), 0)
-}
-
 /** Unix time in milliseconds since which a job waits: its admission or, of a scheduled one, when its first occurrence that waits was due. */
 function dueMsOf (job: Job): number {
   const { admittedAtMs, spec: { schedule } } = job.record
