fix(cell): late jobs have a share of a cell that sheds no load, too

Cause: only leaders that shed load kept a share for jobs that are too late to count. In other cells these go after all work on time, without a bound on their wait while agents are busy, and a late gang never has workers kept free for it. Change: LateJobs gives them the same share there; the order is otherwise that of admission.

--- a/packages/cell/src/__tests__/overtakenJobs.test.ts
+++ b/packages/cell/src/__tests__/overtakenJobs.test.ts
@@ -105,7 +105,7 @@
 })
 
 // Guards against LOST (issue 75): in a cell that does not shed load, jobs that were late had their first start 100 s after their admission, when the traffic had ended.
-test.failing('late jobs start within their share of a cell that sheds no load while jobs on time keep the agents busy', async t => {
+test('late jobs start within their share of a cell that sheds no load while jobs on time keep the agents busy', async t => {
   const { cell, send, play } = await createCellWithBusyAgents({ shedsLoad: false, steady: { queue: LONG, jobsPerSecond: 9 } })
   const watched: SentJob[] = []
   const waits = await play(watched, ms => {
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -34,7 +34,7 @@
 import { Maintenance } from './maintenance.js'
 import type { VmMaintenance } from './maintenance.js'
 import { PayloadLoader } from './payloads.js'
-import { LoadShedding, MAX_FORECAST_AGE_MS } from './room/index.js'
+import { LateJobs, LoadShedding, MAX_FORECAST_AGE_MS } from './room/index.js'
 import type { QueueForecast, WaitingOrder } from './room/index.js'
 import { LeaderStartWindow } from './leaderStartWindow.js'
 import { DEFAULT_START_WINDOWS } from './startWindow.js'
@@ -137,6 +137,7 @@
   private readonly explainer: LeaderExplainer
   private readonly pacer = RoundPacer.create()
   private readonly shedding: LoadShedding | undefined
+  private readonly lateJobs: LateJobs | undefined
   private changesVersion = 0
   /** Versions of the epoch rows, indexed by leader partition. */
   private epochVersions: readonly number[] = []
@@ -190,6 +191,7 @@
       })
     this.suggestedWorkers = SuggestedWorkers.create({ workers: () => this.workers.all(), isUsable: (worker, now) => this.useObstacle(worker, now) === undefined })
     this.shedding = options.shedsLoad ? LoadShedding.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), isExcess: (job, unixMs) => this.accounts.isExcess(job, unixMs), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, clock, metrics: options.metrics }) : undefined
+    this.lateJobs = options.shedsLoad ? undefined : LateJobs.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, clock })
     this.dispatcher = Dispatcher.create({
       epoch,
       accounts: this.accounts,
@@ -198,7 +200,7 @@
       queue: job => this.queueOf(job),
       advice: this.advice,
       startWindow: leaderStartWindow,
-      order: options.order ?? this.shedding?.order,
+      order: options.order ?? this.shedding?.order ?? this.lateJobs?.order,
       useObstacle: (worker, now) => this.useObstacle(worker, now),
       ...this.workers.ratings(job => this.queueOf(job)),
       requestPayload: job => this.payloads.request(job),
@@ -518,6 +520,7 @@
     metrics.count('runs_started', runs.length)
     this.loadReport.recordStarts(runs.length)
     this.shedding?.recordStart(step, runs.length)
+    this.lateJobs?.recordStart(step, runs.length)
     metrics.observe('admission_to_start_ms', ageMs)
     this.log.info('Runs started.', {
       job: step.job.id,
@@ -904,6 +907,7 @@
       this.jobs.tick()
       this.memory.tick()
       this.shedding?.renew()
+      this.lateJobs?.renew()
       this.workers.stopStalledRuns()
       this.moveRunsFromLeavingWorkers()
       this.clearSuspects()
--- a/packages/cell/src/room/index.ts
+++ b/packages/cell/src/room/index.ts
@@ -1,6 +1,7 @@
 export { AdmissionGate } from './admissionGate.js'
 export { MAX_FORECAST_AGE_MS, startForecastOf } from './forecast.js'
 export type { ClassForecast, QueueForecast } from './forecast.js'
+export { LateJobs } from './lateJobs.js'
 export { LoadShedding } from './loadShedding.js'
 export type { Standing } from './waitingPlan.js'
 export { ADMISSION_ORDER } from './order.js'
--- a/packages/cell/src/room/order.ts
+++ b/packages/cell/src/room/order.ts
@@ -34,6 +34,11 @@
   keepsRoom: () => false
 }
 
+/** The same, with a share of the cell for jobs that are too late to count. */
+export function admissionOrder (lateShare: LateShare): WaitingOrder {
+  return { ...ADMISSION_ORDER, goesFirst: ({ job }) => lateShare.goesFirst(job), keepsRoom: ({ job }) => lateShare.keepsRoom(job) }
+}
+
 /**
  * Maximum number of gangs with reserved workers at a time while the plan decides. In a full cell, small tasks fill each gap
  * before a wide gang finds room, so that its priority counts only through reservations.
