fix(cell): the oldest waiting step is that of the job that has been due for longest

Cause: Leader load. named the step of the job with the earliest admission, which for a schedule is older than its occurrence: its age said nothing of the wait. Change: oldestWaiting has dueMsAgo, the time since the job was due.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -4,6 +4,7 @@
 import { Candidates, splitByShare } from './candidates.js'
 import type { Candidate, CandidatesOptions, Place } from './candidates.js'
 import type { Job, Run, Step, Task } from './jobs.js'
+import { dueMsOf } from './lateness.js'
 import { LeaderStartWindow } from './leaderStartWindow.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { ADMISSION_ORDER } from './room/index.js'
@@ -51,14 +52,14 @@
   readonly byCause: Readonly<Partial<Record<WaitCause, number>>>
   /** Number of steps of jobs beyond what their accounts are owed. */
   readonly excess: number
-  /** The step of the oldest job; undefined if nothing waits. */
+  /** The step of the job that has been due for longest; undefined if nothing waits. */
   readonly oldest: WaitingStepReport | undefined
 }
 
 export interface WaitingStepReport {
   readonly step: string
-  /** Time since the admission of the job, in milliseconds. */
-  readonly ageMs: number
+  /** Time since the job was due, in milliseconds. */
+  readonly dueMsAgo: number
   readonly cause: WaitCause | undefined
   readonly isExcess: boolean
 }
@@ -225,14 +226,14 @@
       const counts = byQueue[queue.name] ??= [0, 0, 0]
       counts[lateness]++
     }
-    const oldest = minBy(candidates, ({ step }) => step.job.record.admittedAtMs)
+    const oldest = minBy(candidates, ({ step }) => dueMsOf(step.job))
     return { byQueue, byCause, excess: candidates.filter(({ isExcess }) => isExcess).length, oldest: oldest === undefined ? undefined : this.reportOf(oldest) }
   }
 
   private reportOf ({ step, isExcess }: Candidate): WaitingStepReport {
     return {
       step: formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index }),
-      ageMs: this.options.clock.date().getTime() - step.job.record.admittedAtMs,
+      dueMsAgo: this.options.clock.date().getTime() - dueMsOf(step.job),
       cause: step.waitTimes.current(),
       isExcess
     }
