fix(cell): jobs without an objective have a part in the share of late jobs once they are overdue

The two jobs of the record could be such: nothing in the record tells. Cause: the share of late jobs is for jobs that are too late to count. Scheduled jobs and services never are, so that those beyond what their account is owed had no share: they ask no agent while an owed step waits for one and half of them are busy, without a bound. Change: a job without an objective that has been due for 15 s counts among the late ones. Tasks of services count for 4 s of work in the share, as an estimate of hours would keep all other late jobs waiting for a minute. startCostMsOf counts for both kinds of leaders.

--- a/packages/cell/src/__tests__/overtakenJobs.test.ts
+++ b/packages/cell/src/__tests__/overtakenJobs.test.ts
@@ -121,7 +121,7 @@
 })
 
 // Guards against LOST (issue 75): jobs without an objective never count as late, so that those beyond what their account is owed have no share of the cell.
-test.failing('scheduled jobs beyond what their account is owed start within the share of late jobs while long calls of others keep agents busy', async t => {
+test('scheduled jobs beyond what their account is owed start within the share of late jobs while long calls of others keep agents busy', async t => {
   const [loud, quiet] = [createAccount('loud', { weight: 2 }), createAccount('quiet', { weight: 100 })]
   const { cell, send, play } = await createCellWithBusyAgents({ shedsLoad: true, accounts: [loud, quiet], steady: { queue: LONG, account: quiet, jobsPerSecond: 12 } })
   const watched: SentJob[] = []
--- a/packages/cell/src/lateness.ts
+++ b/packages/cell/src/lateness.ts
@@ -16,6 +16,9 @@
 const BRIEFLY_DEFERRED_DURATION_FACTOR = 1.5
 const BRIEFLY_DEFERRED_LAXITY_SHARE = 0.1
 
+/** Time after it was due from which a job without an objective is overdue, in milliseconds. */
+const UNTIMED_OVERDUE_MS = 15_000
+
 /** 0: the job can still meet its objective; 1: it will be late but can still count; 2: it is too late to count. */
 export type Lateness = 0 | 1 | 2
 
@@ -67,6 +70,19 @@
   return spec.schedule === undefined && !spec.steps.some(({ longRunning }) => longRunning)
 }
 
+/** Unix time in milliseconds since which a job waits: its admission or, of a scheduled one, when its first occurrence that waits was due. */
+export function dueMsOf (job: Job): number {
+  const { admittedAtMs, spec: { schedule } } = job.record
+  if (schedule === undefined) return admittedAtMs
+  const waiting = [...job.liveSteps()].find(step => step.hasWaitingTasks())
+  return Math.max(admittedAtMs, schedule.firstRunMs + (waiting?.occurrence ?? 0) * schedule.intervalMs)
+}
+
+/** Whether a job without an objective has been due for so long that it is to start like a job that is too late to count. */
+export function isOverdue (job: Job, unixMs: number): boolean {
+  return !isTimed(job) && unixMs - dueMsOf(job) > UNTIMED_OVERDUE_MS
+}
+
 function objectiveOf (job: Job, queue: JobQueue): Objective {
   const cached = objectiveCache.get(job)
   if (cached?.queue === queue) return cached
--- a/packages/cell/src/room/jobCost.ts
+++ b/packages/cell/src/room/jobCost.ts
@@ -15,6 +15,18 @@
 const FIRST_PRIORITY_FACTOR = 4
 const PRIORITY_FACTOR = 1.5
 
+/** Time for which a task of a service counts as work, in milliseconds. */
+const SERVICE_TASK_MS = 4_000
+
+/** What decides on the cost of a start. */
+export interface StartCostTerms {
+  readonly queue: Pick<JobQueue, 'advice'>
+  readonly known: TaskDurations | undefined
+  readonly cell: ResourceVector
+  /** Number of daemons that can ask for placement advice. */
+  readonly agents: number
+}
+
 /** A step with the part of it that is counted. */
 export interface CountedStep {
   readonly spec: StepSpec
@@ -41,8 +53,17 @@
   return [...job.liveSteps()].filter(step => step.obstacle() === undefined).reduce((sum, { spec: { gang, count, need } }) => sum + (gang ? count : 1) * cellShareOf(need, cell), 0)
 }
 
+/**
+ * What starting tasks takes of a cell, in milliseconds of all its workers or, if that is more, of all its agents. How
+ * long a service runs is not known, so its tasks count for a fixed time.
+ */
+export function startCostMsOf (steps: readonly CountedStep[], { queue, known, cell, agents }: StartCostTerms): number {
+  const workersMs = steps.reduce((sum, { spec, tasks }) => sum + tasks * cellShareOf(spec.need, cell) * (spec.longRunning ? SERVICE_TASK_MS : expectedMs(known, spec.estimateMs)), 0)
+  return Math.max(workersMs, adviceMsOf(queue, agents))
+}
+
 /** Time that all agents together take for the advice on a step, in milliseconds. */
-export function adviceMsOf ({ advice }: Pick<JobQueue, 'advice'>, agents: number): number {
+function adviceMsOf ({ advice }: Pick<JobQueue, 'advice'>, agents: number): number {
   return advice === undefined ? 0 : (advice.decisionMs + ADVISED_WORKERS_PER_STEP * advice.perWorkerMs) / Math.max(1, agents)
 }
 
--- a/packages/cell/src/room/lateJobs.ts
+++ b/packages/cell/src/room/lateJobs.ts
@@ -1,11 +1,12 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Job, Step } from '../jobs.js'
-import { latenessOf } from '../lateness.js'
+import { isOverdue, latenessOf } from '../lateness.js'
 import { NO_RESOURCES, add } from '../resources.js'
 import type { JobQueue, ResourceVector } from '../types.js'
 import type { WorkerLink } from '../workerLink.js'
-import { adviceMsOf, reservedShareOf, workMsOf } from './jobCost.js'
-import { LateShare } from './lateShare.js'
+import { startCostMsOf } from './jobCost.js'
+import type { StartCostTerms } from './jobCost.js'
+import { LateShare, lateJobOf } from './lateShare.js'
 import type { LateJob } from './lateShare.js'
 import { admissionOrder } from './order.js'
 import type { WaitingOrder } from './order.js'
@@ -21,7 +22,7 @@
   readonly clock: Clock
 }
 
-/** What a leader does about jobs that are too late to count in a cell that does not shed load: they get their share of it. */
+/** Gives jobs that are too late to count, or overdue, their share of a cell that does not shed load. */
 export class LateJobs {
   readonly order: WaitingOrder
   private readonly share: LateShare
@@ -49,17 +50,20 @@
   recordStart ({ job, spec }: Step, tasks: number): void {
     const queue = this.options.queue(job)
     if (queue === undefined || this.cell.milliCores === 0) return
-    this.share.recordStart(job, Math.max(workMsOf([{ spec, tasks }], undefined, this.cell), adviceMsOf(queue, this.options.agents())))
+    this.share.recordStart(job, startCostMsOf([{ spec, tasks }], this.costTermsOf(queue)))
   }
 
   private * lateJobs (): Iterable<LateJob> {
-    const { jobs, queue: queueOf, agents, clock } = this.options
+    const { jobs, queue: queueOf, clock } = this.options
     const unixMs = clock.date().getTime()
     for (const job of jobs()) {
       const queue = job.outcome === undefined ? queueOf(job) : undefined
-      if (queue === undefined || latenessOf(job, queue, unixMs) < 2) continue
-      const waiting = [...job.liveSteps()].map(({ spec, waitingTasks }) => ({ spec, tasks: waitingTasks }))
-      yield { job, waitingMs: Math.max(workMsOf(waiting, undefined, this.cell), adviceMsOf(queue, agents())), reservedShare: () => reservedShareOf(job, this.cell) }
+      if (queue === undefined || (latenessOf(job, queue, unixMs) < 2 && !isOverdue(job, unixMs))) continue
+      yield lateJobOf(job, this.costTermsOf(queue))
     }
   }
+
+  private costTermsOf (queue: JobQueue): StartCostTerms {
+    return { queue, known: undefined, cell: this.cell, agents: this.options.agents() }
+  }
 }
--- a/packages/cell/src/room/lateShare.ts
+++ b/packages/cell/src/room/lateShare.ts
@@ -1,4 +1,6 @@
 import type { Job } from '../jobs.js'
+import { reservedShareOf, startCostMsOf } from './jobCost.js'
+import type { StartCostTerms } from './jobCost.js'
 import { standingOf } from './waitingPlan.js'
 import type { PlannedJob } from './waitingPlan.js'
 
@@ -25,12 +27,17 @@
 /** A live job that is too late to count. */
 export interface LateJob {
   readonly job: Job
-  /** Work of its waiting tasks in milliseconds of the whole cell, or of all agents if the advice for them takes more. */
+  /** Cost of starting its waiting tasks, as `startCostMsOf` counts it. */
   readonly waitingMs: number
   /** Part of the cell that is kept free for the job while it is the first of those whose turn it is. */
   readonly reservedShare: () => number
 }
 
+export function lateJobOf (job: Job, terms: StartCostTerms): LateJob {
+  const waiting = [...job.liveSteps()].map(({ spec, waitingTasks }) => ({ spec, tasks: waitingTasks }))
+  return { job, waitingMs: startCostMsOf(waiting, terms), reservedShare: () => reservedShareOf(job, terms.cell) }
+}
+
 /** What the late jobs of an account have used of their share. */
 interface AccountUse {
   /** In milliseconds of the whole cell. */
@@ -76,7 +83,7 @@
 
   // Commands
 
-  /** Records the start of tasks of a job; `workMs` as in `LateJob`. What late jobs get without going first costs them nothing. */
+  /** Records the start of tasks of a job; `workMs` as `startCostMsOf` counts it. What late jobs get without going first costs them nothing. */
   recordStart (job: Job, workMs: number): void {
     if (this.goesFirst(job)) this.charge(job, workMs)
   }
--- a/packages/cell/src/room/loadShedding.ts
+++ b/packages/cell/src/room/loadShedding.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { Job, Run, Step } from '../jobs.js'
+import { isOverdue } from '../lateness.js'
 import type { CellMetrics } from '../metrics.js'
 import { NO_RESOURCES, add, multiply, subtract } from '../resources.js'
 import type { JobQueue, ResourceVector } from '../types.js'
@@ -7,8 +8,10 @@
 import { Durations } from './durations.js'
 import { Forecast, MAX_FORECAST_AGE_MS } from './forecast.js'
 import type { QueueForecast } from './forecast.js'
-import { adviceMsOf, workMsOf } from './jobCost.js'
-import { LateShare } from './lateShare.js'
+import { startCostMsOf } from './jobCost.js'
+import type { StartCostTerms } from './jobCost.js'
+import { LateShare, lateJobOf } from './lateShare.js'
+import type { LateJob } from './lateShare.js'
 import { planOrder } from './order.js'
 import type { WaitingOrder } from './order.js'
 import { WaitingPlan, standingOf } from './waitingPlan.js'
@@ -92,7 +95,7 @@
     const unixMs = this.options.clock.date().getTime()
     this.forecast.noteAdmission(this.plan.of({ job, queue }), unixMs)
     this.forecast.recordStart(job, unixMs)
-    this.lateShare.recordStart(job, Math.max(workMsOf([{ spec, tasks }], this.durations.of(job.record.queue), this.cell), adviceMsOf(queue, this.options.agents())))
+    this.lateShare.recordStart(job, startCostMsOf([{ spec, tasks }], this.costTermsOf(job, queue)))
   }
 
   /** Records that a task is done, with the run that did it. */
@@ -115,10 +118,22 @@
     this.cell = withoutServices(cell, this.options.jobs())
     this.plan.renew(this.queuedJobs(), unixMs)
     this.forecast.renew(this.plan.all(), unixMs, clock.now())
-    this.lateShare.renewLate([...this.plan.all()].filter(planned => standingOf(planned, unixMs) === 3).map(({ job, queue, waitingMs, reservedShare }) => ({ job, reservedShare, waitingMs: Math.max(waitingMs, adviceMsOf(queue, this.options.agents())) })), clock.now())
+    this.lateShare.renewLate([...this.lateJobs(unixMs)], clock.now())
     this.forecastAt = clock.now()
   }
 
+  private * lateJobs (unixMs: number): Iterable<LateJob> {
+    for (const planned of this.plan.all()) {
+      const { job, queue } = planned
+      if (standingOf(planned, unixMs) < 3 && !isOverdue(job, unixMs)) continue
+      yield lateJobOf(job, this.costTermsOf(job, queue))
+    }
+  }
+
+  private costTermsOf (job: Job, queue: JobQueue): StartCostTerms {
+    return { queue, known: this.durations.of(job.record.queue), cell: this.cell, agents: this.options.agents() }
+  }
+
   private * queuedJobs (): Iterable<QueuedJob> {
     const { jobs, queue: queueOf } = this.options
     for (const job of jobs()) {
--- a/packages/cell/src/room/waitingPlan.ts
+++ b/packages/cell/src/room/waitingPlan.ts
@@ -1,5 +1,5 @@
 import type { Job } from '../jobs.js'
-import { isTimed } from '../lateness.js'
+import { dueMsOf, isTimed } from '../lateness.js'
 import type { JobQueue, ResourceVector } from '../types.js'
 import type { Durations } from './durations.js'
 import { expectedObjectiveMs, pathMsOf, reservedShareOf, totalWorkMsOf, usefulMsOf, valueDensityOf, workMsOf } from './jobCost.js'
@@ -159,14 +159,6 @@
   }
 }
 
-/** Unix time in milliseconds since which a job waits: its admission or, of a scheduled one, when its first occurrence that waits was due. */
-function dueMsOf (job: Job): number {
-  const { admittedAtMs, spec: { schedule } } = job.record
-  if (schedule === undefined) return admittedAtMs
-  const waiting = [...job.liveSteps()].find(step => step.hasWaitingTasks())
-  return Math.max(admittedAtMs, schedule.firstRunMs + (waiting?.occurrence ?? 0) * schedule.intervalMs)
-}
-
 export function standingOf ({ latestStartMs, uselessFromMs, isShed }: PlannedJob, unixMs: number): Standing {
   if (unixMs > uselessFromMs) return 3
   if (unixMs > latestStartMs) return 2
