fix(cell): a partition that does not answer does not keep payloads of other jobs from being read

Cause: a read of a payload that fails kept its place among the 16 parallel ones until it succeeded. Sixteen jobs of one partition held them all, for as long as it did not answer, and also after their leader had stopped. Change: a failed read gives up its place, and its job goes to the end of the queue after the pause. Nothing is repeated once the leader stops.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -164,7 +164,7 @@
       store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersion(index), mayIssueCommands, clock, log: this.log
     })
     this.loader = JobLoader.create(store, clock, this.log)
-    this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), clock, log: this.log })
+    this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), signal: this.stopping.signal, clock, log: this.log })
     this.memory = JobMemory.create(options.jobMemoryMb, clock)
     this.accounts = CellAccounts.create({ terms: options.accountTerms, overage: options.accountOverage, burstJobs: options.accountBurstJobs, workers: () => this.workers.all(), recordOf: jobId => (this.jobs.get(jobId) ?? this.earlierJobs.endedJob(jobId))?.record })
     this.jobs = JobTable.create({ janitor: this.janitor, memory: this.memory, onAdded: job => this.accounts.jobAdded(job), onEnded: job => this.earlierJobs.jobEnded(job), mayHaveUnknownRuns: job => this.earlierJobs.isHeldBack(job), statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
--- a/packages/cell/src/payloads.ts
+++ b/packages/cell/src/payloads.ts
@@ -13,6 +13,8 @@
 export interface PayloadLoaderOptions {
   readonly store: RowStore
   readonly onLoaded: () => void
+  /** Aborts when the leader stops. */
+  readonly signal: AbortSignal
   readonly clock: Clock
   readonly log: Log
 }
@@ -40,28 +42,39 @@
     for (const job of this.waitingJobs) {
       if (this.activeReads >= MAX_PARALLEL_READS) return
       this.waitingJobs.delete(job)
+      if (job.payload !== undefined || job.outcome !== undefined) continue
       this.activeReads++
       this.read(job)
-        .catch((err: unknown) => this.options.log.error('Loading a payload failed unexpectedly.', { job: job.id, err }))
         .finally(() => {
           this.activeReads--
           this.readNext()
         })
+        .then(isDone => isDone ? undefined : this.retry(job))
+        .catch((err: unknown) => this.options.log.error('Loading a payload failed unexpectedly.', { job: job.id, err }))
     }
   }
 
-  private async read (job: Job) {
-    const { store, clock, log, onLoaded } = this.options
-    while (job.payload === undefined && job.outcome === undefined) {
-      const page = await store.range({ table: TABLES.payloads, partition: admissionPartitionOf(job.id), from: job.id, to: `${job.id}\0`, limit: 1 }, STORE_TIMEOUT_MS)
-      if (page.ok) {
-        const { payload } = recordOf(page.val.rows[0]?.value)
-        if (isString(payload)) job.payload ??= payload
-        else log.error('Payload of a job is missing.', { job: job.id, version: page.val.version })
-        return onLoaded()
-      }
+  /** Lets others go first: the partition of the job may not answer for long. */
+  private async retry (job: Job) {
+    const { clock, signal } = this.options
+    await clock.sleep(RETRY_PAUSE_MS, signal)
+    if (signal.aborted) return
+    this.waitingJobs.add(job)
+    this.readNext()
+  }
+
+  /** Resolves with whether the store has answered. */
+  private async read (job: Job): Promise<boolean> {
+    const { store, log, onLoaded } = this.options
+    const page = await store.range({ table: TABLES.payloads, partition: admissionPartitionOf(job.id), from: job.id, to: `${job.id}\0`, limit: 1 }, STORE_TIMEOUT_MS)
+    if (page.err) {
       log.warn('Payload could not be read.', { job: job.id, verdict: page.val.verdict, reason: page.val.reason })
-      await clock.sleep(RETRY_PAUSE_MS)
+      return false
     }
+    const { payload } = recordOf(page.val.rows[0]?.value)
+    if (isString(payload)) job.payload ??= payload
+    else log.error('Payload of a job is missing.', { job: job.id, version: page.val.version })
+    onLoaded()
+    return true
   }
 }
