fix(cell): a payload whose read finds no row, or throws, is read again

Cause: a leader asks once for the payload of each job. A read that threw, or that found no row although the row is written in the transaction that admits the job, was the last one. Change: both are followed by another read after a second. A row that stays missing is logged once.

--- a/packages/cell/src/__tests__/payloads.test.ts
+++ b/packages/cell/src/__tests__/payloads.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { Failure } from '@citronnotch/base/errors'
-import { Err } from '@citronnotch/base/result'
+import { Err, Ok } from '@citronnotch/base/result'
 import { TABLES } from '../constants.js'
 import { admissionPartitionOf } from '../jobs.js'
 import { encodeJob, termsOf } from '../jobRecord.js'
@@ -31,6 +31,32 @@
   return { cell, admit, areRead }
 }
 
+/** By its kind, what happens to the first read of payloads. */
+const FAULTS: Readonly<Record<string, (cell: TestCell) => void>> = {
+  'finds no row': cell => {
+    const range = cell.store.range.bind(cell.store)
+    let reads = 0
+    cell.store.range = (query, timeoutMs) => query.table === TABLES.payloads && reads++ === 0 ? Promise.resolve(Ok({ rows: [], hasMore: false, version: 0 })) : range(query, timeoutMs)
+  },
+  throws: cell => {
+    let reads = 0
+    cell.beforeLeaderCall = async (_daemon, table) => {
+      if (table === TABLES.payloads && reads++ === 0) throw new Error('unforeseen')
+    }
+  }
+}
+
+for (const [fault, prepare] of Object.entries(FAULTS)) {
+  // Guards against LOST: a leader asked for the payload of a job once, so that the job waited until the next change of leaders.
+  test(`a job starts although the first read of its payload ${fault}`, async t => {
+    const { cell, admit, areRead } = await createCell(prepare)
+    const jobId = admit(cell.newJobId())
+    t.true(await areRead([jobId]))
+    t.true(await cell.advanceUntil(() => cell.audit.hasStarted(jobId), MAX_WAIT_MS))
+    t.deepEqual(cell.audit.violations, [])
+  })
+}
+
 // Guards against LOST: reads of a partition that does not answer were repeated until it did, and kept the payloads of all other jobs from being read.
 test('jobs of a partition that does not answer do not keep the payloads of others from being read', async t => {
   let isAnswering = false
--- a/packages/cell/src/payloads.ts
+++ b/packages/cell/src/payloads.ts
@@ -8,7 +8,16 @@
 
 /** Maximum number of concurrent reads; more would compete with the renewal of the leader's lease on a low-bandwidth link. */
 const MAX_PARALLEL_READS = 16
-const RETRY_PAUSE_MS = 200
+
+/** `unforeseen`: the row was not found although it is stored with that of the job, or the read has thrown. */
+type ReadOutcome = 'loaded' | 'failed' | 'unforeseen'
+
+/** Pauses before the next read, in milliseconds. */
+const RETRY_PAUSES_MS: Readonly<Record<Exclude<ReadOutcome, 'loaded'>, number>> = {
+  failed: 200,
+  /** It may go on for good. */
+  unforeseen: 1_000
+}
 
 export interface PayloadLoaderOptions {
   readonly store: RowStore
@@ -23,6 +32,8 @@
 export class PayloadLoader {
   private readonly waitingJobs = new Set<Job>()
   private readonly requestedJobs = new WeakSet<Job>()
+  /** Jobs whose payload a read has not found, each of which is logged once. */
+  private readonly missingJobs = new WeakSet<Job>()
   private activeReads = 0
 
   private constructor (private readonly options: PayloadLoaderOptions) {}
@@ -45,36 +56,42 @@
       if (job.payload !== undefined || job.outcome !== undefined) continue
       this.activeReads++
       this.read(job)
-        .finally(() => {
+        .catch((err: unknown): ReadOutcome => {
+          this.options.log.error('Loading a payload failed unexpectedly.', { job: job.id, err })
+          return 'unforeseen'
+        })
+        .then(outcome => {
           this.activeReads--
           this.readNext()
+          return outcome === 'loaded' ? this.options.onLoaded() : this.retry(job, RETRY_PAUSES_MS[outcome])
         })
-        .then(isDone => isDone ? undefined : this.retry(job))
-        .catch((err: unknown) => this.options.log.error('Loading a payload failed unexpectedly.', { job: job.id, err }))
+        .catch((err: unknown) => this.options.log.error('Payloads could not be processed.', { job: job.id, err }))
     }
   }
 
   /** Lets others go first: the partition of the job may not answer for long. */
-  private async retry (job: Job) {
+  private async retry (job: Job, pauseMs: number) {
     const { clock, signal } = this.options
-    await clock.sleep(RETRY_PAUSE_MS, signal)
+    await clock.sleep(pauseMs, signal)
     if (signal.aborted) return
     this.waitingJobs.add(job)
     this.readNext()
   }
 
-  /** Resolves with whether the store has answered. */
-  private async read (job: Job): Promise<boolean> {
-    const { store, log, onLoaded } = this.options
+  private async read (job: Job): Promise<ReadOutcome> {
+    const { store, log } = this.options
     const page = await store.range({ table: TABLES.payloads, partition: admissionPartitionOf(job.id), from: job.id, to: `${job.id}\0`, limit: 1 }, STORE_TIMEOUT_MS)
     if (page.err) {
       log.warn('Payload could not be read.', { job: job.id, verdict: page.val.verdict, reason: page.val.reason })
-      return false
+      return 'failed'
     }
     const { payload } = recordOf(page.val.rows[0]?.value)
-    if (isString(payload)) job.payload ??= payload
-    else log.error('Payload of a job is missing.', { job: job.id, version: page.val.version })
-    onLoaded()
-    return true
+    if (!isString(payload)) {
+      if (!this.missingJobs.has(job)) log.error('Payload of a job is missing.', { job: job.id, version: page.val.version })
+      this.missingJobs.add(job)
+      return 'unforeseen'
+    }
+    job.payload ??= payload
+    return 'loaded'
   }
 }
