fix(cell): whoever waits for a read of the job changes is not forgotten when the read throws

Cause: the end of a run of a job that this leader hasn't read waits for the next read of the changes, and the job counts as unread until then. The loop took the waiters off their list before the read and put them back only after a failure that was returned; what threw lost them when the loop was started again. Change: they stay on the list until a read that began after them has succeeded.

--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -855,25 +855,22 @@
     while (!signal.aborted) {
       await this.pauseBeforeChanges(signal)
       const wereLeadersFenced = this.earlierJobs.areLeadersKnownToBeFenced()
-      const waiters = this.changeWaiters.splice(0)
+      // They stay listed until the read has succeeded: it may also throw.
+      const waiters = this.changeWaiters.length
       const res = await store.changes(TABLES.jobs, this.changesVersion, 0)
       if (res.err) {
         this.log.warn('Changes of jobs could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
-        this.changeWaiters.push(...waiters)
         continue
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('Store no longer has the job changes since the last read; reading all jobs.', { version: this.changesVersion })
-        if (!await this.loadJobs(await this.readJobs())) {
-          this.changeWaiters.push(...waiters)
-          continue
-        }
+        if (!await this.loadJobs(await this.readJobs())) continue
       } else {
         for (const jobId of this.jobs.applyChanges(res.val.rows)) this.cancelled(jobId)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
       this.earlierJobs.recordRead(this.changesVersion, wereLeadersFenced)
-      for (const resolve of waiters) resolve()
+      for (const resolve of this.changeWaiters.splice(0, waiters)) resolve()
       this.scheduleRound()
     }
   }
