test(cell): a job is started again whatever becomes of the worker that listed its run before it was read

Change: four plays: the worker is cut off, is gone, restarts under its id, or refuses to stop the run for 3 s.

--- a/packages/cell/src/__tests__/unreadJobs.test.ts
+++ b/packages/cell/src/__tests__/unreadJobs.test.ts
@@ -2,17 +2,22 @@
 import { TABLES, TOKENS_PER_EPOCH } from '../constants.js'
 import { admissionPartitionOf } from '../jobs.js'
 import { encodeJob, termsOf } from '../jobRecord.js'
+import { latestExpiryMs } from '../workerLink.js'
 import { TestCell, createStep, createWorkerEntry } from '../testing/index.js'
 
 /** Time for which no job may wait beside free workers, in milliseconds. */
 const MAX_WAIT_MS = 3_000
-const EARLIER_RUN_MS = 100
+const SHORT_RUN_MS = 100
+const LONG_RUN_MS = 60_000
+
+/** Time after which the lease on a run has expired for certain, in milliseconds. */
+const LEASE_EXPIRED_MS = latestExpiryMs(5_000)
 
 /** A cell whose second leader leads. `runUnread` runs a job on w1, of a leader before it, that it reads only afterwards. */
-async function createCell () {
+async function createCell (earlierRunMs: number) {
   const cell = TestCell.create({
     workers: [createWorkerEntry('w1'), createWorkerEntry('w2')],
-    behaviour: (_task, run) => run === 1 ? { durationMs: EARLIER_RUN_MS, end: 'failed' } : { durationMs: 500, end: 'done' }
+    behaviour: (_task, run) => run === 1 ? { durationMs: earlierRunMs, end: 'failed' } : { durationMs: 500, end: 'done' }
   })
   const first = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
@@ -57,7 +62,7 @@
 
 // Guards against LOST: a job whose run a worker had listed before the leader read it was never started again, once a read of the changes had thrown.
 test('a job whose end is listed before the leader reads it is started again after a read of the changes has thrown', async t => {
-  const { cell, runUnread, failReads, haveReadsFailed } = await createCell()
+  const { cell, runUnread, failReads, haveReadsFailed } = await createCell(SHORT_RUN_MS)
   const jobId = await runUnread()
   failReads(2)
   t.true(await cell.advanceUntil(haveReadsFailed))
@@ -66,3 +71,46 @@
   t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
   t.deepEqual(cell.audit.violations, [])
 })
+
+/** By what becomes of the worker that lists the run. */
+const FATES: Readonly<Record<string, (cell: TestCell) => void>> = {
+  'is cut off for good': ({ workers }) => { for (const worker of workers.all().slice(0, 1)) worker.isCutOff = true },
+  'is gone': cell => {
+    cell.workers.all()[0]?.crash()
+    cell.setRegistry([createWorkerEntry('w2')])
+  },
+  'restarts under its id': cell => {
+    cell.workers.all()[0]?.restart(2)
+    cell.setRegistry([createWorkerEntry('w1', { born: 2 }), createWorkerEntry('w2')])
+  },
+  'has refused to stop it until then': () => {}
+}
+
+for (const [fate, apply] of Object.entries(FATES)) {
+  // Guards against LOST: a job is not started while a run that was listed before it was read may be on a worker, and must be after that.
+  test(`a job whose run is listed before the leader reads it is started again although its worker ${fate}`, async t => {
+    const { cell, runUnread, failReads, haveReadsFailed } = await createCell(LONG_RUN_MS)
+    const [worker] = cell.workers.all()
+    let stops = 0
+    if (worker !== undefined) {
+      worker.fault = command => {
+        if (command !== 'stop') return undefined
+        stops++
+        return { kind: 'refused', reason: 'unhealthy' }
+      }
+    }
+    const jobId = await runUnread()
+    failReads(2)
+    t.true(await cell.advanceUntil(() => stops > 0 && haveReadsFailed()))
+    await cell.clock.advance(MAX_WAIT_MS)
+    t.is(cell.audit.startsOf(jobId).length, 1)
+    if (worker !== undefined) worker.fault = () => undefined
+    apply(cell)
+    const since = cell.clock.now()
+    const isStartedAgain = await cell.advanceUntil(() => cell.audit.startsOf(jobId).length === 2, LEASE_EXPIRED_MS + MAX_WAIT_MS)
+    t.log(`after ${cell.clock.now() - since} ms`)
+    t.true(isStartedAgain)
+    t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed'))
+    t.deepEqual(cell.audit.violations, [])
+  })
+}
