fix(cell): a start or stop of a run that throws counts as a call without an answer

Cause: a call that threw was never counted as over, so that the end of a run whose start had been sent twice stayed uncertain for good and held back all ends behind it; and a stop that threw ended the loop that repeats it. Only heartbeats were guarded. Change: a link's client returns a failure for each call that throws, of heartbeats, starts and stops alike.

--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -97,3 +97,47 @@
   t.is(cell.leader()?.stateOf(stored), 'completed')
   t.deepEqual(worker.endedTasks().map(task => task.split('.')[0]), [rejected, rejected])
 })
+
+// Guards against LOST: the end of a run whose start had thrown when it was sent again was held back for good, and all ends of the worker behind it.
+test('ends are applied although the repetition of a start has thrown', async t => {
+  const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: (_task, run) => ({ durationMs: 2_000, end: run === 1 ? 'failed' : 'done' }) })
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  const [worker] = cell.workers.all()
+  if (worker === undefined) throw new Error('no worker')
+  let sent = 0
+  worker.fault = command => {
+    if (command !== 'start' || ++sent > 2) return undefined
+    if (sent === 1) return { kind: 'answer-lost' }
+    throw new Error('unforeseen')
+  }
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => sent === 2))
+  const other = await cell.submit(daemon, [createStep()])
+  await cell.clock.advance(2_500)
+  t.true(await cell.advanceUntil(() => [jobId, other].every(id => cell.audit.startsOf(id).length === 2), 3_000))
+  t.true(await cell.advanceUntil(() => [jobId, other].every(id => cell.leader()?.stateOf(id) === 'completed'), 6_000))
+  t.deepEqual(cell.audit.violations, [])
+})
+
+// Guards against LOST: a stop that had thrown was not repeated, so that the task of a run that made no progress never ran elsewhere.
+test('a run that makes no progress is stopped although a stop has thrown', async t => {
+  const cell = TestCell.create()
+  const daemon = cell.startDaemon('d1')
+  await cell.advanceUntil(() => cell.leader() !== undefined)
+  await cell.clock.advance(1_000)
+  let stops = 0
+  for (const worker of cell.workers.all()) {
+    worker.fault = command => {
+      if (command === 'stop' && stops++ === 0) throw new Error('unforeseen')
+      return undefined
+    }
+  }
+  for (const worker of cell.workers.all()) worker.isStalled = true
+  const jobId = await cell.submit(daemon, [createStep()])
+  t.true(await cell.advanceUntil(() => stops === 1))
+  for (const worker of cell.workers.all()) worker.isStalled = worker.runningTasks().length > 0
+  t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 3_000))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -209,7 +209,7 @@
     const callsSentUntil = options.clock.now() + options.predecessorActiveMs
     this.leasesExpireAt = callsSentUntil + latestExpiryMs(options.taskLeaseMs)
     this.lastStrayLeaseExpiresAt = callsSentUntil + latestStrayExpiryMs(options.maxTaskLeaseMs)
-    this.client = options.clients.create(entry)
+    this.client = withoutThrows(options.clients.create(entry))
     this.startWindow = StartWindow.create(options.startWindow)
     this.startHedge = Hedge.create({ clock: options.clock, initialTypicalMs: TYPICAL_START_MS, minOverdueMs: MIN_OVERDUE_START_MS })
   }
@@ -623,7 +623,6 @@
         pendingSends++
         const sentAt = clock.now()
         const res = await this.client.heartbeat(sent, sent.waitMs + WORKER_TIMEOUT_MS + LATE_ANSWER_MS)
-          .catch((err: unknown) => Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`)))
         pendingSends--
         if (pendingSends === 0) this.pendingHeartbeats.delete(pending)
         if (isSettled) await this.applyLateAnswer(res, cmd.fencingToken, sentAt)
@@ -835,6 +834,23 @@
   return MAX_CALL_DELAY_MS + latestExpiryMs(maxLeaseMs)
 }
 
+/** A client of which no call throws: what awaits its outcome would not go on. */
+function withoutThrows (client: WorkerClient): WorkerClient {
+  const outcomeOf = async <T>(call: () => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> => {
+    try {
+      return await call()
+    } catch (err) {
+      return Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`))
+    }
+  }
+  return {
+    heartbeat: (cmd, timeoutMs) => outcomeOf(() => client.heartbeat(cmd, timeoutMs)),
+    start: (cmd, timeoutMs) => outcomeOf(() => client.start(cmd, timeoutMs)),
+    stop: (cmd, timeoutMs) => outcomeOf(() => client.stop(cmd, timeoutMs)),
+    close: () => client.close()
+  }
+}
+
 function refusalReasonOf ({ code }: Failure): RefusalReason | 'unreachable' | 'queued' {
   if (code === NEVER_SENT_CODE) return 'queued'
   return code.startsWith(REFUSAL_CODE_PREFIX) ? code.slice(REFUSAL_CODE_PREFIX.length) as RefusalReason : 'unreachable'
