fix(cell): a gang that must run alone asks for tickets of the workers without other work

What callers saw: a gang under which two workers have crashed waits for 2 to 10 s beside workers without other work, and then starts beside other work that it may crash. Cause: the number of tickets that a gang lacks was counted over all workers, and those with other work were left out only after that. With tickets for these it asked for no others, and its patience passed. Change: while workers without other work have room for the gang, only their tickets count, and only theirs are asked for. Where they have too little, it asks as before, for the end of its patience. Measured: gangsAlone.test.ts: before, the gang started after 2,020 ms beside other work although five workers had none; now after 420 ms on workers of its own. Where each worker has other work it starts after 2,020 ms before and after. suspectsBesideRoom, wideGangs, roundCost, waitTimes and advice pass.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -246,8 +246,9 @@
     return worker.startObstacle(now) ?? (worker.hasExclusiveRun() ? 'exclusive-run' : this.options.useObstacle(worker, now))
   }
 
-  private isGangWaitingAlone (step: Step): boolean {
-    const task = step.task(0)
+  /** Whether a gang has to wait for workers without other work. */
+  private mustBeAlone (step: Step): boolean {
+    const task = step.hasSuspects ? step.task(0) : undefined
     return task !== undefined && this.candidates.waitsAlone(task, this.now)
   }
 
@@ -390,20 +391,24 @@
     const freeOn: FreeOn = worker => capacity.freeOn(worker)
     const width = step.spec.count
     step.waitTimes.note('room', this.now)
-    if (slotsOn(step, ticketed, freeOn) >= width) return
+    const isEligible = (worker: WorkerLink) => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker)
+    const eligibleWithRoom = () => capacity.withRoomFor(step.need).filter(worker => isEligible(worker) && slotsWithinLimit(step, worker) > 0)
+    // Tickets of workers with other work are of use only where the gang will have to run beside it.
+    const isAlone = this.mustBeAlone(step) && slotsOn(step, eligibleWithRoom().filter(isEmpty), freeOn) >= width
+    const isUsable = (worker: WorkerLink) => !isAlone || isEmpty(worker)
+    if (slotsOn(step, ticketed.filter(isUsable), freeOn) >= width) return
     const isPending = advice.isPending(step)
     const mayCallSideBySide = !advice.areAgentsScarce(this.now) && !isProcessorFull()
     if ((isPending && !mayCallSideBySide) || !advice.hasFreeAgent(policy, this.now) || this.leavesAgents(candidate, round)) {
       step.waitTimes.note(isPending ? 'tickets' : 'agents', this.now)
       return
     }
-    const isOpen = (worker: WorkerLink) => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker)
-    const open = capacity.withRoomFor(step.need).filter(worker => isOpen(worker) && slotsWithinLimit(step, worker) > 0)
+    const open = eligibleWithRoom().filter(isUsable)
     if (slotsOn(step, open, freeOn) < width) return
     const approved = open.filter(worker => advice.isApproved(step, worker))
     const named = mayCallSideBySide
       ? this.workersForWidth(step, policy, { open, approved, freeOn })
-      : (slotsOn(step, approved, freeOn) >= width ? approved : this.rotate(open, capacity.all().filter(isOpen))).slice(0, MAX_WORKERS_IN_SINGLE_CALL)
+      : (slotsOn(step, approved, freeOn) >= width ? approved : this.rotate(open, capacity.all().filter(worker => isEligible(worker) && isUsable(worker)))).slice(0, MAX_WORKERS_IN_SINGLE_CALL)
     if (isPending || named.length > 0) step.waitTimes.note('tickets', this.now)
     advice.request(step, policy, named)
   }
@@ -475,8 +480,8 @@
 
   private placeGang (candidate: Candidate, round: SchedulingRound): boolean {
     const { step } = candidate
-    const mustBeAlone = step.hasSuspects && this.isGangWaitingAlone(step)
-    const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || worker.runs.size === 0)
+    const mustBeAlone = this.mustBeAlone(step)
+    const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || isEmpty(worker))
     const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
     if (slotsOn(step, workers, freeOn) < step.spec.count) return false
     const placements = step.spec.rackLocal
@@ -583,6 +588,10 @@
   return last < 0 ? workers : workers.slice(0, last + 1)
 }
 
+function isEmpty ({ runs }: WorkerLink): boolean {
+  return runs.size === 0
+}
+
 /** Number of tasks of the step that can be started on the workers now. */
 function slotsOn (step: Step, workers: readonly WorkerLink[], freeOn: FreeOn): number {
   return workers.reduce((total, worker) => total + Math.min(maxTasksThatFit(step.need, freeOn(worker) ?? NO_RESOURCES), slotsWithinLimit(step, worker)), 0)
