fix(cell): half of a rejected batch is not forgotten when storing the other half throws

Cause: a batch that the store rejects is taken apart, one half after the other. When the first half threw, it was staged again, but the second one neither sent nor staged, and what waited for its rows waited for good. Change: the second half is stored whatever becomes of the first.

--- a/packages/cell/src/__tests__/commitQueue.test.ts
+++ b/packages/cell/src/__tests__/commitQueue.test.ts
@@ -18,14 +18,15 @@
   let isDeposed = false
   const rejected: string[] = []
   const commits = CommitQueue.create({ store, partition: PARTITION, epochVersion: () => epochVersion, mayIssueCommands: () => true, onDeposed: () => { isDeposed = true }, onEarlierProgress: (row, value) => row.job.restore((value as { readonly occurrences: JobProgress }).occurrences, row.progressVersion), onRejected: job => rejected.push(job.id), onRefused: () => {}, clock, log: silentLog })
-  commits.run(stopping.signal).catch(() => {})
+  const run = () => { commits.run(stopping.signal).catch(() => {}) }
+  run()
   const job = Job.create('00000000000000aa', { queue: 'q', service: 's', admittedAtMs: 0, spec: { steps: [createStep({ count: 2 })] } }, 1)
   const finish = (index: number) => {
     const task = job.task({ jobId: job.id, occurrence: 0, step: 0, index })
     if (task !== undefined) task.step.markDone(task)
   }
   const stored = () => store.get('progress', PARTITION, job.id)?.value as StoredProgress | undefined
-  return { clock, store, commits, job, finish, stored, isDeposed: () => isDeposed, rejected, stop: () => stopping.abort() }
+  return { clock, store, commits, job, finish, stored, isDeposed: () => isDeposed, rejected, restart: run, stop: () => stopping.abort() }
 }
 
 test('a transaction that is applied late does not undo a later one', async t => {
@@ -105,3 +106,24 @@
   t.true(isStored)
   stop()
 })
+
+// Guards against LOST: what waited for rows in the second half of a batch waited for good, once the first half had thrown.
+test('the rows of a rejected batch are stored although storing some of them throws', async t => {
+  const { clock, store, commits, job, stop, restart } = createCommitQueue()
+  const others = Array.from({ length: 3 }, (_, index) => Job.create(`00000000000001${16 + index}`, job.record, 1))
+  const jobs = [job, ...others]
+  const areStored: string[] = []
+  let sent = 0
+  store.writeFault = () => {
+    sent++
+    if (sent === 1) return { kind: 'rejected' }
+    if (sent === 2) throw new Error('unforeseen')
+    return undefined
+  }
+  for (const staged of jobs) commits.stage(staged).then(() => areStored.push(staged.id)).catch(() => {})
+  await clock.advance(1_000)
+  restart()
+  await clock.advance(1_000)
+  t.deepEqual([...areStored].sort(), jobs.map(({ id }) => id).sort())
+  stop()
+})
--- a/packages/cell/src/commitQueue.ts
+++ b/packages/cell/src/commitQueue.ts
@@ -164,8 +164,14 @@
       return true
     }
     const middle = Math.ceil(batch.length / 2)
-    const areStored = [await this.storeBatch(batch.slice(0, middle)), await this.storeBatch(batch.slice(middle))]
-    return areStored.every(isStored => isStored)
+    let areStored = false
+    try {
+      areStored = await this.storeBatch(batch.slice(0, middle))
+    } finally {
+      // Neither half is staged any more, and only what is sent is staged again when it fails.
+      areStored = await this.storeBatch(batch.slice(middle)) && areStored
+    }
+    return areStored
   }
 
   private release ({ row, waiters }: StagedRow) {
