fix(cell): a partition that does not answer does not keep jobs of others waiting in the store

Cause: parked jobs were loaded in batches of the first 20, each of which waited for its slowest read, up to a time-out; a job that could not be read stayed first. Change: up to 20 are loaded at a time, each of which makes room for the next one when it is done, and one that can't be read goes behind the others.

--- a/packages/cell/src/__tests__/parkedJobs.test.ts
+++ b/packages/cell/src/__tests__/parkedJobs.test.ts
@@ -1,4 +1,6 @@
 import test from 'ava'
+import { Failure } from '@citronnotch/base/errors'
+import { Err } from '@citronnotch/base/result'
 import { TABLES } from '../constants.js'
 import { admissionPartitionOf } from '../jobs.js'
 import { encodeJob, termsOf } from '../jobRecord.js'
@@ -54,3 +56,27 @@
   t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(last) === 'cancelled', 5_000))
   t.false(cell.audit.hasStarted(last))
 })
+
+// Guards against LOST: the first jobs that wait in the store were read until their partition answered, and no others meanwhile.
+test('jobs of a partition that does not answer do not keep others from being loaded', async t => {
+  const { cell, jobIds } = createFullCell()
+  const isDone = (jobId: string) => cell.audit.isDone({ jobId, occurrence: 0, step: 0, index: 0 })
+  cell.startDaemon('d1')
+  t.true(await cell.advanceUntil(() => cell.leader()?.pendingOf(cell.queue().name) !== undefined))
+  const partition = admissionPartitionOf(jobIds[JOBS - 1] ?? '')
+  let isAnswering = false
+  const range = cell.store.range.bind(cell.store)
+  cell.store.range = async (query, timeoutMs) => {
+    if (isAnswering || query.partition !== partition) return range(query, timeoutMs)
+    await cell.clock.sleep(timeoutMs)
+    return Err(Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.'))
+  }
+  const others = jobIds.filter(jobId => admissionPartitionOf(jobId) !== partition)
+  const since = cell.clock.now()
+  const areDone = await cell.advanceUntil(() => others.every(isDone), 40_000)
+  t.log(`after ${cell.clock.now() - since} ms, ${others.filter(jobId => !isDone(jobId)).length} of ${others.length} wait`)
+  t.true(areDone)
+  isAnswering = true
+  t.true(await cell.advanceUntil(() => jobIds.every(isDone), 20_000))
+  t.deepEqual(cell.audit.violations, [])
+})
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -54,7 +54,7 @@
 const STEP_BACKOFF_MS = 60
 /** Time without new starts on a worker that reported a lack of capacity or bad health. */
 const WORKER_BACKOFF_MS = 500
-/** Interval at which parked jobs are loaded, in milliseconds, and how many at a time. */
+/** Interval at which more parked jobs are loaded, in milliseconds, and how many at a time. */
 const PARKED_INTERVAL_MS = 100
 const PARKED_BATCH = 20
 /** Time for which a run has to work before a crash to clear its task of earlier ones, in milliseconds. */
@@ -839,14 +839,28 @@
   /** Loads parked jobs in the order of their admission, as soon as others have ended. */
   private async loadParkedJobs (signal: AbortSignal) {
     const { clock, metrics } = this.options
+    const loading = new Set<string>()
     while (!signal.aborted) {
       await clock.sleep(PARKED_INTERVAL_MS, signal)
       metrics.gauge('jobs_parked', this.jobs.parked.size())
-      const ids = this.memory.hasRoom() ? this.jobs.parked.first(PARKED_BATCH) : []
-      if (ids.length === 0) continue
-      await Promise.all(ids.map(jobId => this.loadParked(jobId)))
-      this.scheduleRound()
+      const ids = this.memory.hasRoom() ? this.jobs.parked.first(PARKED_BATCH - loading.size, loading) : []
+      for (const jobId of ids) {
+        loading.add(jobId)
+        this.loadParkedOrPostpone(jobId).finally(() => loading.delete(jobId))
+      }
+    }
+  }
+
+  /** Never rejects. A job that can't be read goes behind the others: its partition may not answer for long. */
+  private async loadParkedOrPostpone (jobId: string): Promise<void> {
+    let isLoaded = false
+    try {
+      isLoaded = await this.loadParked(jobId)
+    } catch (err) {
+      this.log.error('A parked job could not be loaded.', { job: jobId, err })
     }
+    if (isLoaded) this.scheduleRound()
+    else this.jobs.parked.postpone(jobId)
   }
 
   /** Polls the store for job changes, since notifications may be lost. */
--- a/packages/cell/src/parkedJobs.ts
+++ b/packages/cell/src/parkedJobs.ts
@@ -9,7 +9,7 @@
  * ended.
  */
 export class ParkedJobs {
-  /** In the order in which they were admitted. */
+  /** In the order in which they were admitted, or postponed. */
   private readonly jobs = new Map<string, ParkedJob>()
   private readonly countByQueue = new Map<string, number>()
 
@@ -37,12 +37,12 @@
     return this.countByQueue.get(queue) ?? 0
   }
 
-  /** The jobs that were admitted first. */
-  first (count: number): readonly string[] {
+  /** The first jobs without `others`. */
+  first (count: number, others: ReadonlySet<string>): readonly string[] {
     const ids: string[] = []
     for (const id of this.jobs.keys()) {
       if (ids.length >= count) break
-      ids.push(id)
+      if (!others.has(id)) ids.push(id)
     }
     return ids
   }
@@ -56,6 +56,14 @@
     this.countByQueue.set(queue, this.countOf(queue) + 1)
   }
 
+  /** Puts a job behind all others. */
+  postpone (jobId: string): void {
+    const job = this.jobs.get(jobId)
+    if (job === undefined) return
+    this.jobs.delete(jobId)
+    this.jobs.set(jobId, job)
+  }
+
   remove (jobId: string): void {
     const job = this.jobs.get(jobId)
     if (job === undefined) return
