--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -54,7 +54,7 @@
 const STEP_BACKOFF_MS = 60
 /** Time without new starts on a worker that reported a lack of capacity or bad health. */
 const WORKER_BACKOFF_MS = 500
-/** Interval at which parked jobs are loaded, in milliseconds, and how many at a time. */
+/** Interval at which more parked jobs are loaded, in milliseconds, and how many at a time. */
 const PARKED_INTERVAL_MS = 100
 const PARKED_BATCH = 20
 /** Time for which a run has to work before a crash to clear its task of earlier ones, in milliseconds. */
@@ -165,7 +165,7 @@
       store, retentionMs: options.statusRetentionMs, epochVersion: index => this.epochVersion(index), mayIssueCommands, clock, log: this.log
     })
     this.loader = JobLoader.create(store, clock, this.log)
-    this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), clock, log: this.log })
+    this.payloads = PayloadLoader.create({ store, onLoaded: () => this.scheduleRound(), signal: this.stopping.signal, clock, log: this.log })
     this.memory = JobMemory.create(options.jobMemoryMb, clock)
     this.accounts = CellAccounts.create({ terms: options.accountTerms, overage: options.accountOverage, burstJobs: options.accountBurstJobs, workers: () => this.workers.all(), recordOf: jobId => (this.jobs.get(jobId) ?? this.earlierJobs.endedJob(jobId))?.record })
     this.jobs = JobTable.create({ janitor: this.janitor, memory: this.memory, onAdded: job => this.accounts.jobAdded(job), onEnded: job => this.earlierJobs.jobEnded(job), mayHaveUnknownRuns: job => this.earlierJobs.isHeldBack(job), statusRetentionMs: options.statusRetentionMs, clock, log: this.log })
@@ -842,14 +842,28 @@
   /** Loads parked jobs in the order of their admission, as soon as others have ended. */
   private async loadParkedJobs (signal: AbortSignal) {
     const { clock, metrics } = this.options
+    const loading = new Set<string>()
     while (!signal.aborted) {
       await clock.sleep(PARKED_INTERVAL_MS, signal)
       metrics.gauge('jobs_parked', this.jobs.parked.size())
-      const ids = this.memory.hasRoom() ? this.jobs.parked.first(PARKED_BATCH) : []
-      if (ids.length === 0) continue
-      await Promise.all(ids.map(jobId => this.loadParked(jobId)))
-      this.scheduleRound()
+      const ids = this.memory.hasRoom() ? this.jobs.parked.first(PARKED_BATCH - loading.size, loading) : []
+      for (const jobId of ids) {
+        loading.add(jobId)
+        this.loadParkedOrPostpone(jobId).finally(() => loading.delete(jobId))
+      }
+    }
+  }
+
+  /** Never rejects. A job that can't be read goes behind the others: its partition may not answer for long. */
+  private async loadParkedOrPostpone (jobId: string): Promise<void> {
+    let isLoaded = false
+    try {
+      isLoaded = await this.loadParked(jobId)
+    } catch (err) {
+      this.log.error('A parked job could not be loaded.', { job: jobId, err })
     }
+    if (isLoaded) this.scheduleRound()
+    else this.jobs.parked.postpone(jobId)
   }
 
   /** Polls the store for job changes, since notifications may be lost. */
@@ -858,25 +872,22 @@
     while (!signal.aborted) {
       await this.pauseBeforeChanges(signal)
       const wereLeadersFenced = this.earlierJobs.areLeadersKnownToBeFenced()
-      const waiters = this.changeWaiters.splice(0)
+      // They stay listed until the read has succeeded: it may also throw.
+      const waiters = this.changeWaiters.length
       const res = await store.changes(TABLES.jobs, this.changesVersion, 0)
       if (res.err) {
         this.log.warn('Changes of jobs could not be read.', { verdict: res.val.verdict, reason: res.val.reason })
-        this.changeWaiters.push(...waiters)
         continue
       }
       if (res.val.kind === 'history-lost') {
         this.log.info('Store no longer has the job changes since the last read; reading all jobs.', { version: this.changesVersion })
-        if (!await this.loadJobs(await this.readJobs())) {
-          this.changeWaiters.push(...waiters)
-          continue
-        }
+        if (!await this.loadJobs(await this.readJobs())) continue
       } else {
         for (const jobId of this.jobs.applyChanges(res.val.rows)) this.cancelled(jobId)
         this.changesVersion = Math.max(this.changesVersion, res.val.version)
       }
       this.earlierJobs.recordRead(this.changesVersion, wereLeadersFenced)
-      for (const resolve of waiters) resolve()
+      for (const resolve of this.changeWaiters.splice(0, waiters)) resolve()
       this.scheduleRound()
     }
   }
