fix(cell): starts of late jobs count by the leader's processor while that is scarce

Cause: the share of late jobs counted workers and agents only. In a cell whose leader has no processor time left, short late jobs take little of these, so that dozens a second went first and took starts from jobs on time. Change: while the processor is full, startCostMsOf counts 1.6 ms a start as well (docs/CAPACITY.md).

--- a/packages/cell/src/__tests__/waitingOrder.test.ts
+++ b/packages/cell/src/__tests__/waitingOrder.test.ts
@@ -4,6 +4,7 @@
 import { MemoryMetrics } from '../metrics.js'
 import { Durations } from '../room/durations.js'
 import { Forecast } from '../room/forecast.js'
+import { startCostMsOf } from '../room/jobCost.js'
 import { LateShare } from '../room/lateShare.js'
 import { LoadShedding } from '../room/loadShedding.js'
 import { WaitingPlan, compareJobs, standingOf } from '../room/waitingPlan.js'
@@ -243,7 +244,7 @@
   const clock = ManualClock.create()
   const links = createSilentLinks({ count: 4, capacity: { milliCores: 4_000, memoryMb: 16_000, accelerators: 0 }, clock })
   const queued = createQueuedJob(QUEUE, clock.date().getTime(), { count: 40 })
-  const shedding = LoadShedding.create({ jobs: () => [queued, ...services].map(({ job }) => job), queue: () => QUEUE, isExcess: () => false, canStart: () => true, workers: () => links, agents: () => 1, clock, metrics: MemoryMetrics.create() })
+  const shedding = LoadShedding.create({ jobs: () => [queued, ...services].map(({ job }) => job), queue: () => QUEUE, isExcess: () => false, canStart: () => true, workers: () => links, agents: () => 1, isProcessorFull: () => false, clock, metrics: MemoryMetrics.create() })
   return { clock, links, job: queued.job, shedding }
 }
 
@@ -336,3 +337,11 @@
   t.true(await cell.advanceUntil(allEnded, 60_000))
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against late jobs that take the starts of a leader without processor time from jobs that can be on time.
+test('while the processor is full, starts of late jobs count by what they take of it', t => {
+  const steps = [{ spec: createStep({ estimateMs: 1_000, need: { milliCores: 1, memoryMb: 0, accelerators: 0 } }), tasks: 30 }]
+  const costOf = (isProcessorFull: boolean) => startCostMsOf(steps, { queue: {}, known: undefined, cell: CELL, agents: 1, isProcessorFull })
+  t.is(costOf(false), 3)
+  t.is(costOf(true), 48)
+})
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -190,8 +190,8 @@
         log: logs.for('maintenance')
       })
     this.suggestedWorkers = SuggestedWorkers.create({ workers: () => this.workers.all(), isUsable: (worker, now) => this.useObstacle(worker, now) === undefined })
-    this.shedding = options.shedsLoad ? LoadShedding.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), isExcess: (job, unixMs) => this.accounts.isExcess(job, unixMs), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, clock, metrics: options.metrics }) : undefined
-    this.lateJobs = options.shedsLoad ? undefined : LateJobs.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, clock })
+    this.shedding = options.shedsLoad ? LoadShedding.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), isExcess: (job, unixMs) => this.accounts.isExcess(job, unixMs), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, isProcessorFull: () => options.loopLag.isHigh(), clock, metrics: options.metrics }) : undefined
+    this.lateJobs = options.shedsLoad ? undefined : LateJobs.create({ jobs: () => this.jobs.live(), queue: job => this.queueOf(job), canStart: job => this.canStart(job), workers: () => this.workers.all(), agents: () => options.agents().length, isProcessorFull: () => options.loopLag.isHigh(), clock })
     this.dispatcher = Dispatcher.create({
       epoch,
       accounts: this.accounts,
--- a/packages/cell/src/room/jobCost.ts
+++ b/packages/cell/src/room/jobCost.ts
@@ -15,6 +15,8 @@
 const FIRST_PRIORITY_FACTOR = 4
 const PRIORITY_FACTOR = 1.5
 
+/** Processor time of the leader for the start of a task, in milliseconds: docs/CAPACITY.md, on a core of its own. */
+const START_PROCESSOR_MS = 1.6
 /** Time for which a task of a service counts as work, in milliseconds. */
 const SERVICE_TASK_MS = 4_000
 
@@ -25,6 +27,8 @@
   readonly cell: ResourceVector
   /** Number of daemons that can ask for placement advice. */
   readonly agents: number
+  /** Whether the leader has no processor time left, so that starts count by what they take of it. */
+  readonly isProcessorFull: boolean
 }
 
 /** A step with the part of it that is counted. */
@@ -54,12 +58,13 @@
 }
 
 /**
- * What starting tasks takes of a cell, in milliseconds of all its workers or, if that is more, of all its agents. How
- * long a service runs is not known, so its tasks count for a fixed time.
+ * What starting tasks takes of a cell, in milliseconds of that of which it takes most: all workers, all agents or, while
+ * that is scarce, the leader's processor. How long a service runs is not known, so its tasks count for a fixed time.
  */
-export function startCostMsOf (steps: readonly CountedStep[], { queue, known, cell, agents }: StartCostTerms): number {
+export function startCostMsOf (steps: readonly CountedStep[], { queue, known, cell, agents, isProcessorFull }: StartCostTerms): number {
   const workersMs = steps.reduce((sum, { spec, tasks }) => sum + tasks * cellShareOf(spec.need, cell) * (spec.longRunning ? SERVICE_TASK_MS : expectedMs(known, spec.estimateMs)), 0)
-  return Math.max(workersMs, adviceMsOf(queue, agents))
+  const leaderMs = isProcessorFull ? steps.reduce((sum, { tasks }) => sum + tasks * START_PROCESSOR_MS, 0) : 0
+  return Math.max(workersMs, adviceMsOf(queue, agents), leaderMs)
 }
 
 /** Time that all agents together take for the advice on a step, in milliseconds. */
--- a/packages/cell/src/room/lateJobs.ts
+++ b/packages/cell/src/room/lateJobs.ts
@@ -19,6 +19,8 @@
   readonly workers: () => Iterable<Pick<WorkerLink, 'entry' | 'isInService'>>
   /** Number of daemons that can ask for placement advice. */
   readonly agents: () => number
+  /** Whether this process has no processor time left. */
+  readonly isProcessorFull: () => boolean
   readonly clock: Clock
 }
 
@@ -64,6 +66,6 @@
   }
 
   private costTermsOf (queue: JobQueue): StartCostTerms {
-    return { queue, known: undefined, cell: this.cell, agents: this.options.agents() }
+    return { queue, known: undefined, cell: this.cell, agents: this.options.agents(), isProcessorFull: this.options.isProcessorFull() }
   }
 }
--- a/packages/cell/src/room/loadShedding.ts
+++ b/packages/cell/src/room/loadShedding.ts
@@ -32,6 +32,8 @@
   readonly workers: () => Iterable<Pick<WorkerLink, 'entry' | 'isInService'>>
   /** Number of daemons that can ask for placement advice. */
   readonly agents: () => number
+  /** Whether this process has no processor time left. */
+  readonly isProcessorFull: () => boolean
   readonly clock: Clock
   readonly metrics: CellMetrics
 }
@@ -131,7 +133,7 @@
   }
 
   private costTermsOf (job: Job, queue: JobQueue): StartCostTerms {
-    return { queue, known: this.durations.of(job.record.queue), cell: this.cell, agents: this.options.agents() }
+    return { queue, known: this.durations.of(job.record.queue), cell: this.cell, agents: this.options.agents(), isProcessorFull: this.options.isProcessorFull() }
   }
 
   private * queuedJobs (): Iterable<QueuedJob> {
