fix(cell): late work beyond what its account is owed leaves agents only to calls of the same kind

Cause: a step beyond what its account is owed asks no agent while an owed step waits for one and half of them are busy, for however long. Long calls may use a part of the agents only, so that owed steps which wait for these keep steps with short calls from agents that they can't use themselves. Change: once such work is too late to count, or overdue, it leaves agents only to owed work that needs calls of the same kind. Fresh work leaves them as before.

--- a/packages/cell/src/__tests__/accountShares.test.ts
+++ b/packages/cell/src/__tests__/accountShares.test.ts
@@ -111,6 +111,25 @@
   t.deepEqual(callsOf(4), ['owed', 'owed'])
 })
 
+// Guards against LOST (issue 75): a thousand late steps waited for a minute beside idle agents that only short calls may use, while owed steps waited for long calls.
+test('late excess work leaves agents only to owed work that needs calls of the same kind', t => {
+  const short = createQueue({ advice: POLICY })
+  const long = createQueue({ advice: { ...POLICY, decisionMs: 200 }, priority: 3 })
+  const callsOf = ({ owed, excess, agents }: { readonly owed: Queue, readonly excess: Queue, readonly agents: number }) => {
+    const { addAll, calls, runRound } = createRounds({ accounts: [createAccount('loud', { weight: 0.1 }), createAccount('quiet', { weight: 8 })], agents })
+    addAll('loud', 1, { need: { ...NEED, milliCores: 20_000 }, atMs: -60_000, estimateMs: 500 })
+    addAll('loud', 3, { queue: excess, atMs: -59_000, estimateMs: 500 })
+    const owedJobs = addAll('quiet', 8, { queue: owed })
+    runRound()
+    return calls.map(id => owedJobs.some(job => job.id === id) ? 'owed' : 'excess')
+  }
+  t.deepEqual(callsOf({ owed: long, excess: short, agents: 4 }), ['owed', 'owed', 'excess', 'excess', 'excess'])
+  t.deepEqual(callsOf({ owed: long, excess: long, agents: 4 }), ['owed', 'owed'])
+  // Each agent takes several short calls.
+  const shortCalls = callsOf({ owed: short, excess: short, agents: 1 })
+  t.true(shortCalls.length < 8 && shortCalls.every(account => account === 'owed'), shortCalls.join(' '))
+})
+
 test('an excess job that has just arrived waits for the round', t => {
   const { add, placeArrival, runRound, startedOf, clock, cellAccounts } = createRounds({ accounts: [createAccount('a')] })
   add({ account: 'a' })
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -130,7 +130,7 @@
 
   /** Whether at least one agent can take a call under this policy now. */
   hasFreeAgent (policy: AdvicePolicy, now: number): boolean {
-    return this.nextAgent(isLongCall(expectedCallMs(policy, 1)), now) !== undefined
+    return this.nextAgent(needsLongCalls(policy), now) !== undefined
   }
 
   /** Whether so many agents are busy that no step should have several calls at a time. */
@@ -292,6 +292,11 @@
   return decisionMs + perWorkerMs * workers
 }
 
+/** Whether each call under a policy is a long one. */
+export function needsLongCalls (policy: AdvicePolicy): boolean {
+  return isLongCall(expectedCallMs(policy, 1))
+}
+
 /** Whether a call takes its agent for so long that the leader has to decide who makes it. */
 export function isLongCall (expectedMs: number): boolean {
   return expectedMs > LONG_CALL_MS
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -1,10 +1,11 @@
 import { NO_ACCOUNTS } from './accounts/index.js'
 import type { AccountRules } from './accounts/index.js'
+import { needsLongCalls } from './advice.js'
 import type { AdviceCache } from './advice.js'
 import { Candidates, splitByShare } from './candidates.js'
 import type { Candidate, CandidatesOptions, Place } from './candidates.js'
 import type { Job, Run, Step, Task } from './jobs.js'
-import { dueMsOf } from './lateness.js'
+import { dueMsOf, isOverdue } from './lateness.js'
 import { LeaderStartWindow } from './leaderStartWindow.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { ADMISSION_ORDER } from './room/index.js'
@@ -99,12 +100,20 @@
   readonly slots: number
 }
 
+/** Whether owed work waits to make short calls, and whether to make long ones. */
+interface OwedCalls {
+  readonly short: boolean
+  readonly long: boolean
+}
+
+const NO_OWED_CALLS: OwedCalls = { short: false, long: false }
+
 interface SchedulingRound {
   readonly capacity: RoundCapacity
   readonly reservedFor: Map<WorkerLink, Reservation>
   reservingGangs: number
-  /** Whether work that accounts are owed waits for an agent, so that other work leaves it half of them. */
-  readonly isOwedWaitingForAgents: boolean
+  /** Kinds of calls for which work that accounts are owed waits for an agent, so that other work leaves it half of them. */
+  readonly owedCalls: OwedCalls
   /** Whether half of the agents were found busy in this round. */
   areAgentsScarce: boolean
 }
@@ -144,7 +153,7 @@
     if (candidates.length === 0) return
     const usable = [...this.options.workers()].filter(worker => this.mayStartOn(worker))
     this.reservedFor = new Map()
-    const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: this.reservedFor, reservingGangs: 0, isOwedWaitingForAgents: false, areAgentsScarce: false }
+    const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
     this.placeAll(owed, usable, round)
     if (excess.length > 0) this.placeExcess(excess, owed, usable, round)
   }
@@ -161,9 +170,9 @@
    */
   private placeExcess (excess: readonly Candidate[], owed: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
     const { advice } = this.options
-    const isOwedWaitingForAgents = owed.some(({ step, queue }) => queue.advice !== undefined && step.hasWaitingTasks() && !advice.isPending(step) && round.capacity.hasRoomFor(step.need))
+    const isWaiting = (isLong: boolean) => owed.some(({ step, queue }) => queue.advice !== undefined && needsLongCalls(queue.advice) === isLong && step.hasWaitingTasks() && !advice.isPending(step) && round.capacity.hasRoomFor(step.need))
     // A copy, as reservations for excess gangs must not hold up owed jobs that arrive before the next round.
-    this.placeAll(excess, usable, { ...round, reservedFor: new Map(round.reservedFor), isOwedWaitingForAgents })
+    this.placeAll(excess, usable, { ...round, reservedFor: new Map(round.reservedFor), owedCalls: { short: isWaiting(false), long: isWaiting(true) } })
   }
 
   private place (candidate: Candidate, round: SchedulingRound) {
@@ -207,7 +216,7 @@
       if (startable === 0) continue
       const ticketed = this.options.advice.workersWithTicket(step, { get: id => this.options.worker(id) }, this.now)
       const capacity = RoundCapacity.create(ticketed.filter(worker => this.mayStartOn(worker)))
-      const round: SchedulingRound = { capacity, reservedFor: this.reservedFor, reservingGangs: 0, isOwedWaitingForAgents: false, areAgentsScarce: false }
+      const round: SchedulingRound = { capacity, reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
       if (!capacity.hasRoomFor(step.need) || this.startWindow.roomFor(step.waitingTasks) === 0) continue
       if (step.spec.gang) this.placeGang(candidate, round)
       else this.placeTasks({ ...candidate, waitingCount: startable }, round)
@@ -414,9 +423,16 @@
     advice.request(step, policy, named)
   }
 
-  /** Whether the agents that are free are left to work that accounts are owed. */
-  private leavesAgents ({ isExcess }: Candidate, round: SchedulingRound): boolean {
-    if (!isExcess || !round.isOwedWaitingForAgents) return false
+  /**
+   * Whether the agents that are free are left to work that accounts are owed. Late work leaves them only to calls of the
+   * same kind: agents that owed work may not use for its long calls would stand idle beside it.
+   */
+  private leavesAgents ({ step, queue, isExcess, lateness }: Candidate, round: SchedulingRound): boolean {
+    if (!isExcess || queue.advice === undefined) return false
+    const { short, long } = round.owedCalls
+    const isLate = lateness === 2 || isOverdue(step.job, this.options.clock.date().getTime())
+    const isOwedWaiting = isLate ? (needsLongCalls(queue.advice) ? long : short) : short || long
+    if (!isOwedWaiting) return false
     round.areAgentsScarce ||= this.options.advice.areAgentsScarce(this.now)
     return round.areAgentsScarce
   }
