fix(cell): the agents kept for short advice calls follow what these need

Cause: long calls could use 0.6 of the agents, whatever short calls needed.

Change: a long call that starts leaves twice as many agents without one as short calls needed at most in the last 5 to 10 s, and at least one, but long calls keep their 0.6 in any case. Short calls need as many agents as accept all that are pending. A new leader assumes for 5 s that they need all others.

--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -14,8 +14,14 @@
 const MAX_BACKLOG_MS = 60
 /** A call that is expected to take longer than this counts as a long call. */
 const LONG_CALL_MS = 100
-/** Share of the agents that may run long calls at the same time, so that short calls find a free agent. */
+/** Share of the agents that may run long calls at the same time, whatever short calls need. */
 const LONG_CALL_SHARE = 0.6
+/** This multiple of the agents that short calls needed of late is kept for them, so that a larger burst finds a free agent too. */
+const SHORT_CALL_SURPLUS = 2
+/** Number of agents that are kept for the first short calls after a while without any. */
+const MIN_KEPT_AGENTS = 1
+/** What short calls needed counts for this time at least, and for twice as long at most, in milliseconds: bursts often recur within seconds. */
+const SHORT_CALL_PERIOD_MS = 5_000
 /** Share of the agents with a call from which on they are scarce: each step gets one call at a time, so that all get their turn. */
 const SCARCE_SHARE = 0.5
 
@@ -73,7 +79,7 @@
   readonly agent: AdviceAgent | undefined
   /** List of agents among which it was picked. */
   readonly agents: readonly AdviceAgent[]
-  /** Monotonic time in milliseconds at which an agent may be asked again after a failure. */
+  /** Monotonic time in milliseconds at which an agent may be asked again after a failure, or fewer are kept for short calls. */
   readonly validUntil: number
 }
 
@@ -86,15 +92,65 @@
 /** Answers that a policy is taken to have given at first, half of them approvals, so that the first real ones don't decide alone. */
 const ASSUMED_ANSWERS = 20
 
-/** Requests and caches placement tickets for steps whose queue has a placement policy. */
+/** Highest value of late: in the present period and the one before it. */
+class RecentPeak {
+  private value = 0
+  private current = 0
+
+  private constructor (private readonly periodMs: number, private previous: number, private endsAt: number) {}
+
+  /** `assumed` counts as the peak before the monotonic time `now`, in milliseconds. */
+  static create (periodMs: number, assumed: number, now: number): RecentPeak {
+    return new RecentPeak(periodMs, assumed, now + periodMs)
+  }
+
+  /** Sets the value that holds from now on. */
+  set (value: number, now: number): void {
+    this.advance(now)
+    this.value = value
+    this.current = Math.max(this.current, value)
+  }
+
+  /** The peak, and the monotonic time in milliseconds until which it can't fall. */
+  at (now: number): { readonly peak: number, readonly until: number } {
+    this.advance(now)
+    return { peak: Math.max(this.current, this.previous), until: this.endsAt }
+  }
+
+  private advance (now: number) {
+    if (now < this.endsAt) return
+    const periods = Math.floor((now - this.endsAt) / this.periodMs) + 1
+    this.previous = periods === 1 ? this.current : this.value
+    this.current = this.value
+    this.endsAt += periods * this.periodMs
+  }
+}
+
+/**
+ * Requests and caches placement tickets for steps whose queue has a placement policy.
+ *
+ * Long calls don't take all agents, because a short call that finds none waits for a whole long one. Short calls need as
+ * many agents as accept all that are pending. A long call that starts leaves `SHORT_CALL_SURPLUS` times as many without
+ * one as short calls needed at most within the last `SHORT_CALL_PERIOD_MS`, and at least `MIN_KEPT_AGENTS`, unless long
+ * calls then have no more than `LONG_CALL_SHARE` of the agents that can be asked, or the only one. So a short call after
+ * a quiet spell finds an agent if there are several, and what it needs is kept from then on: no long call follows those
+ * that end, and after the time of one, short calls can have all agents beyond that share. A new leader doesn't know what
+ * short calls need, and keeps all of these at first.
+ */
 export class AdviceCache {
   private readonly steps = new Map<Step, StepAdvice>()
   private readonly loads = new Map<string, AgentLoad>()
   private readonly answers = new WeakMap<AdvicePolicy, Answers>()
   /** Agents that would get the next short and the next long call, until the load of an agent changes. */
   private readonly nextAgents = new Map<boolean, NextAgent>()
+  /** Expected duration of all pending short calls, in milliseconds. */
+  private shortBacklogMs = 0
+  /** Number of agents that short calls need. */
+  private readonly shortCallPeak: RecentPeak
 
-  private constructor (private readonly options: AdviceCacheOptions) {}
+  private constructor (private readonly options: AdviceCacheOptions) {
+    this.shortCallPeak = RecentPeak.create(SHORT_CALL_PERIOD_MS, Infinity, options.clock.now())
+  }
 
   static create (options: AdviceCacheOptions): AdviceCache {
     return new AdviceCache(options)
@@ -209,21 +265,25 @@
   private async callAgent (step: Step, policy: AdvicePolicy, requested: readonly WorkerLink[], advice: StepAdvice, agent: AdviceAgent, expectedMs: number) {
     const { clock, log } = this.options
     const load = this.loadOf(agent)
+    const sentAt = clock.now()
+    // Whole milliseconds, so that nothing is left of calls that end in another order than they began.
+    const backlogMs = Math.ceil(expectedMs)
     load.backlogMs += expectedMs
     if (isLongCall(expectedMs)) load.hasLongCall = true
+    else this.addShortBacklog(backlogMs, sentAt)
     this.nextAgents.clear()
     advice.pendingCalls++
     for (const { id } of requested) advice.pendingIds.add(id)
     const name = formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index })
-    const sentAt = clock.now()
     const res = await agent.approve(name, requested.map(({ id }) => id), load.backlogMs + ADVICE_TIMEOUT_MS).finally(() => {
       advice.pendingCalls--
       for (const { id } of requested) advice.pendingIds.delete(id)
     })
+    const now = clock.now()
     load.backlogMs = Math.max(0, load.backlogMs - expectedMs)
     if (isLongCall(expectedMs)) load.hasLongCall = false
+    else this.addShortBacklog(-backlogMs, now)
     this.nextAgents.clear()
-    const now = clock.now()
     if (res.ok) step.job.hops?.note('ticketed', clock.date().getTime())
     if (res.err) {
       load.notBefore = now + AGENT_BACKOFF_MS
@@ -234,6 +294,11 @@
     log.debug('Advice received.', { step: name, agent: agent.name, workers: requested.length, approved: res.val.size, tookMs: Math.round(now - sentAt) })
   }
 
+  private addShortBacklog (ms: number, now: number) {
+    this.shortBacklogMs += ms
+    this.shortCallPeak.set(Math.ceil(this.shortBacklogMs / MAX_BACKLOG_MS), now)
+  }
+
   /** Records which of the named workers were approved; `answeredAt` is a monotonic time in milliseconds. */
   private record (advice: StepAdvice, policy: AdvicePolicy, named: readonly WorkerLink[], approvals: Approvals, answeredAt: number) {
     const answers = this.answersOf(policy)
@@ -259,7 +324,7 @@
     if (known !== undefined && known.agents === agents && now < known.validUntil) return known.agent
     const agent = this.pickAgent(agents, isLong, now)
     const retryTimes = agents.map(other => this.loadOf(other).notBefore).filter(notBefore => notBefore > now)
-    this.nextAgents.set(isLong, { agent, agents, validUntil: Math.min(Infinity, ...retryTimes) })
+    this.nextAgents.set(isLong, { agent, agents, validUntil: Math.min(isLong ? this.shortCallPeak.at(now).until : Infinity, ...retryTimes) })
     return agent
   }
 
@@ -267,13 +332,19 @@
     const usable = agents.filter(agent => this.loadOf(agent).notBefore <= now)
     if (isLong) {
       const longCalls = usable.filter(agent => this.loadOf(agent).hasLongCall).length
-      if (longCalls >= Math.max(1, Math.floor(usable.length * LONG_CALL_SHARE))) return undefined
+      if (longCalls >= this.maxLongCalls(usable.length, now)) return undefined
     }
     const leastLoaded = usable.reduce<AdviceAgent | undefined>((best, agent) =>
       best === undefined || this.loadOf(agent).backlogMs < this.loadOf(best).backlogMs ? agent : best, undefined)
     return leastLoaded !== undefined && this.loadOf(leastLoaded).backlogMs <= MAX_BACKLOG_MS ? leastLoaded : undefined
   }
 
+  /** Number of long calls that may be pending at the same time if this many agents can be asked. */
+  private maxLongCalls (agents: number, now: number): number {
+    const kept = Math.max(MIN_KEPT_AGENTS, SHORT_CALL_SURPLUS * this.shortCallPeak.at(now).peak)
+    return Math.max(1, Math.floor(agents * LONG_CALL_SHARE), agents - kept)
+  }
+
   private answersOf (policy: AdvicePolicy): Answers {
     const answers = this.answers.get(policy) ?? { approved: ASSUMED_ANSWERS / 2, total: ASSUMED_ANSWERS }
     this.answers.set(policy, answers)
