test(cell): a held task starts soon after the store takes its crash, or its job is given up

Change: three plays with a refused, a lost and a rejected row, and one in which the store rejects the row for good.

--- a/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
+++ b/packages/cell/src/__tests__/crashesThatGoUncounted.test.ts
@@ -95,6 +95,46 @@
   })
 }
 
+/** Time after which the store takes rows again, and within which the task starts then, in milliseconds, by the kind of the fault. */
+const HELD_PLAYS = [['refused', 1_000, 3_000], ['answer-lost', 1_000, 3_000], ['rejected', 1_000, 8_000]] as const
+
+for (const [kind, faultMs, startedWithinMs] of HELD_PLAYS) {
+  // Guards against LOST: a task that is held until the store has taken the crash under it must start soon after that.
+  test(`a held task starts again once the store takes the crash under it (${kind})`, async t => {
+    const { cell, plan, starts, crashes, stopCrashing } = await createCell()
+    t.true(await plan.advanceUntil(() => crashes() === 1, 10_000))
+    stopCrashing()
+    let faults = 0
+    cell.store.writeFault = tx => {
+      if (!isProgressWrite(tx)) return undefined
+      faults++
+      return { kind }
+    }
+    t.true(await plan.advanceUntil(() => faults > 0, 5_000))
+    await plan.advanceUntil(() => false, faultMs)
+    t.is(starts.all, 1)
+    cell.store.writeFault = () => undefined
+    const since = cell.clock.now()
+    t.true(await plan.advanceUntil(() => starts.all === 2, startedWithinMs))
+    t.log(`after ${cell.clock.now() - since} ms`)
+    t.deepEqual(cell.audit.violations, [])
+  })
+}
+
+// Guards against LOST: a task whose crash the store never takes must not be held for good; its job is given up.
+test('the job of a held task is given up if the store rejects the crash under it again', async t => {
+  const { cell, plan, crashes, isGivenUp } = await createCell()
+  t.true(await plan.advanceUntil(() => crashes() === 1, 10_000))
+  let faults = 0
+  cell.store.writeFault = tx => {
+    if (!tx.puts.some(({ table, value }) => table === TABLES.progress && !JSON.stringify(value).includes('outcome'))) return undefined
+    faults++
+    return { kind: 'rejected' }
+  }
+  t.true(await plan.advanceUntil(() => faults > 0, 5_000))
+  t.true(await plan.advanceUntil(isGivenUp, 8_000))
+})
+
 // Guards against BUDGET: a task may not start again before the crash under it is stored, also if the store gives no answer at all.
 test('a task is held while the store is unavailable after the crash under it', async t => {
   const { cell, plan, starts, crashes, isGivenUp, play } = await createCell()
