fix(cell): a start that throws while it is recorded is withdrawn

Cause: a planned start waits until its row is staged. If that threw, the start was neither sent nor given up, and the run went on counting as one that starts.

--- a/packages/cell/src/__tests__/workerLink.test.ts
+++ b/packages/cell/src/__tests__/workerLink.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
-import { TestCell, createWorkerEntry, createStep } from '../testing/index.js'
+import { ManualClock } from '@citronnotch/base/clock'
+import { TestCell, createJob, createWorkerEntry, createStep } from '../testing/index.js'
+import { createSilentLinks } from '../testing/silentWorkers.js'
 
 test('leases are extended while the store refuses the result of a finished run', async t => {
   const cell = TestCell.create({ workers: [createWorkerEntry('w1')], behaviour: ({ index }) => ({ durationMs: index === 0 ? 300 : 9_000, end: 'done' }) })
@@ -141,3 +143,18 @@
   t.true(await cell.advanceUntil(() => cell.leader()?.stateOf(jobId) === 'completed', 3_000))
   t.deepEqual(cell.audit.violations, [])
 })
+
+// Guards against LOST: a start that could not be recorded was never sent nor given up, so that its task and its room waited for good.
+test('a start that throws while it is recorded is withdrawn', async t => {
+  const clock = ManualClock.create()
+  const withdrawn: number[] = []
+  const events = { startPlanned: async () => { throw new Error('unforeseen') }, startRefused: (_link: unknown, { number }: { readonly number: number }) => withdrawn.push(number) }
+  const [link] = createSilentLinks({ count: 1, capacity: createWorkerEntry('w0').capacity, clock, events: events as never })
+  const task = createJob({ jobId: '00000000000000aa', steps: [createStep()] }).task({ jobId: '00000000000000aa', occurrence: 0, step: 0, index: 0 })
+  if (link === undefined || task === undefined) throw new Error('there is no link or no task')
+  link.start(task, 1, 'payload', '')
+  await clock.advance(10)
+  t.deepEqual(withdrawn, [1])
+  t.is(link.runs.size, 0)
+  t.true(task.isWaiting())
+})
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -504,12 +504,15 @@
 
   private async sendStart (run: Run, payload: string, ticket: string, mayBeSent: Promise<void>) {
     const { clock, log, events } = this.options
-    await mayBeSent
+    const isRecorded = await mayBeSent.then(() => true, (err: unknown) => {
+      log.error('A start could not be recorded.', { task: formatTaskId(run.id), run: run.number, worker: this.id, err })
+      return false
+    })
     if (!this.tracked.has(run)) return
     const hops = run.task?.step.job.hops
     hops?.note('recorded', clock.date().getTime())
     // The worker, the lease and the configuration may have changed meanwhile.
-    if (run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this, run)) {
+    if (!isRecorded || run.state !== 'starting' || run.fencingToken !== this.token || !this.isAdopted || this.entry.state !== 'ready' || !events.mayStart(this, run)) {
       this.removeRun(run)
       events.startRefused(this, run, 'withdrawn')
       return
