fix(cell): an agent without calls does not count as busy

Found by reading; no caller has reported it. An idle agent could count as busy until its next calls, so that gangs got one call at a time and excess work none.

Cause: expected durations are fractions; taken off in the order in which they were added, they could leave 1e-15 ms (1,122 of 6,561 pairs of short calls).

Change: an agent's backlog is counted in whole milliseconds.

--- a/packages/cell/src/__tests__/adviceAgents.test.ts
+++ b/packages/cell/src/__tests__/adviceAgents.test.ts
@@ -216,6 +216,14 @@
   t.is(open.long, 6)
 })
 
+// Guards against an agent that looks busy for good: gangs then get one call at a time, and excess work none, beside idle agents.
+test('once all its calls have ended, an agent does not count as busy', async t => {
+  const { cache, callShort, clock, open } = createPool({ agents: 1 })
+  await callShort(UNEVEN_CALLS)
+  t.is(open.total, 0)
+  t.false(cache.areAgentsScarce(clock.now()))
+})
+
 // Guards against agents that count as kept for short calls although they can't be asked.
 test('an agent that works is kept for short calls while others fail', async t => {
   const { run, addShort, refillLong, cache, clock, waitsMs } = createPool({ agents: 7, failing: 3 })
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -268,7 +268,7 @@
     const sentAt = clock.now()
     // Whole milliseconds, so that nothing is left of calls that end in another order than they began.
     const backlogMs = Math.ceil(expectedMs)
-    load.backlogMs += expectedMs
+    load.backlogMs += backlogMs
     if (isLongCall(expectedMs)) load.hasLongCall = true
     else this.addShortBacklog(backlogMs, sentAt)
     this.nextAgents.clear()
@@ -280,7 +280,7 @@
       for (const { id } of requested) advice.pendingIds.delete(id)
     })
     const now = clock.now()
-    load.backlogMs = Math.max(0, load.backlogMs - expectedMs)
+    load.backlogMs -= backlogMs
     if (isLongCall(expectedMs)) load.hasLongCall = false
     else this.addShortBacklog(-backlogMs, now)
     this.nextAgents.clear()
