fix(cell): an agent whose advice call has thrown is asked again

No call of the platform's clients is known to throw. Change: a throw counts as a failed call. Measured: the new test of adviceAgents.test.ts ended with two unhandled rejections before.

--- a/packages/cell/src/__tests__/adviceAgents.test.ts
+++ b/packages/cell/src/__tests__/adviceAgents.test.ts
@@ -25,7 +25,7 @@
 const UNEVEN_CALLS = [20, 24]
 
 /** Agents that answer one call after another, and steps that wait for one. Short calls go first, as those of urgent queues do, unless long ones are said to. */
-function createPool ({ agents: count, failing = 0, longFirst = false }: { readonly agents: number, readonly failing?: number, readonly longFirst?: boolean }) {
+function createPool ({ agents: count, failing = 0, failures = {}, longFirst = false }: { readonly agents: number, readonly failing?: number, readonly failures?: { throws?: boolean }, readonly longFirst?: boolean }) {
   const clock = ManualClock.create()
   const links = createSilentLinks({ count: WORKERS, capacity: { milliCores: 8_000, memoryMb: 64_000, accelerators: 0 }, clock })
   const open = { long: 0, total: 0 }
@@ -39,6 +39,7 @@
     return {
       name: `agent-${index}`,
       approve: async (step, workerIds) => {
+        if (failures.throws === true) throw new Error('The connection is in an unexpected state.')
         if (index < failing) return Err(Failure.notRun('refused', 'The daemon refuses connections.'))
         const isLong = longIds.has(step.split('.')[0] ?? '')
         freeAt = Math.max(freeAt, clock.now()) + expectedCallMs(isLong ? LONG : SHORT, workerIds.length)
@@ -241,3 +242,17 @@
   // Those that fail count again for a moment each time that they are asked again.
   t.true(free.filter(Boolean).length >= free.length / 2, `in ${free.filter(Boolean).length} of ${free.length} rounds`)
 })
+
+// Guards against agents that count as busy for good, so that no step that needs advice starts.
+test('an agent whose call has thrown is asked again', async t => {
+  const failures = { throws: true }
+  const { run, addShort, waiting, cache, clock } = createPool({ agents: 2, failures })
+  addShort(2)
+  await run(1_000)
+  failures.throws = false
+  await run(2_000)
+  t.true(cache.hasFreeAgent(SHORT, clock.now()))
+  t.true(cache.hasFreeAgent(LONG, clock.now()))
+  t.is(waiting.short.length, 0)
+  t.deepEqual(cache.load(), { agents: 2, busy: 0, pendingCalls: 0 })
+})
--- a/packages/cell/src/advice.ts
+++ b/packages/cell/src/advice.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '@citronnotch/base/clock'
-import type { Failure } from '@citronnotch/base/errors'
+import { Failure } from '@citronnotch/base/errors'
 import type { Log } from '@citronnotch/base/logger'
+import { Err } from '@citronnotch/base/result'
 import type { Result } from '@citronnotch/base/result'
 import { ADVICE_TIMEOUT_MS, AGENT_BACKOFF_MS, MAX_ADVICE_WORKERS, TICKET_EXPIRY_MARGIN_MS } from './constants.js'
 import type { StepAnswers } from './earlyAdvice.js'
@@ -275,10 +276,10 @@
     advice.pendingCalls++
     for (const { id } of requested) advice.pendingIds.add(id)
     const name = formatStepId({ jobId: step.job.id, occurrence: step.occurrence, step: step.index })
-    const res = await agent.approve(name, requested.map(({ id }) => id), load.backlogMs + ADVICE_TIMEOUT_MS).finally(() => {
-      advice.pendingCalls--
-      for (const { id } of requested) advice.pendingIds.delete(id)
-    })
+    const res = await agent.approve(name, requested.map(({ id }) => id), load.backlogMs + ADVICE_TIMEOUT_MS)
+      .catch((err: unknown): Result<Approvals, Failure> => Err(Failure.mayHaveRun('call-failed', `The call failed unexpectedly: ${String(err)}.`)))
+    advice.pendingCalls--
+    for (const { id } of requested) advice.pendingIds.delete(id)
     const now = clock.now()
     load.backlogMs -= backlogMs
     if (isLongCall(expectedMs)) load.hasLongCall = false
