fix(cell): each late job has its turn and workers kept free for it, whatever others do in theirs

Cause: of the jobs that go first at the same time, workers were kept free for the first one only, in the order of the latest turns, which all get together and in the same order: one that can start nowhere was the first each time. Accounts were charged for starts only, so that jobs that never start took all 16 turns, and without a bound, so that one job of a wrong size kept the others of its account waiting for as long. Jobs without a turn so far went before those that had one, so that a second step, or a job that found no agent in 4 s, waited for as long as more became late than the share covers. Change: workers are kept free for one job at a time, of the account and then the job for which that was longest ago, as before; others join it as far as the credit covers them, first come first served, with a new place at the end after each turn. A turn costs its account a sixteenth of the share at least, and no account is behind the others by more than MAX_DEBT_MS.

--- a/packages/cell/src/room/lateShare.ts
+++ b/packages/cell/src/room/lateShare.ts
@@ -38,10 +38,12 @@
   return { job, waitingMs: startCostMsOf(waiting, terms), reservedShare: () => reservedShareOf(job, terms.cell) }
 }
 
-/** What the late jobs of an account have used of their share. */
+/** What the late jobs of an account have had of their share. */
 interface AccountUse {
   /** In milliseconds of the whole cell. */
   usedMs: number
+  /** Number of the latest renewal at which workers were kept free for one of them; -1 before. */
+  keptAt: number
 }
 
 /**
@@ -52,11 +54,16 @@
   private creditMs = 0
   private isTurn = false
   private renewedAt = -Infinity
-  /** Jobs whose turn it is, in the order of their turns, with the monotonic times at which these began, in milliseconds. */
+  /** Jobs whose turn it is, with the monotonic times at which their turns began, in milliseconds. */
   private readonly turns = new Map<LateJob['job'], { readonly since: number, readonly late: LateJob }>()
-  /** Number of turns so far, and the number of the latest turn by job. */
-  private turnCount = 0
-  private readonly latestTurns = new WeakMap<Job, number>()
+  /** The one among them that workers are kept free for. */
+  private kept: Job | undefined
+  /** Number of places given out in the queue of turns, and the place of each job: the end of the queue as it became late, and after each turn. */
+  private placeCount = 0
+  private readonly places = new WeakMap<Job, number>()
+  /** Number of renewals, and by job that of the latest one at which workers were kept free for it. */
+  private renewalCount = 0
+  private readonly keptAt = new WeakMap<Job, number>()
   private accountUses = new Map<string | undefined, AccountUse>()
 
   private constructor (private readonly canStart: (job: Job) => boolean) {}
@@ -76,9 +83,9 @@
     return this.turns.has(job)
   }
 
-  /** Whether workers are kept free for a job: only for the first of those whose turn it is. */
+  /** Whether workers are kept free for a job: for one at a time of those whose turn it is. */
   keepsRoom (job: Job): boolean {
-    return this.first()?.job === job
+    return this.kept === job
   }
 
   // Commands
@@ -97,18 +104,35 @@
   renewLate (late: readonly LateJob[], now: number): void {
     const elapsedMs = this.renewedAt === -Infinity ? 0 : Math.min(MAX_RENEWAL_INTERVAL_MS, now - this.renewedAt)
     this.renewedAt = now
-    const first = this.first()
-    if (first !== undefined) this.charge(first.job, elapsedMs * first.reservedShare())
+    this.renewalCount++
+    this.chargeTurns(elapsedMs)
     this.creditMs = Math.min(TURN_CREDIT_MS, this.creditMs + LATE_SHARE * elapsedMs)
     this.isTurn = this.creditMs >= TURN_CREDIT_MS || (this.isTurn && this.creditMs > 0)
     const waiting = late.filter(({ job }) => hasStartableStep(job))
+    this.addPlaces(waiting)
     this.updateAccounts(waiting)
     this.endTurns(waiting, now)
-    if (this.isTurn) this.beginTurns(waiting, now)
+    if (!this.isTurn) return
+    if (this.kept === undefined) this.keepFor(this.nextKept(waiting), now)
+    this.beginTurns(waiting, now)
   }
 
-  private first (): LateJob | undefined {
-    return this.turns.values().next().value?.late
+  private addPlaces (waiting: readonly LateJob[]) {
+    const added = waiting.filter(({ job }) => !this.places.has(job)).sort((a, b) => a.job.record.admittedAtMs - b.job.record.admittedAtMs)
+    for (const { job } of added) this.places.set(job, this.placeCount++)
+  }
+
+  /** A turn costs its account a part of the share also if nothing starts in it: jobs that can start nowhere would have all turns otherwise. */
+  private chargeTurns (elapsedMs: number) {
+    for (const [job, { late }] of this.turns) {
+      const { account } = job.record
+      const use = this.accountUses.get(account)
+      if (use !== undefined) use.usedMs += LATE_SHARE * elapsedMs / MAX_PARALLEL_TURNS
+      if (job !== this.kept) continue
+      this.charge(job, elapsedMs * late.reservedShare())
+      this.keptAt.set(job, this.renewalCount)
+      if (use !== undefined) use.keptAt = this.renewalCount
+    }
   }
 
   private charge (job: Job, workMs: number) {
@@ -117,42 +141,63 @@
     if (use !== undefined) use.usedMs += workMs
   }
 
-  /** Forgets accounts without late jobs. Those that have some for the first time get no more of the share than the others from now on. */
+  /**
+   * Forgets accounts without late jobs. Those that have some for the first time get no more of the share than the others
+   * from now on, and none waits for longer than a debt lasts because of what one of its jobs took.
+   */
   private updateAccounts (waiting: readonly LateJob[]) {
     const accounts = new Set(waiting.map(({ job }) => job.record.account))
     const known = new Map([...this.accountUses].filter(([account]) => accounts.has(account)))
     const leastMs = known.size === 0 ? 0 : Math.min(...[...known.values()].map(({ usedMs }) => usedMs))
-    this.accountUses = new Map([...accounts].map(account => [account, known.get(account) ?? { usedMs: leastMs }]))
+    this.accountUses = new Map([...accounts].map(account => {
+      const { usedMs, keptAt } = known.get(account) ?? { usedMs: leastMs, keptAt: -1 }
+      return [account, { usedMs: Math.min(usedMs, leastMs + MAX_DEBT_MS), keptAt }]
+    }))
   }
 
   private endTurns (waiting: readonly LateJob[], now: number) {
     const byJob = new Map(waiting.map(late => [late.job, late]))
     for (const [job, { since }] of [...this.turns]) {
       const late = byJob.get(job)
-      if (!this.isTurn || late === undefined || now - since >= MAX_TURN_MS || !this.canStart(job)) this.turns.delete(job)
-      else this.turns.set(job, { since, late })
+      if (this.isTurn && late !== undefined && now - since < MAX_TURN_MS && this.canStart(job)) this.turns.set(job, { since, late })
+      else {
+        this.turns.delete(job)
+        this.places.set(job, this.placeCount++)
+        if (job === this.kept) this.kept = undefined
+      }
     }
   }
 
-  /** The first job gets its turn whatever it takes; others join it as far as the rest of the share covers them. */
+  /** Of the account for which no workers were kept free for longest, the job that this holds for. */
+  private nextKept (waiting: readonly LateJob[]): LateJob | undefined {
+    const keysOf = ({ job }: LateJob) => [this.accountUses.get(job.record.account)?.keptAt ?? -1, this.keptAt.get(job) ?? -1, this.places.get(job) ?? -1] as const
+    const sorted = waiting.map(late => ({ late, keys: keysOf(late) })).sort(({ keys: a }, { keys: b }) => a[0] - b[0] || a[1] - b[1] || a[2] - b[2])
+    return sorted.find(({ late: { job } }) => this.canStart(job))?.late
+  }
+
+  /** The job gets a whole turn, whatever it takes. */
+  private keepFor (late: LateJob | undefined, now: number) {
+    this.kept = late?.job
+    if (late !== undefined) this.turns.set(late.job, { since: now, late })
+  }
+
+  /** Others join the job that workers are kept free for as far as the rest of the share covers them. */
   private beginTurns (waiting: readonly LateJob[], now: number) {
     let restMs = this.creditMs
     for (const { late } of this.turns.values()) if (!this.keepsRoom(late.job)) restMs -= late.waitingMs
-    for (const late of this.inOrder(waiting.filter(({ job }) => !this.turns.has(job)))) {
+    for (const late of this.inOrder(waiting.filter(({ job, waitingMs }) => waitingMs <= restMs && !this.turns.has(job)))) {
       if (this.turns.size >= MAX_PARALLEL_TURNS) return
-      const isFirst = this.turns.size === 0
-      if ((!isFirst && late.waitingMs > restMs) || !this.canStart(late.job)) continue
-      if (!isFirst) restMs -= late.waitingMs
+      if (late.waitingMs > restMs || !this.canStart(late.job)) continue
+      restMs -= late.waitingMs
       this.turns.set(late.job, { since: now, late })
-      this.latestTurns.set(late.job, this.turnCount++)
     }
   }
 
-  /** Late jobs in the order of their turns: of the account that has used least, the one whose latest turn was longest ago. */
+  /** Late jobs in the order of their turns: of the account that has used least, the one that has waited longest for a turn. */
   private * inOrder (waiting: readonly LateJob[]): Iterable<LateJob> {
-    const turnOf = ({ job }: LateJob) => this.latestTurns.get(job) ?? -1
+    const placeOf = ({ job }: LateJob) => this.places.get(job) ?? -1
     const entrants = new Map<string | undefined, { readonly jobs: LateJob[], usedMs: number }>()
-    for (const late of [...waiting].sort((a, b) => turnOf(a) - turnOf(b) || a.job.record.admittedAtMs - b.job.record.admittedAtMs)) {
+    for (const late of [...waiting].sort((a, b) => placeOf(a) - placeOf(b))) {
       const { account } = late.job.record
       const entrant = entrants.get(account)
       if (entrant === undefined) entrants.set(account, { jobs: [late], usedMs: this.accountUses.get(account)?.usedMs ?? 0 })
