--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -374,7 +374,7 @@
     if (status === 'done' || status === 'failed') task.step.withdrawStart(task, run)
     else task.step.recordEnd(task, run)
     if (status === 'done' && task.step.spec.gang && !task.isDone) this.recordGangDone(task.step, run, knownRun?.startedAt)
-    if (status === 'done') this.shedding?.recordDone(task.step, knownRun)
+    if (status === 'done') (this.shedding ?? this.lateJobs)?.recordDone(task.step, knownRun)
     if (status === 'done') this.taskDone(link, job, task.step, task, run)
     else if (status === 'failed') this.taskFailed(link, job, task.step, task, run)
     await this.stage(job.outcome === undefined ? job.rowOf(task) : job)
--- a/packages/cell/src/room/durations.ts
+++ b/packages/cell/src/room/durations.ts
@@ -1,4 +1,4 @@
-import type { Step } from '../jobs.js'
+import type { Run, Step } from '../jobs.js'
 
 /** Weight of each further step in the means of its queue: about the last fifty count. */
 const MEAN_WEIGHT = 0.02
@@ -61,6 +61,11 @@
 
   // Commands
 
+  /** Records the run that did a task; `now` is a monotonic time in milliseconds. Services run for as long as they are wanted. */
+  recordRun (step: Step, run: Run, now: number): void {
+    if (run.id.index === 0 && !step.spec.longRunning) this.record(step, now - run.startedAt)
+  }
+
   /** Records how long a task of a step ran until it was done, in milliseconds; once for each step, so that wide ones don't count more. */
   record ({ job, spec }: Step, ranMs: number): void {
     const { queue } = job.record
--- a/packages/cell/src/room/lateJobs.ts
+++ b/packages/cell/src/room/lateJobs.ts
@@ -1,9 +1,10 @@
 import type { Clock } from '@citronnotch/base/clock'
-import type { Job, Step } from '../jobs.js'
+import type { Job, Run, Step } from '../jobs.js'
 import { isOverdue, latenessOf } from '../lateness.js'
 import { NO_RESOURCES, add } from '../resources.js'
 import type { JobQueue, ResourceVector } from '../types.js'
 import type { WorkerLink } from '../workerLink.js'
+import { Durations } from './durations.js'
 import { startCostMsOf } from './jobCost.js'
 import type { StartCostTerms } from './jobCost.js'
 import { LateShare, lateJobOf } from './lateShare.js'
@@ -28,6 +29,7 @@
 export class LateJobs {
   readonly order: WaitingOrder
   private readonly share: LateShare
+  private readonly durations = Durations.create()
   private cell: ResourceVector = NO_RESOURCES
 
   private constructor (private readonly options: LateJobsOptions) {
@@ -52,7 +54,12 @@
   recordStart ({ job, spec }: Step, tasks: number): void {
     const queue = this.options.queue(job)
     if (queue === undefined || this.cell.milliCores === 0) return
-    this.share.recordStart(job, startCostMsOf([{ spec, tasks }], this.costTermsOf(queue)))
+    this.share.recordStart(job, startCostMsOf([{ spec, tasks }], this.costTermsOf(job, queue)))
+  }
+
+  /** Records that a task is done, with the run that did it. */
+  recordDone (step: Step, run: Run | undefined): void {
+    if (run !== undefined) this.durations.recordRun(step, run, this.options.clock.now())
   }
 
   private * lateJobs (): Iterable<LateJob> {
@@ -61,11 +68,11 @@
     for (const job of jobs()) {
       const queue = job.outcome === undefined ? queueOf(job) : undefined
       if (queue === undefined || (latenessOf(job, queue, unixMs) < 2 && !isOverdue(job, unixMs))) continue
-      yield lateJobOf(job, this.costTermsOf(queue))
+      yield lateJobOf(job, this.costTermsOf(job, queue))
     }
   }
 
-  private costTermsOf (queue: JobQueue): StartCostTerms {
-    return { queue, known: undefined, cell: this.cell, agents: this.options.agents(), isProcessorFull: this.options.isProcessorFull() }
+  private costTermsOf (job: Job, queue: JobQueue): StartCostTerms {
+    return { queue, known: this.durations.of(job.record.queue), cell: this.cell, agents: this.options.agents(), isProcessorFull: this.options.isProcessorFull() }
   }
 }
--- a/packages/cell/src/room/loadShedding.ts
+++ b/packages/cell/src/room/loadShedding.ts
@@ -102,7 +102,7 @@
 
   /** Records that a task is done, with the run that did it. */
   recordDone (step: Step, run: Run | undefined): void {
-    if (run?.id.index === 0 && !step.spec.longRunning) this.durations.record(step, this.options.clock.now() - run.startedAt)
+    if (run !== undefined) this.durations.recordRun(step, run, this.options.clock.now())
   }
 
   /** Records that a job has ended. */
