refactor(cell): the late share takes late jobs only, however they were found

Cause: LateShare had two ways to be renewed, of which only tests used the one for planned jobs, and a planned job carried a field for it. Change: one renew for late jobs; a fixture of waitingOrder.test.ts finds them in a plan. The checks are unchanged.

--- a/packages/cell/src/__tests__/lateTurns.test.ts
+++ b/packages/cell/src/__tests__/lateTurns.test.ts
@@ -17,7 +17,7 @@
 /** Renews the share until `isDone`, and returns how long that took in milliseconds; Infinity after `limitMs`. */
 function playUntil (share: LateShare, { jobs, isDone, use = () => {}, limitMs = 1_000_000 }: { readonly jobs: () => readonly LateJob[], readonly isDone: () => boolean, readonly use?: () => void, readonly limitMs?: number }): number {
   for (let now = 0; now <= limitMs; now += RENEWAL_MS) {
-    share.renewLate(jobs(), now)
+    share.renew(jobs(), now)
     if (isDone()) return now
     use()
   }
--- a/packages/cell/src/__tests__/waitingOrder.test.ts
+++ b/packages/cell/src/__tests__/waitingOrder.test.ts
@@ -5,7 +5,8 @@
 import { Durations } from '../room/durations.js'
 import { Forecast } from '../room/forecast.js'
 import { startCostMsOf } from '../room/jobCost.js'
-import { LateShare } from '../room/lateShare.js'
+import { LateShare, lateJobOf } from '../room/lateShare.js'
+import type { LateJob } from '../room/lateShare.js'
 import { LoadShedding } from '../room/loadShedding.js'
 import { WaitingPlan, compareJobs, standingOf } from '../room/waitingPlan.js'
 import { createSilentLinks } from '../testing/silentWorkers.js'
@@ -31,6 +32,11 @@
   return plan
 }
 
+/** The jobs of a plan that are too late to count at a Unix time in milliseconds. */
+function lateJobsOf (plan: WaitingPlan, unixMs: number): readonly LateJob[] {
+  return [...plan.all()].filter(planned => standingOf(planned, unixMs) === 3).map(({ job, queue }) => lateJobOf(job, { queue, known: undefined, cell: CELL, agents: 1, isProcessorFull: false }))
+}
+
 // Guards against jobs of a loud account that push what other accounts are owed out of the plan.
 test('jobs that their account is not owed are put off before all others, whatever they are worth', t => {
   const owed = createQueuedJob(QUEUE, 0, { estimateMs: 2_000, count: 5 })
@@ -94,7 +100,7 @@
   const lateShare = LateShare.create()
   let reservedMs = 0
   for (let now = 0; now < 100_000; now += 200) {
-    lateShare.renew(plan.all(), 60_000, now)
+    lateShare.renew(lateJobsOf(plan, 60_000), now)
     // The gang takes half of the cell.
     if (lateShare.goesFirst(gang.job)) reservedMs += 100
     if (lateShare.goesFirst(other.job)) lateShare.recordStart(other.job, 100)
@@ -106,7 +112,7 @@
 function turnAfterMs (lateShare: LateShare, jobs: ReadonlyArray<ReturnType<typeof createQueuedJob>>, wanted: Job, { from = 0, use = () => {} }: { readonly from?: number, readonly use?: () => void } = {}) {
   const plan = createPlan(jobs, 60_000)
   for (let now = from; now < from + 1_000_000; now += 200) {
-    lateShare.renew(plan.all(), 60_000, now)
+    lateShare.renew(lateJobsOf(plan, 60_000), now)
     if (lateShare.goesFirst(wanted)) return now - from
     use()
   }
--- a/packages/cell/src/room/lateJobs.ts
+++ b/packages/cell/src/room/lateJobs.ts
@@ -47,7 +47,7 @@
     let cell = NO_RESOURCES
     for (const worker of workers()) if (worker.isInService()) cell = add(cell, worker.entry.capacity)
     this.cell = cell
-    this.share.renewLate(cell.milliCores === 0 ? [] : [...this.lateJobs()], clock.now())
+    this.share.renew(cell.milliCores === 0 ? [] : [...this.lateJobs()], clock.now())
   }
 
   /** Records that tasks of a step are started. */
--- a/packages/cell/src/room/lateShare.ts
+++ b/packages/cell/src/room/lateShare.ts
@@ -1,8 +1,6 @@
 import type { Job } from '../jobs.js'
 import { reservedShareOf, startCostMsOf } from './jobCost.js'
 import type { StartCostTerms } from './jobCost.js'
-import { standingOf } from './waitingPlan.js'
-import type { PlannedJob } from './waitingPlan.js'
 
 /**
  * Share of the capacity that jobs which are too late to count get all the same, so that each accepted job ends. It costs
@@ -17,22 +15,23 @@
  * keep all others waiting for 20 minutes.
  */
 const MAX_DEBT_MS = 60_000 * LATE_SHARE
-/** Time after which the turn of a late job passes to the next one, in milliseconds: one of which nothing can start uses up no credit. */
+/** Longest turn of a late job, in milliseconds: one of which nothing can start uses up no credit. */
 const MAX_TURN_MS = 4_000
 /** Longest time between two renewals that counts, in milliseconds: a leader that stands still for longer keeps nothing free meanwhile. */
 const MAX_RENEWAL_INTERVAL_MS = 4_000
 /** Maximum number of late jobs that have their turn at the same time; bounds what a scheduling round tries first. */
 const MAX_PARALLEL_TURNS = 16
 
-/** A live job that is too late to count. */
+/** A live job that is too late to count, or one without an objective that is overdue. */
 export interface LateJob {
   readonly job: Job
   /** Cost of starting its waiting tasks, as `startCostMsOf` counts it. */
   readonly waitingMs: number
-  /** Part of the cell that is kept free for the job while it is the first of those whose turn it is. */
+  /** Part of the cell that is kept free for the job, if workers are kept free for it in its turn. */
   readonly reservedShare: () => number
 }
 
+/** A late job by what it still has to start. */
 export function lateJobOf (job: Job, terms: StartCostTerms): LateJob {
   const waiting = [...job.liveSteps()].map(({ spec, waitingTasks }) => ({ spec, tasks: waitingTasks }))
   return { job, waitingMs: startCostMsOf(waiting, terms), reservedShare: () => reservedShareOf(job, terms.cell) }
@@ -47,15 +46,14 @@
 }
 
 /**
- * Gives jobs that are too late to count their share: as many as it covers go before all others at the same time, until
- * it is used up. Client accounts get equal parts of it, so that the number of late jobs of one doesn't delay those of others.
+ * Gives late jobs their share: as many as it covers go before all others at the same time, until it is used up. Client accounts get equal parts of it, so that the number of late jobs of one doesn't delay those of others.
  */
 export class LateShare {
   private creditMs = 0
   private isTurn = false
   private renewedAt = -Infinity
   /** Jobs whose turn it is, with the monotonic times at which their turns began, in milliseconds. */
-  private readonly turns = new Map<LateJob['job'], { readonly since: number, readonly late: LateJob }>()
+  private readonly turns = new Map<Job, { readonly since: number, readonly late: LateJob }>()
   /** The one among them that workers are kept free for. */
   private kept: Job | undefined
   /** Number of places given out in the queue of turns, and the place of each job: the end of the queue as it became late, and after each turn. */
@@ -95,13 +93,8 @@
     if (this.goesFirst(job)) this.charge(job, workMs)
   }
 
-  /** Chooses whose turn it is among planned jobs; `now` is a monotonic time in milliseconds. */
-  renew (jobs: Iterable<PlannedJob>, unixMs: number, now: number): void {
-    this.renewLate([...jobs].filter(planned => standingOf(planned, unixMs) === 3), now)
-  }
-
   /** Chooses whose turn it is among late jobs; `now` is a monotonic time in milliseconds. */
-  renewLate (late: readonly LateJob[], now: number): void {
+  renew (late: readonly LateJob[], now: number): void {
     const elapsedMs = this.renewedAt === -Infinity ? 0 : Math.min(MAX_RENEWAL_INTERVAL_MS, now - this.renewedAt)
     this.renewedAt = now
     this.renewalCount++
--- a/packages/cell/src/room/loadShedding.ts
+++ b/packages/cell/src/room/loadShedding.ts
@@ -120,7 +120,7 @@
     this.cell = withoutServices(cell, this.options.jobs())
     this.plan.renew(this.queuedJobs(), unixMs)
     this.forecast.renew(this.plan.all(), unixMs, clock.now())
-    this.lateShare.renewLate([...this.lateJobs(unixMs)], clock.now())
+    this.lateShare.renew([...this.lateJobs(unixMs)], clock.now())
     this.forecastAt = clock.now()
   }
 
--- a/packages/cell/src/room/waitingPlan.ts
+++ b/packages/cell/src/room/waitingPlan.ts
@@ -2,7 +2,7 @@
 import { dueMsOf, isTimed } from '../lateness.js'
 import type { JobQueue, ResourceVector } from '../types.js'
 import type { Durations } from './durations.js'
-import { expectedObjectiveMs, pathMsOf, reservedShareOf, totalWorkMsOf, usefulMsOf, valueDensityOf, workMsOf } from './jobCost.js'
+import { expectedObjectiveMs, pathMsOf, totalWorkMsOf, usefulMsOf, valueDensityOf, workMsOf } from './jobCost.js'
 
 /** Share of the workers' capacity that is in use while work waits; gangs and uneven needs leave the rest idle. */
 export const USABLE_SHARE = 0.85
@@ -45,8 +45,6 @@
   readonly pathMs: number
   /** What the rest of the job is worth for the capacity that it takes. */
   readonly density: number
-  /** Part of the cell that is kept free for the job while it goes first, by what waits now: for whole gangs, and for one task of other steps. Lost to others, and for nothing if they fit nowhere. */
-  readonly reservedShare: () => number
   /** Place among jobs that are to be on time. */
   readonly rank: number
   isShed: boolean
@@ -134,10 +132,9 @@
     const liveSteps = [...job.liveSteps()]
     const waitingMs = workMsOf(liveSteps.map(({ spec, waitingTasks }) => ({ spec, tasks: waitingTasks })), known, this.options.cell())
     const density = valueDensityOf({ workMs, remainingMs: waitingMs, meanMs: this.meanWorkOf(job.record.queue) ?? workMs, priority: queue.priority }) * (this.options.isExcess(job) ? EXCESS_FACTOR : 1)
-    const reservedShare = () => reservedShareOf(job, this.options.cell())
     const isGangWaiting = liveSteps.some(({ spec, waitingTasks }) => spec.gang && spec.count > 1 && waitingTasks > 0)
     const rankOf = (latestStartMs: number) => Math.floor((latestStartMs - (isGangWaiting ? GANG_LEAD_MS : 0)) / RANK_STEP_MS)
-    if (!isTimed(job)) return { job, queue, workMs, waitingMs, density, reservedShare, latestStartMs: Infinity, uselessFromMs: Infinity, objectiveMs: Infinity, pathMs: Infinity, rank: rankOf(dueMsOf(job) + UNTIMED_START_MS), isShed: false }
+    if (!isTimed(job)) return { job, queue, workMs, waitingMs, density, latestStartMs: Infinity, uselessFromMs: Infinity, objectiveMs: Infinity, pathMs: Infinity, rank: rankOf(dueMsOf(job) + UNTIMED_START_MS), isShed: false }
     const occurrence = job.occurrences.get(0)
     const pathMs = pathMsOf(steps, known, step => occurrence === 'done' || occurrence?.[step]?.isDone() === true)
     const objectiveMs = expectedObjectiveMs(steps, known, queue)
@@ -148,7 +145,6 @@
       workMs,
       waitingMs,
       density,
-      reservedShare,
       latestStartMs,
       uselessFromMs: admittedAtMs + usefulMsOf(objectiveMs) - pathMs,
       objectiveMs,
