feat(cell): the leader's load report tells what keeps lasting tasks that wait off each worker

Change: longestWaitingLasting in 'Leader load.': the step, how long it has waited, and numbers of workers by obstacle. Nothing is decided by it.

--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -55,6 +55,8 @@
   readonly excess: number
   /** The step of the job that has been due for longest; undefined if nothing waits. */
   readonly oldest: WaitingStepReport | undefined
+  /** The lasting step that has waited for longest since its last start, and why; undefined if none waits. */
+  readonly lasting: WaitingLastingStepReport | undefined
 }
 
 export interface WaitingStepReport {
@@ -65,6 +67,13 @@
   readonly isExcess: boolean
 }
 
+export interface WaitingLastingStepReport extends WaitingStepReport {
+  /** Time since the step began to wait, in milliseconds. */
+  readonly waitedMs: number
+  /** Numbers of workers by what keeps a task of the step off them; `none` counts those that could take one. */
+  readonly workers: Readonly<Partial<Record<WorkerObstacle | 'none', number>>>
+}
+
 /** Score of one penalty point; outweighs any amount of free processor time in the choice of a worker. */
 const PENALTY_WEIGHT = 1e9
 /** Maximum fraction of the workers, and minimum number, that are kept free for tasks that must run alone. */
@@ -236,7 +245,21 @@
       counts[lateness]++
     }
     const oldest = minBy(candidates, ({ step }) => dueMsOf(step.job))
-    return { byQueue, byCause, excess: candidates.filter(({ isExcess }) => isExcess).length, oldest: oldest === undefined ? undefined : this.reportOf(oldest) }
+    const lasting = minBy(candidates.filter(({ step }) => step.spec.longRunning), ({ step }) => -step.waitTimes.waitedMs(this.now))
+    return {
+      byQueue,
+      byCause,
+      excess: candidates.filter(({ isExcess }) => isExcess).length,
+      oldest: oldest === undefined ? undefined : this.reportOf(oldest),
+      lasting: lasting === undefined ? undefined : this.lastingReportOf(lasting)
+    }
+  }
+
+  private lastingReportOf (candidate: Candidate): WaitingLastingStepReport {
+    const { step, queue } = candidate
+    const workers: Partial<Record<WorkerObstacle | 'none', number>> = {}
+    for (const { obstacle = 'none' } of this.obstacles(step, queue)) workers[obstacle] = (workers[obstacle] ?? 0) + 1
+    return { ...this.reportOf(candidate), waitedMs: Math.round(step.waitTimes.waitedMs(this.now)), workers }
   }
 
   private reportOf ({ step, isExcess }: Candidate): WaitingStepReport {
--- a/packages/cell/src/loadReport.ts
+++ b/packages/cell/src/loadReport.ts
@@ -55,7 +55,7 @@
     const elapsedMs = clock.now() - this.reportedAt
     if (elapsedMs < REPORT_INTERVAL_MS) return
     const utilization = performance.eventLoopUtilization()
-    const { byQueue, byCause, excess, oldest } = waitingSummary()
+    const { byQueue, byCause, excess, oldest, lasting } = waitingSummary()
     log.info('Leader load.', {
       elapsedMs: Math.round(elapsedMs),
       busyPercent: Math.round(100 * performance.eventLoopUtilization(utilization, this.utilization).utilization),
@@ -68,6 +68,7 @@
       waitingFor: byCause,
       waitingExcess: excess,
       ...(oldest === undefined ? {} : { oldestWaiting: oldest }),
+      ...(lasting === undefined ? {} : { longestWaitingLasting: lasting }),
       heldBackJobs: heldBackJobs(),
       advice: adviceLoad(),
       commitsWaiting: commitsWaiting()
--- a/packages/cell/src/waitTimes.ts
+++ b/packages/cell/src/waitTimes.ts
@@ -16,6 +16,8 @@
   private readonly totalsMs = new Map<WaitCause, number>()
   private cause: WaitCause | undefined
   private since = 0
+  /** Monotonic time of the first note since the last start, in milliseconds. */
+  private firstNotedAt: number | undefined
 
   private constructor () {}
 
@@ -28,6 +30,7 @@
     this.close(now)
     this.cause = cause
     this.since = now
+    this.firstNotedAt ??= now
   }
 
   /** What the step waits for since the latest note; undefined if nothing has been noted since its last start. */
@@ -35,10 +38,16 @@
     return this.cause
   }
 
+  /** Time since the first note after the last start, in milliseconds; 0 if nothing has been noted since. */
+  waitedMs (now: number): number {
+    return this.firstNotedAt === undefined ? 0 : now - this.firstNotedAt
+  }
+
   /** Returns the time spent on each cause since the last call, in whole milliseconds, and starts anew. */
   take (now: number): Readonly<Partial<Record<WaitCause, number>>> {
     this.close(now)
     this.cause = undefined
+    this.firstNotedAt = undefined
     const taken = Object.fromEntries([...this.totalsMs].map(([cause, ms]) => [cause, Math.round(ms)]))
     this.totalsMs.clear()
     return taken
