--- a/packages/cell/src/cellDaemon.ts
+++ b/packages/cell/src/cellDaemon.ts
@@ -32,6 +32,7 @@
 import { PeerClients, PeerServer, fromPeerOutcome, refusesConnections, toPeerOutcome } from './peers.js'
 import { PolicyAgent } from './policyAgent.js'
 import type { PeerHandlers, PeerMethods } from './peers.js'
+import { Readiness } from './readiness.js'
 import { createRemoteAgent } from './remoteAgent.js'
 import { HedgedStore } from './hedgedStore.js'
 import type { Directory, PolicyService, RowStore, WorkerClients } from './ports.js'
@@ -108,6 +109,7 @@
 
   private readonly log: Log
   private readonly configWatch: ConfigWatch
+  private readonly readiness: Readiness
   private readonly store: RowStore
   /** Unique per daemon incarnation. */
   private readonly holder: string
@@ -142,6 +144,14 @@
       log: logs.for('config'),
       metrics: this.metrics
     })
+    this.readiness = Readiness.create({
+      hasConfig: () => this.config.current() !== undefined,
+      isConfigConfirmed: () => this.configWatch.isConfirmed(),
+      isStoreUnavailable: () => storeHealth.isUnavailable(),
+      applyWithinMs: options.configApplyMs,
+      clock,
+      log: this.log
+    })
     this.accountAdmission = AccountAdmission.create({ terms: this.config.accountTerms, overage: options.features.accountOverage, log: logs.for('jobs'), metrics: this.metrics })
     this.holder = `${name}/${randomUUID()}`
     this.membership = Membership.create({
@@ -187,14 +197,15 @@
     this.peerServer = await PeerServer.create(this.options.peerAddress, this.peerHandlers(), () => this.store.clockMs(), this.options.logs.for('peers'))
     this.supervise('config', () => this.configWatch.run(signal))
     this.supervise('config age', () => this.configWatch.monitor(signal))
+    this.supervise('readiness', () => this.readiness.run(signal))
     this.supervise('lease', () => this.lease.run(signal))
     this.supervise('peers', () => this.watchPeers(signal))
     this.supervise('register', () => this.membership.register(signal))
   }
 
-  /** Whether this daemon has a configuration and can reach the store. */
+  /** Whether load balancers should send callers to this daemon. */
   isReady (): boolean {
-    return this.config.current() !== undefined && !this.options.storeHealth.isUnavailable()
+    return this.readiness.isReady()
   }
 
   /** Whether requests may be answered by the configuration in force; false while this daemon can't know whether it is the latest. */
