--- a/packages/base/src/__tests__/httpClient.test.ts
+++ b/packages/base/src/__tests__/httpClient.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { fileURLToPath } from 'node:url'
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
 import { SystemClock } from '../clock.js'
 import { HttpClient } from '../httpClient.js'
 
@@ -89,3 +90,51 @@
   t.true(res.err && res.val.code === 'test-unreachable')
   await gone.close()
 })
+
+const PIECE = Buffer.alloc(1_000)
+
+/** Serves answers of `pieces` pieces, one each `intervalMs`. */
+async function createSlowServer (t: ExecutionContext, pieces: number, intervalMs: number) {
+  const server = createServer((_req, res) => {
+    res.writeHead(200)
+    const send = (left: number) => {
+      if (left === 0 || res.destroyed) res.end()
+      else res.write(PIECE, () => setTimeout(() => send(left - 1), intervalMs))
+    }
+    send(pieces)
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', () => resolve()))
+  t.teardown(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  const address = server.address()
+  const client = HttpClient.create({ url: `http://127.0.0.1:${typeof address === 'object' ? address?.port : 0}`, clock: SystemClock.create(), timeoutMs: 400, connections: 1, codePrefix: 'test', serverName: 'test server' })
+  t.teardown(() => client.close())
+  return client
+}
+
+// Guards against LOST (issue 78): large answers that arrived steadily were ended in the middle and asked for anew.
+test('an answer that arrives steadily takes as long as its transfer may, and only if its call says so', async t => {
+  const client = await createSlowServer(t, 12, 100)
+  const call = async (totalMs?: number) => {
+    const startedAt = performance.now()
+    const res = await client.call({ method: 'GET', path: '/', ...(totalMs === undefined ? {} : { transfer: { stallMs: 800, totalMs } }) })
+    return [res.ok ? res.val.body.length : res.val.code, performance.now() - startedAt] as const
+  }
+  t.is((await call(20_000))[0], 12 * PIECE.length)
+  for (const totalMs of [undefined, 700]) {
+    const [outcome, tookMs] = await call(totalMs)
+    t.is(outcome, 'test-answer-lost')
+    t.true(tookMs < 1_100, `ended after ${tookMs} ms`)
+  }
+})
+
+// Guards against lost service: a transfer over a connection that has been cut would last until its upper bound.
+test('a transfer of which nothing more arrives is ended', async t => {
+  const client = await createSlowServer(t, 2, 60_000)
+  const startedAt = performance.now()
+  const res = await client.call({ method: 'GET', path: '/', transfer: { stallMs: 300, totalMs: 20_000 } })
+  t.true(res.err && res.val.code === 'test-answer-lost')
+  t.true(performance.now() - startedAt < 5_000)
+})
--- a/packages/base/src/httpClient.ts
+++ b/packages/base/src/httpClient.ts
@@ -28,6 +28,18 @@
    * @default the client's `timeoutMs`
    */
   readonly timeoutMs?: number
+  /** Given for a call whose answer may take long to arrive: `timeoutMs` then counts only until the answer begins. */
+  readonly transfer?: TransferLimits
+  /** Called when the status and the headers of the response have arrived. */
+  readonly onResponseStart?: (status: number) => void
+}
+
+/** Limits of a large answer once it has begun, in milliseconds. */
+export interface TransferLimits {
+  /** Time from one piece of the answer to the next. */
+  readonly stallMs: number
+  /** Time from the start of the call to the end of the response. */
+  readonly totalMs: number
 }
 
 export interface HttpResponse {
@@ -140,6 +152,8 @@
       let status = 0
       let headers: HttpResponse['headers'] = {}
       let receivedBytes = 0
+      /** Monotonic time at which a part of the answer arrived last. */
+      let receivedAt: number | undefined
       const chunks: Buffer[] = []
 
       const settle = (result: Result<HttpResponse, Failure>) => {
@@ -154,11 +168,21 @@
           ? Failure.notRun(`${codePrefix}-queued`, `The call to the ${serverName} waited for a free connection: ${problem}.`)
           : Failure.notRun(`${codePrefix}-unreachable`, `The ${serverName} could not be reached: ${problem}.`)))
 
-      const cancelTimer = clock.after(timeoutMs, () => {
-        const problem = `no complete answer within ${timeoutMs} ms`
+      const end = (problem: string) => {
         fail(problem)
         abort?.(new Error(problem))
+      }
+      let cancelTimer = clock.after(timeoutMs, () => {
+        if (req.transfer === undefined || receivedAt === undefined) end(`no complete answer within ${timeoutMs} ms`)
+        else checkTransfer(req.transfer, receivedAt)
       })
+      // The pieces of an answer are many, so that only the timer looks at their times.
+      const checkTransfer = ({ stallMs, totalMs }: TransferLimits, lastReceivedAt: number) => {
+        const now = clock.now()
+        const dueAt = Math.min(lastReceivedAt + stallMs, queuedAt + totalMs)
+        if (now < dueAt) cancelTimer = clock.after(dueAt - now, () => checkTransfer({ stallMs, totalMs }, receivedAt ?? lastReceivedAt))
+        else end(`${receivedBytes} bytes of it after ${Math.round(now - queuedAt)} ms, the last ${Math.round(now - lastReceivedAt)} ms ago`)
+      }
       try {
         this.pool.dispatch({
           method: req.method,
@@ -182,9 +206,12 @@
           onResponseStart: (_controller, statusCode, responseHeaders) => {
             status = statusCode
             headers = responseHeaders
+            receivedAt = clock.now()
+            if (!isSettled) req.onResponseStart?.(statusCode)
           },
           onResponseData: (controller, chunk) => {
             receivedBytes += chunk.length
+            receivedAt = clock.now()
             if (receivedBytes > MAX_RESPONSE_BYTES) {
               fail(`it is larger than ${MAX_RESPONSE_BYTES} bytes`)
               controller.abort(new Error('response body is too large'))
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -81,9 +81,10 @@
 
 /** The configuration, workers and maintenance waves that the platform publishes. */
 export interface Directory {
-  readConfig (): Promise<Result<ConfigReading, Failure>>
-  /** Waits up to `waitMs` for a newer configuration. */
-  watchConfig (version: number, waitMs: number): Promise<Result<ConfigReading | 'history-lost', Failure>>
+  /** `onBegin` is called when the answer begins to arrive, which can take some seconds from then on. */
+  readConfig (onBegin?: () => void): Promise<Result<ConfigReading, Failure>>
+  /** Waits up to `waitMs` for a newer configuration. `onBegin` as above. */
+  watchConfig (version: number, waitMs: number, onBegin?: () => void): Promise<Result<ConfigReading | 'history-lost', Failure>>
   listWorkers (): Promise<Result<readonly WorkerEntry[], Failure>>
   listWaves (): Promise<Result<readonly MaintenanceWave[], Failure>>
   /** Publishes the state of a wave for the operator. */
