--- a/packages/cell/src/__tests__/configWatch.test.ts
+++ b/packages/cell/src/__tests__/configWatch.test.ts
@@ -10,6 +10,7 @@
 import { MemoryMetrics } from '../metrics.js'
 import { decodeKnownConfig } from '../knownConfig.js'
 import { createOddValues, createQueue, spreadOverFields } from '../testing/index.js'
+import { SharedLink } from '../testing/sharedLink.js'
 import type { Result } from '@citronnotch/base/result'
 import type { ConfigReading } from '../ports.js'
 import type { CellConfig } from '../types.js'
@@ -18,6 +19,10 @@
 const READ_TIMEOUT_MS = 900
 const WATCH_TIMEOUT_MS = 1_700
 const PEER_TIMEOUT_MS = 400
+const STORE_TRANSFER_TIMEOUT_MS = 10_000
+const PEER_TRANSFER_TIMEOUT_MS = 3_000
+const LINK_BYTES_PER_SECOND = 1_250_000
+const LOST = Err(Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.'))
 /** Time within which a daemon answers again once the store answers it, without a sign of that: a read that waits for its timeout, and a retry. */
 const ANSWER_AGAIN_WITHIN_MS = 2_000
 const AGE_CHECK_MS = 200
@@ -43,14 +48,16 @@
     storeDelayMs: fc.constantFrom(5, 300, 850, 1_600, Infinity),
     peerDelayMs: fc.constantFrom(5, 150, 390, Infinity),
     arePeersRefused: fc.boolean(),
+    configBytes: fc.constantFrom(0, 0, 500_000, 1_900_000, 6_000_000),
     changes: fc.boolean()
   }), { minLength: 2, maxLength: 6 }), async phases => {
     const cell = createCell({ storeDelayMs: () => 5, peerDelayMs: () => 5 })
     await cell.clock.advance(100)
-    for (const { lengthMs, storeDelayMs, peerDelayMs, arePeersRefused, changes } of phases) {
+    for (const { lengthMs, storeDelayMs, peerDelayMs, arePeersRefused, configBytes, changes } of phases) {
       cell.storeDelayMs = () => storeDelayMs
       cell.peerDelayMs = () => peerDelayMs
       cell.arePeersRefused = arePeersRefused
+      cell.configBytes = configBytes
       if (changes) cell.publish()
       for (let elapsedMs = 0; elapsedMs < lengthMs; elapsedMs += STEP_MS) {
         const dueVersion = cell.publishedBefore(APPLY_WITHIN_MS)
@@ -200,6 +207,8 @@
   readonly violations: string[]
   /** Whether the other daemons have the first version only, known to be the latest when they started. */
   arePeersRefused: boolean
+  /** Size of the configuration, which the store and the other daemons send over one link. */
+  configBytes: number
   storeUnavailableMs: number
   isStoreClockKnown: boolean
   /** Whether a read finds the row of the configuration. */
@@ -218,6 +227,7 @@
 function createCell (delays: Delays): Cell {
   const clock = ManualClock.create()
   const abort = new AbortController()
+  const link = SharedLink.create(clock, LINK_BYTES_PER_SECOND)
   const publishedAt: number[] = [0]
   // Runs on while the VM is suspended.
   const sinceStart = Stopwatch.start(clock)
@@ -230,6 +240,7 @@
     inForce,
     violations: [],
     arePeersRefused: false,
+    configBytes: 0,
     storeUnavailableMs: 0,
     isStoreClockKnown: true,
     hasRow: true,
@@ -242,11 +253,11 @@
     watch: ConfigWatch.create({
       inForce,
       directory: {
-        readConfig: () => answer(cell.storeDelayMs(), READ_TIMEOUT_MS, 0),
-        watchConfig: async (version, waitMs) => {
+        readConfig: onBegin => answer(cell.storeDelayMs(), READ_TIMEOUT_MS, 0, onBegin),
+        watchConfig: async (version, waitMs, onBegin) => {
           const deadline = clock.now() + waitMs
           while (cell.readVersion() <= version && clock.now() < deadline) await clock.sleep(STEP_MS)
-          return answer(cell.storeFailsWatches ? Infinity : cell.storeDelayMs(), WATCH_TIMEOUT_MS, waitMs)
+          return answer(cell.storeFailsWatches ? Infinity : cell.storeDelayMs(), WATCH_TIMEOUT_MS, waitMs, onBegin)
         },
         listWorkers: () => Promise.reject(new Error('not used')),
         listWaves: () => Promise.reject(new Error('not used')),
@@ -256,8 +267,16 @@
         const delayMs = cell.peerDelayMs()
         await clock.sleep(Math.min(delayMs, PEER_TIMEOUT_MS))
         if (delayMs > PEER_TIMEOUT_MS) return undefined
-        const config = cell.arePeersRefused ? configOf(1) : configOf(publishedAt.length)
-        return { version: config.version, ageMs: cell.arePeersRefused ? clock.now() : 0, config }
+        const known = () => {
+          const config = cell.arePeersRefused ? configOf(1) : configOf(publishedAt.length)
+          return { version: config.version, ageMs: cell.arePeersRefused ? clock.now() : 0, config }
+        }
+        if (cell.configBytes === 0) return known()
+        const fetch = async () => {
+          const sent = known()
+          return await link.transfer(cell.configBytes, PEER_TRANSFER_TIMEOUT_MS) ? sent : undefined
+        }
+        return { version: known().version, ageMs: known().ageMs, fetch }
       }),
       storeUnavailableMs: () => cell.storeUnavailableMs,
       applyWithinMs: APPLY_WITHIN_MS,
@@ -266,11 +285,14 @@
       metrics: MemoryMetrics.create()
     })
   }
-  async function answer (delayMs: number, timeoutMs: number, waitedMs: number): Promise<Result<ConfigReading, Failure>> {
+  async function answer (delayMs: number, timeoutMs: number, waitedMs: number, onBegin?: () => void): Promise<Result<ConfigReading, Failure>> {
     await clock.sleep(Math.min(delayMs, timeoutMs - Math.min(waitedMs, timeoutMs)))
-    if (delayMs + waitedMs > timeoutMs) return Err(Failure.mayHaveRun('store-answer-lost', 'The answer of the store was lost.'))
+    if (delayMs + waitedMs > timeoutMs) return LOST
     const version = cell.readVersion()
-    return Ok({ config: cell.hasRow ? configOf(version) : undefined, version, asOfMs: storeMs() })
+    const reading = { config: cell.hasRow ? configOf(version) : undefined, version, asOfMs: storeMs() }
+    onBegin?.()
+    if (cell.configBytes > 0 && !await link.transfer(cell.configBytes, STORE_TRANSFER_TIMEOUT_MS)) return LOST
+    return Ok(reading)
   }
   for (const run of [cell.watch.run(abort.signal), cell.watch.monitor(abort.signal)]) run.catch((err: unknown) => cell.violations.push(String(err)))
   return cell
--- a/packages/cell/src/__tests__/narrowLink.test.ts
+++ b/packages/cell/src/__tests__/narrowLink.test.ts
@@ -16,6 +16,10 @@
 const APPLY_WITHIN_MS = 4_000
 const LINK_BYTES_PER_SECOND = 1_250_000
 const STORE_TIMEOUT_MS = 900
+const STORE_DELAY_MS = 5
+const STORE_TRANSFER_TIMEOUT_MS = 10_000
+/** Ratio of a row of the store, in base64, to its JSON. */
+const ROW_FACTOR = 4 / 3
 const MANY_QUEUES = 4_246
 /** Size from which an answer of another daemon contains a configuration. */
 const TRANSFER_BYTES = 100
@@ -30,20 +34,29 @@
 }
 
 /** A daemon with a narrow link, beside four that have the latest configuration. Once `store.answers` is false the store answers only the others. */
-function createDaemon () {
+function createDaemon (bytesPerSecond: number) {
   const clock = ManualClock.create()
   const abort = new AbortController()
-  const link = SharedLink.create(clock, LINK_BYTES_PER_SECOND)
+  const link = SharedLink.create(clock, bytesPerSecond)
   const published = { config: createConfig(1, 1) }
   const store = { answers: true }
-  const transfers = { fromPeers: 0, mostFromPeers: 0 }
+  const transfers = { fromPeers: 0, mostFromPeers: 0, fromStore: 0, mostFromStore: 0 }
   const storeClock = () => ({ earliest: clock.now(), latest: clock.now() })
   const inForce = ConfigInForce.create({ storeClock, clock, log: silentLog })
   const lost = Err(Failure.mayHaveRun('answer-lost', 'The answer was lost.'))
-  const readConfig = async () => {
-    if (store.answers) return Ok({ config: published.config, version: published.config.version, asOfMs: clock.now() })
-    await clock.sleep(STORE_TIMEOUT_MS)
-    return lost
+  const readConfig = async (onBegin?: () => void) => {
+    if (!store.answers) {
+      await clock.sleep(STORE_TIMEOUT_MS)
+      return lost
+    }
+    await clock.sleep(STORE_DELAY_MS)
+    const { config } = published
+    const asOfMs = clock.now()
+    onBegin?.()
+    transfers.mostFromStore = Math.max(transfers.mostFromStore, ++transfers.fromStore)
+    const hasArrived = await link.transfer(JSON.stringify(config).length * ROW_FACTOR, STORE_TRANSFER_TIMEOUT_MS)
+    transfers.fromStore--
+    return hasArrived ? Ok({ config, version: config.version, asOfMs }) : lost
   }
   const call: PeerClients['call'] = async (_address, _method, req, timeoutMs) => {
     const other = ConfigInForce.create({ storeClock, clock, log: silentLog })
@@ -66,10 +79,10 @@
     inForce,
     directory: {
       readConfig,
-      watchConfig: async (version, waitMs) => {
+      watchConfig: async (version, waitMs, onBegin) => {
         const deadline = clock.now() + waitMs
         while (published.config.version <= version && clock.now() < deadline) await clock.sleep(50)
-        return readConfig()
+        return published.config.version > version || !store.answers ? readConfig(onBegin) : Ok({ config: undefined, version, asOfMs: clock.now() })
       },
       listWorkers: () => Promise.reject(new Error('not used')),
       listWaves: () => Promise.reject(new Error('not used')),
@@ -87,8 +100,8 @@
 }
 
 // Guards against LOST (issue 78): four daemons sent the whole configuration at once, each with 400 ms to arrive, so that none did.
-test.failing('a daemon with a narrow link that the store does not serve takes a large configuration from another one in time', async t => {
-  const daemon = createDaemon()
+test('a daemon with a narrow link that the store does not serve takes a large configuration from another one in time', async t => {
+  const daemon = createDaemon(LINK_BYTES_PER_SECOND)
   await daemon.clock.advance(1_000)
   t.is(daemon.inForce.version(), 1)
   daemon.store.answers = false
@@ -99,3 +112,18 @@
   t.true(await daemon.watch.mayAnswer())
   daemon.stop()
 })
+
+// Guards against LOST (issue 78): while the configuration arrived, reads of it and answers of other daemons took the link from it.
+test('a transfer from the store that is under way has the link to itself', async t => {
+  const daemon = createDaemon(LINK_BYTES_PER_SECOND / 2)
+  await daemon.clock.advance(1_000)
+  daemon.published.config = createConfig(2, 2_845)
+  await daemon.clock.advance(1_500)
+  t.deepEqual([daemon.inForce.version(), daemon.transfers.fromStore], [1, 1], 'under way')
+  t.true(daemon.inForce.ageMs() > APPLY_WITHIN_MS / 2, 'old enough to be looked for elsewhere')
+  await daemon.clock.advance(APPLY_WITHIN_MS - 1_500)
+  t.is(daemon.inForce.version(), 2)
+  t.deepEqual([daemon.transfers.mostFromStore, daemon.transfers.mostFromPeers], [1, 0])
+  t.true(await daemon.watch.mayAnswer())
+  daemon.stop()
+})
--- a/packages/cell/src/configPeers.ts
+++ b/packages/cell/src/configPeers.ts
@@ -1,12 +1,20 @@
 import type { Clock } from '@citronnotch/base/clock'
 import type { KnownConfig } from './configInForce.js'
-import { PEER_TIMEOUT_MS } from './constants.js'
+import { CONFIG_TRANSFER_TIMEOUT_MS, PEER_TIMEOUT_MS } from './constants.js'
 import { decodeKnownConfig } from './knownConfig.js'
 import type { Peer } from './membership.js'
 import type { PeerClients } from './peers.js'
 
 /** Number of other daemons that are asked for their configuration at a time. */
 const PEERS_PER_REQUEST = 4
+/** Later than any version, so that a daemon tells only which one it has; one of an earlier build does so as well. */
+const NO_CONFIG_NEEDED = Number.MAX_SAFE_INTEGER
+
+/** What another daemon tells first, and how its configuration is got. */
+export interface PeerConfig extends KnownConfig {
+  /** Gets the configuration if it is later than the version that was asked by; undefined if the daemon doesn't give it. */
+  readonly fetch?: () => Promise<KnownConfig | undefined>
+}
 
 export interface ConfigPeersOptions {
   readonly peerClients: Pick<PeerClients, 'call'>
@@ -41,21 +49,25 @@
     return [...new Set([...preferred, ...others])].slice(0, PEERS_PER_REQUEST)
   }
 
-  /** Asks for a configuration that is later than `version`; an answer is undefined if the daemon doesn't give one. */
-  ask (version: number): ReadonlyArray<Promise<KnownConfig | undefined>> {
+  /** Asks which versions others have; an answer is undefined if the daemon doesn't give one. A configuration later than `version` can then be fetched from one of them. */
+  ask (version: number): ReadonlyArray<Promise<PeerConfig | undefined>> {
     return this.addresses().map(address => this.askOne(address, version))
   }
 
-  private async askOne (address: string, version: number): Promise<KnownConfig | undefined> {
+  private async askOne (address: string, version: number): Promise<PeerConfig | undefined> {
     const sentAt = this.options.clock.now()
-    const res = await this.options.peerClients.call(address, 'config', { version }, PEER_TIMEOUT_MS)
-    const known = res.ok ? decodeKnownConfig(res.val, this.options.hasAccounts) : undefined
+    const known = await this.call(address, NO_CONFIG_NEEDED, PEER_TIMEOUT_MS)
     if (known === undefined) {
       if (this.mostRecent?.address === address) this.mostRecent = undefined
       return undefined
     }
     const confirmedAt = sentAt - known.ageMs
     if (this.mostRecent === undefined || this.mostRecent.address === address || confirmedAt > this.mostRecent.confirmedAt) this.mostRecent = { address, confirmedAt }
-    return known
+    return { ...known, fetch: () => this.call(address, version, CONFIG_TRANSFER_TIMEOUT_MS) }
+  }
+
+  private async call (address: string, version: number, timeoutMs: number): Promise<KnownConfig | undefined> {
+    const res = await this.options.peerClients.call(address, 'config', { version }, timeoutMs)
+    return res.ok ? decodeKnownConfig(res.val, this.options.hasAccounts) : undefined
   }
 }
--- a/packages/cell/src/configWatch.ts
+++ b/packages/cell/src/configWatch.ts
@@ -1,11 +1,14 @@
 import { performance } from 'node:perf_hooks'
 import type { Clock } from '@citronnotch/base/clock'
+import type { Failure } from '@citronnotch/base/errors'
 import type { Log } from '@citronnotch/base/logger'
+import type { Result } from '@citronnotch/base/result'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
-import type { ConfigInForce, ConfigSource, KnownConfig } from './configInForce.js'
+import type { ConfigInForce, ConfigSource } from './configInForce.js'
+import type { PeerConfig } from './configPeers.js'
 import { CONFIG_WATCH_MS, TOO_OLD_FRACTION } from './constants.js'
 import type { CellMetrics } from './metrics.js'
-import type { Directory } from './ports.js'
+import type { ConfigReading, Directory } from './ports.js'
 
 /** Initial and maximum retry delay; both are a fraction of the time within which a new version must be in force. */
 const MIN_RETRY_MS = 150
@@ -20,12 +23,14 @@
 const MISSING_REFRESH_INTERVAL_MS = 100
 /** Minimum interval between two refreshes while the configuration stays old. */
 const REFRESH_INTERVAL_MS = 500
+/** Time for which a refresh is waited for; a transfer that takes longer goes on. */
+const REFRESH_WAIT_MS = 1_000
 
 export interface ConfigWatchOptions {
   readonly inForce: ConfigInForce
   readonly directory: Directory
-  /** Asks some other daemons for their configuration; each answer is undefined if the daemon didn't give one. */
-  readonly askPeers: (version: number) => ReadonlyArray<Promise<KnownConfig | undefined>>
+  /** Asks some other daemons which configuration they have; each answer is undefined if the daemon didn't give one. */
+  readonly askPeers: (version: number) => ReadonlyArray<Promise<PeerConfig | undefined>>
   /** Time for which the store has been unavailable to this daemon, in milliseconds; 0 while it is available. */
   readonly storeUnavailableMs: () => number
   /** Time within which a confirmed version must be in force, in milliseconds. */
@@ -60,6 +65,12 @@
   private refreshing: Promise<void> | undefined
   private confirming: Promise<void> | undefined
   private refreshedAt = -Infinity
+  /** Read of the store that was sent last, while it is under way. */
+  private reading: Promise<Result<ConfigReading, Failure>> | undefined
+  /** Read or watch of the store whose answer arrives now. */
+  private arriving: Promise<unknown> | undefined
+  /** Transfer of the configuration from another daemon that is under way. */
+  private fetching: Promise<void> | undefined
   /** Latest version that another daemon is known to have had in force, if it is not in force here. */
   private missing: { readonly version: number, readonly sinceHeard: Stopwatch } | undefined
   /** Outcome of the last refresh, unless the configuration has been confirmed by it or since. */
@@ -121,7 +132,7 @@
 
   /** Watches the configuration in the store. */
   async run (signal: AbortSignal): Promise<void> {
-    const { directory, inForce, clock, log } = this.options
+    const { inForce, clock, log } = this.options
     let version: number | undefined
     let retryMs = MIN_RETRY_MS
     while (!signal.aborted) {
@@ -137,8 +148,7 @@
         version = read.val.version
         continue
       }
-      const sinceRequest = Stopwatch.start(clock)
-      const change = await directory.watchConfig(version, CONFIG_WATCH_MS)
+      const change = await this.watchStore(version)
       // After a failed watch the row itself is read, over another connection.
       if (change.err || change.val === 'history-lost') {
         log.info('Configuration watch interrupted; reading the configuration again.', { reason: change.err ? change.val.reason : 'history lost', inForce: inForce.version() })
@@ -146,7 +156,6 @@
         await clock.sleep(change.err ? MIN_RETRY_MS : 0, signal)
         continue
       }
-      inForce.observeReading(change.val, sinceRequest, 'watch')
       version = change.val.version
     }
   }
@@ -170,7 +179,7 @@
       }
       if (inForce.current() !== undefined) report.old(ageMs)
       // A refresh that began during an outage may still wait for its timeout.
-      if (isStoreBack) await this.readStore()
+      if (isStoreBack) await this.waitFor([this.readStoreAgain()], () => this.isConfirmed())
       else if (clock.now() - this.refreshedAt >= REFRESH_INTERVAL_MS) this.refreshInBackground()
     }
   }
@@ -188,7 +197,7 @@
     this.refresh().catch((err: unknown) => this.options.log.error('Configuration could not be refreshed.', { err }))
   }
 
-  /** Resolves when the configuration is confirmed or all that were asked have answered or failed to. */
+  /** Resolves when the configuration is confirmed, all that were asked have answered or failed to, or `REFRESH_WAIT_MS` have passed. */
   private refresh (): Promise<void> {
     this.refreshing ??= this.askAll().finally(() => {
       this.refreshing = undefined
@@ -197,40 +206,96 @@
     return this.refreshing
   }
 
-  /** Resolves when the configuration may be acted on, or nothing that was asked confirms it. */
+  /** Resolves when the configuration may be acted on, or nothing that was asked confirms it in time. */
   private readAndRefresh (): Promise<void> {
-    return new Promise((resolve, reject) => {
-      const settleIfConfirmed = () => { if (this.isConfirmed()) resolve() }
-      Promise.all([this.readStore().then(settleIfConfirmed), this.refresh().then(settleIfConfirmed)]).then(() => resolve(), reject)
-    })
+    return this.waitFor([this.readStoreAgain(), this.refresh()], () => this.isConfirmed())
   }
 
   private async askAll (): Promise<void> {
     const { inForce, askPeers, clock, metrics } = this.options
     const sinceRequest = Stopwatch.start(clock)
-    const answers = askPeers(inForce.version())
-    const known = await new Promise<ReadonlyArray<KnownConfig | undefined> | 'confirmed'>((resolve, reject) => {
-      const settleIfConfirmed = () => { if (!this.isOld()) resolve('confirmed') }
-      const peers = answers.map(async answer => {
-        const peer = await answer
-        if (peer !== undefined) inForce.observePeer(peer, sinceRequest)
-        settleIfConfirmed()
-        return peer
-      })
-      const read = this.readStore().then(settleIfConfirmed)
-      Promise.all([Promise.all(peers), read]).then(([all]) => resolve(all), reject)
+    const known: PeerConfig[] = []
+    const peers = askPeers(inForce.version()).map(async answer => {
+      const peer = await answer
+      if (peer === undefined) return
+      known.push(peer)
+      inForce.observePeer(peer, sinceRequest)
     })
-    this.refreshFailure = known === 'confirmed' ? undefined : known.some(answer => answer !== undefined) ? 'unconfirmed' : 'unanswered'
+    await this.waitFor([...peers, Promise.all(peers).then(() => this.fetchLatest(known)), this.refreshFromStore()], () => !this.isOld())
+    this.refreshFailure = !this.isOld() ? undefined : known.length > 0 ? 'unconfirmed' : 'unanswered'
     metrics.count(`config_refreshes_${this.refreshFailure ?? 'confirmed'}`)
   }
 
-  private async readStore (): ReturnType<Directory['readConfig']> {
+  /** Resolves when `isDone` holds after one of the parts, when all of them have ended, or when `REFRESH_WAIT_MS` have passed. */
+  private waitFor (parts: ReadonlyArray<Promise<unknown>>, isDone: () => boolean): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const cancelTimer = this.options.clock.after(REFRESH_WAIT_MS, resolve)
+      const settleIfDone = () => { if (isDone()) resolve() }
+      Promise.all(parts.map(part => part.then(settleIfDone))).finally(cancelTimer).then(() => resolve(), reject)
+    })
+  }
+
+  // Transfers. Each takes a narrow link for seconds, so that they share one of each kind.
+
+  /** Whether the configuration is on its way, and a second transfer would only delay it. */
+  private isOnItsWay (transfer: Promise<unknown> | undefined): boolean {
+    return transfer !== undefined && this.isConfirmed()
+  }
+
+  /** Fetches the latest of the configurations that others have, from one after the other until one gives it. */
+  private fetchLatest (known: readonly PeerConfig[]): Promise<void> {
+    this.fetching ??= this.fetchOneOf(known).finally(() => { this.fetching = undefined })
+    return this.fetching
+  }
+
+  private async fetchOneOf (known: readonly PeerConfig[]): Promise<void> {
+    const { inForce, clock } = this.options
+    for (const { version, fetch } of [...known].sort((a, b) => b.version - a.version)) {
+      if (version <= inForce.version() || this.isOnItsWay(this.arriving)) return
+      const sinceRequest = Stopwatch.start(clock)
+      const fetched = await fetch?.()
+      if (fetched !== undefined) inForce.observePeer(fetched, sinceRequest)
+    }
+  }
+
+  /** Resolves when the store has answered, or failed to answer, by what is under way already or by a read that is sent now. */
+  private async refreshFromStore (): Promise<void> {
+    if (this.isOnItsWay(this.fetching)) await this.fetching
+    else await (this.arriving ?? this.readStore())
+  }
+
+  /** The same, but not by a read that has no answer yet, as it may have been sent during an outage. */
+  private async readStoreAgain (): Promise<void> {
+    await (this.arriving ?? this.sendRead())
+  }
+
+  private readStore (): ReturnType<Directory['readConfig']> {
+    return this.reading ?? this.sendRead()
+  }
+
+  private sendRead (): ReturnType<Directory['readConfig']> {
     const { directory, inForce, clock } = this.options
     const sinceRequest = Stopwatch.start(clock)
-    const read = await directory.readConfig()
-    if (read.ok) inForce.observeReading(read.val, sinceRequest, 'read')
+    const read: ReturnType<Directory['readConfig']> = directory.readConfig(() => { this.arriving = read }).then(res => {
+      if (res.ok) inForce.observeReading(res.val, sinceRequest, 'read')
+      return res
+    }).finally(() => {
+      if (this.reading === read) this.reading = undefined
+      if (this.arriving === read) this.arriving = undefined
+    })
+    this.reading = read
     return read
   }
+
+  private watchStore (version: number): ReturnType<Directory['watchConfig']> {
+    const { directory, inForce, clock } = this.options
+    const sinceRequest = Stopwatch.start(clock)
+    const watch: ReturnType<Directory['watchConfig']> = directory.watchConfig(version, CONFIG_WATCH_MS, () => { this.arriving = watch }).then(res => {
+      if (res.ok && res.val !== 'history-lost') inForce.observeReading(res.val, sinceRequest, 'watch')
+      return res
+    }).finally(() => { if (this.arriving === watch) this.arriving = undefined })
+    return watch
+  }
 }
 
 /** Logs when the configuration is old, what the daemon was doing meanwhile, and when it is confirmed again. */
--- a/packages/cell/src/constants.ts
+++ b/packages/cell/src/constants.ts
@@ -98,6 +98,8 @@
 
 /** Timeout of a call to another daemon. The round trip between regions takes 40 ms. */
 export const PEER_TIMEOUT_MS = 400
+/** Timeout of a call by which another daemon sends its configuration: 3.7 MB at 10 Mbit/s. */
+export const CONFIG_TRANSFER_TIMEOUT_MS = 3_000
 /** Subtracted from the validity of a ticket to cover the transfer to the leader and then to the worker. */
 export const TICKET_EXPIRY_MARGIN_MS = 150
 /** Maximum number of workers that the placement policy service takes in one call. */
--- a/packages/cell/src/ports.ts
+++ b/packages/cell/src/ports.ts
@@ -81,7 +81,7 @@
 
 /** The configuration, workers and maintenance waves that the platform publishes. */
 export interface Directory {
-  /** `onBegin` is called when the answer begins to arrive, which can take some seconds from then on. */
+  /** `onBegin` is called once the answer begins to arrive, after this has returned; the rest can take some seconds. */
   readConfig (onBegin?: () => void): Promise<Result<ConfigReading, Failure>>
   /** Waits up to `waitMs` for a newer configuration. `onBegin` as above. */
   watchConfig (version: number, waitMs: number, onBegin?: () => void): Promise<Result<ConfigReading | 'history-lost', Failure>>
