fix(cell): lasting tasks start beside a run that must be alone once it has run for 2 s

Cause: a worker with a run that must be alone counted as full for all others for as long as that run lasted, up to a minute; after the outages of a failure domain sound tasks run alone on several workers at a time. Test before: 'a lasting task starts soon where each allowed worker has a long run of a task under which two workers have crashed' failed, no start within 3 s. Change: the run keeps lasting tasks off for EXCLUSIVE_MS from its confirmed start only (a start without an answer counts as new). Everything else stays off for as long as it runs, as the rule counts such room only for lasting tasks and other work would be charged with a late crash. Why it works: guilty tasks crash their workers 0.3 to 1 s after the start in what was seen.

--- a/packages/cell/src/__tests__/lastingBesideLoad.test.ts
+++ b/packages/cell/src/__tests__/lastingBesideLoad.test.ts
@@ -132,7 +132,7 @@
 const MARKED = ['w0', 'w1']
 
 // Guards against LOST (issue 78): workers with a run that must be alone were closed to all others until it ended, though most of their room was free.
-test.failing('a lasting task starts soon where each allowed worker has a long run of a task under which two workers have crashed', async t => {
+test('a lasting task starts soon where each allowed worker has a long run of a task under which two workers have crashed', async t => {
   const longJobs = new Set<string>()
   const cell = TestCell.create({
     workers: Array.from({ length: 6 }, (_, index) => createWorkerEntry(`w${index}`, MARKED.includes(`w${index}`) ? { labels: ['a', LABEL] } : {})),
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -119,6 +119,8 @@
 
 interface SchedulingRound {
   readonly capacity: RoundCapacity
+  /** The same for lasting tasks, which also start beside runs that must be alone once these have run for a while. */
+  readonly lastingCapacity: RoundCapacity
   readonly reservedFor: Map<WorkerLink, Reservation>
   reservingGangs: number
   /** Kinds of calls for which work that accounts are owed waits for an agent, so that other work leaves it half of them. */
@@ -160,16 +162,15 @@
     const [owed, excess] = splitByShare(candidates)
     this.waitingPriority = Math.min(Infinity, ...owed.map(({ queue }) => queue.priority))
     if (candidates.length === 0) return
-    const usable = [...this.options.workers()].filter(worker => this.mayStartOn(worker))
     this.reservedFor = new Map()
-    const round: SchedulingRound = { capacity: RoundCapacity.create(usable), reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
-    this.placeAll(owed, usable, round)
-    if (excess.length > 0) this.placeExcess(excess, owed, usable, round)
+    const round: SchedulingRound = { ...this.capacityOf([...this.options.workers()]), reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
+    this.placeAll(owed, round)
+    if (excess.length > 0) this.placeExcess(excess, owed, round)
   }
 
-  private placeAll (candidates: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
-    this.placeAlone(candidates, usable, round)
-    this.accounts.visitInTurns(candidates, { compareRank: this.candidates.compareRank, hasRoom: ({ step }) => round.capacity.hasRoomFor(step.need), visit: candidate => this.place(candidate, round) })
+  private placeAll (candidates: readonly Candidate[], round: SchedulingRound) {
+    this.placeAlone(candidates, round)
+    this.accounts.visitInTurns(candidates, { compareRank: this.candidates.compareRank, hasRoom: ({ step }) => capacityFor(step, round).hasRoomFor(step.need), visit: candidate => this.place(candidate, round) })
   }
 
   /**
@@ -177,11 +178,11 @@
    * waits for tickets: nearly always some does, so that it cost a tenth of the value in a cell with room, and the owed
    * work gained nothing. Reservations for gangs hold by priority, as against owed work.
    */
-  private placeExcess (excess: readonly Candidate[], owed: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
+  private placeExcess (excess: readonly Candidate[], owed: readonly Candidate[], round: SchedulingRound) {
     const { advice } = this.options
-    const isWaiting = (isLong: boolean) => owed.some(({ step, queue }) => queue.advice !== undefined && needsLongCalls(queue.advice) === isLong && step.hasWaitingTasks() && !advice.isPending(step) && round.capacity.hasRoomFor(step.need))
+    const isWaiting = (isLong: boolean) => owed.some(({ step, queue }) => queue.advice !== undefined && needsLongCalls(queue.advice) === isLong && step.hasWaitingTasks() && !advice.isPending(step) && capacityFor(step, round).hasRoomFor(step.need))
     // A copy, as reservations for excess gangs must not hold up owed jobs that arrive before the next round.
-    this.placeAll(excess, usable, { ...round, reservedFor: new Map(round.reservedFor), owedCalls: { short: isWaiting(false), long: isWaiting(true) } })
+    this.placeAll(excess, { ...round, reservedFor: new Map(round.reservedFor), owedCalls: { short: isWaiting(false), long: isWaiting(true) } })
   }
 
   private place (candidate: Candidate, round: SchedulingRound) {
@@ -192,7 +193,7 @@
       step.waitTimes.note('payload', this.now)
       return this.options.requestPayload(job)
     }
-    const hasRoom = round.capacity.hasRoomFor(step.need)
+    const hasRoom = capacityFor(step, round).hasRoomFor(step.need)
     if (!hasRoom) step.waitTimes.note('room', this.now)
     if (!hasRoom && !spec.gang && !candidate.keepsRoom) return
     if (this.startWindow.roomFor(step.waitingTasks) === 0) {
@@ -224,9 +225,8 @@
       const startable = this.accounts.startable(step, waitingCount)
       if (startable === 0) continue
       const ticketed = this.options.advice.workersWithTicket(step, { get: id => this.options.worker(id) }, this.now)
-      const capacity = RoundCapacity.create(ticketed.filter(worker => this.mayStartOn(worker)))
-      const round: SchedulingRound = { capacity, reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
-      if (!capacity.hasRoomFor(step.need) || this.startWindow.roomFor(step.waitingTasks) === 0) continue
+      const round: SchedulingRound = { ...this.capacityOf(ticketed), reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
+      if (!capacityFor(step, round).hasRoomFor(step.need) || this.startWindow.roomFor(step.waitingTasks) === 0) continue
       if (step.spec.gang) this.placeGang(candidate, round)
       else this.placeTasks({ ...candidate, waitingCount: startable }, round)
     }
@@ -271,12 +271,17 @@
     }
   }
 
-  private mayStartOn (worker: WorkerLink): boolean {
-    return this.generalObstacle(worker, this.now) === undefined
+  /** Capacity of the workers among these that take new tasks, and of those that take lasting ones. */
+  private capacityOf (workers: readonly WorkerLink[]): Pick<SchedulingRound, 'capacity' | 'lastingCapacity'> {
+    const usable = workers.filter(worker => this.generalObstacle(worker, this.now, false) === undefined)
+    const beside = workers.filter(worker => worker.hasOnlyAloneRuns() && this.generalObstacle(worker, this.now, true) === undefined)
+    const capacity = RoundCapacity.create(usable)
+    return { capacity, lastingCapacity: beside.length === 0 ? capacity : RoundCapacity.create([...usable, ...beside]) }
   }
 
-  private generalObstacle (worker: WorkerLink, now: number): WorkerObstacle | undefined {
-    return worker.startObstacle(now) ?? (worker.hasExclusiveRun() ? 'exclusive-run' : this.options.useObstacle(worker, now))
+  private generalObstacle (worker: WorkerLink, now: number, isLasting: boolean): WorkerObstacle | undefined {
+    const isClosed = isLasting ? worker.hasExclusiveRun(now) : worker.hasOnlyAloneRuns()
+    return worker.startObstacle(now) ?? (isClosed ? 'exclusive-run' : this.options.useObstacle(worker, now))
   }
 
   /** Whether a gang has to wait for workers without other work. */
@@ -286,11 +291,11 @@
   }
 
   /** Starts tasks that must run alone on workers without other work, and keeps some workers free for those that wait. */
-  private placeAlone (candidates: readonly Candidate[], usable: readonly WorkerLink[], round: SchedulingRound) {
+  private placeAlone (candidates: readonly Candidate[], round: SchedulingRound) {
     if (!candidates.some(needsWorkersAlone)) return
     const workers = [...this.options.workers()]
     this.candidates.setAlonePatience(isHalfEmpty(workers))
-    let places = Math.max(MIN_ALONE_WORKERS, Math.floor(ALONE_FRACTION * workers.length)) - workers.filter(worker => worker.hasExclusiveRun()).length
+    let places = Math.max(MIN_ALONE_WORKERS, Math.floor(ALONE_FRACTION * workers.length)) - workers.filter(worker => worker.hasOnlyAloneRuns()).length
     for (const candidate of candidates) {
       if (candidate.aloneTasks.length === 0) continue
       if (candidate.step.job.payload === undefined) {
@@ -301,7 +306,7 @@
       for (const task of candidate.aloneTasks) {
         if (places <= 0 || this.accounts.startable(candidate.step, 1) === 0) break
         places--
-        const worker = this.claimEmptyWorker(candidate, task, usable, round)
+        const worker = this.claimEmptyWorker(candidate, task, round)
         if (worker === undefined) continue
         round.reservedFor.set(worker, { step: candidate.step, priority: RESERVED_FOR_ONE })
         started.push(this.start(candidate, task, candidate.step.nextRunNumber(this.options.epoch), worker, round, { lastRunNumber: task.lastRunNumber, isNarrow: true }))
@@ -311,10 +316,10 @@
   }
 
   /** Returns a worker without other work on which the task can start now. If there is none, asks for a ticket and keeps a worker free. */
-  private claimEmptyWorker (candidate: Candidate, task: Task, usable: readonly WorkerLink[], round: SchedulingRound): WorkerLink | undefined {
+  private claimEmptyWorker (candidate: Candidate, task: Task, round: SchedulingRound): WorkerLink | undefined {
     const { advice } = this.options
     const { step, queue } = candidate
-    const eligible = usable.filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker))
+    const eligible = round.capacity.all().filter(worker => this.isEligible(candidate, worker, round) && !advice.isRefused(step, worker))
     const empty = eligible.filter(worker => worker.runs.size === 0)
     const startable = queue.advice === undefined ? empty : empty.filter(worker => advice.ticket(step, worker, this.now) !== undefined)
     const worker = this.bestWorker(step, startable, candidateWorker => round.capacity.freeOn(candidateWorker), task)
@@ -352,7 +357,7 @@
       // The latest round may be some time ago.
       const isCurrent = reservation !== undefined && reservation.step !== step && reservation.step.hasWaitingTasks() && reservation.step.job.outcome === undefined
       const lacksTicket = queue.advice !== undefined && advice.ticket(step, worker, now) === undefined
-      const obstacle = this.generalObstacle(worker, now) ?? this.stepObstacleOn(worker, step, queue, isCurrent ? reservation : undefined) ??
+      const obstacle = this.generalObstacle(worker, now, step.spec.longRunning) ?? this.stepObstacleOn(worker, step, queue, isCurrent ? reservation : undefined) ??
         (lacksTicket && advice.isRefused(step, worker) ? 'policy-refused' : mustBeAlone && worker.runs.size > 0 ? 'not-empty' : undefined)
       return { worker, obstacle, lacksTicket }
     })
@@ -376,8 +381,8 @@
    */
   private allowedWorkers (candidate: Candidate, round: SchedulingRound): readonly WorkerLink[] {
     const { advice } = this.options
-    const { capacity } = round
     const { step, queue, waitingCount } = candidate
+    const capacity = capacityFor(step, round)
     const isEligible = (worker: WorkerLink) => this.isEligible(candidate, worker, round)
     if (queue.advice === undefined) {
       step.waitTimes.note('room', this.now)
@@ -419,8 +424,8 @@
    */
   private requestForGang (candidate: Candidate, round: SchedulingRound, policy: AdvicePolicy, ticketed: readonly WorkerLink[]) {
     const { advice, isProcessorFull } = this.options
-    const { capacity } = round
     const { step } = candidate
+    const capacity = capacityFor(step, round)
     const freeOn: FreeOn = worker => capacity.freeOn(worker)
     const width = step.spec.count
     step.waitTimes.note('room', this.now)
@@ -502,7 +507,7 @@
     // Tickets are only requested for the starts that the window takes: others would expire.
     const workers = this.allowedWorkers(room < waitingCount ? { ...candidate, waitingCount: room } : candidate, round)
     if (workers.length === 0) return waitingCount === 0
-    const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
+    const freeOn: FreeOn = worker => capacityFor(step, round).freeOn(worker)
     const started: Run[] = []
     for (const task of waitingTasks()) {
       if (started.length >= maxStarts) break
@@ -522,7 +527,7 @@
     const { step } = candidate
     const mustBeAlone = this.mustBeAlone(step)
     const workers = this.allowedWorkers(candidate, round).filter(worker => !mustBeAlone || isEmpty(worker))
-    const freeOn: FreeOn = worker => round.capacity.freeOn(worker)
+    const freeOn: FreeOn = worker => capacityFor(step, round).freeOn(worker)
     if (slotsOn(step, workers, freeOn) < step.spec.count) return false
     const placements = step.spec.rackLocal
       ? this.planGangOnOneRack(step, workers, freeOn) ?? this.planGang(step, workers, freeOn)
@@ -592,14 +597,14 @@
     return this.options.trialPenalty?.(worker, step) ?? 0
   }
 
-  private start ({ step, queue }: Candidate, task: Task, runNumber: number, worker: WorkerLink, { capacity }: SchedulingRound, { lastRunNumber = 0, isNarrow }: { readonly lastRunNumber?: number, readonly isNarrow: boolean }): Run {
+  private start ({ step, queue }: Candidate, task: Task, runNumber: number, worker: WorkerLink, { capacity, lastingCapacity }: SchedulingRound, { lastRunNumber = 0, isNarrow }: { readonly lastRunNumber?: number, readonly isNarrow: boolean }): Run {
     const { advice } = this.options
     const ticket = queue.advice === undefined ? '' : advice.ticket(step, worker, this.now) ?? ''
     task.waitsAloneSince = undefined
     // Tasks on idle capacity would slow down a task with a latency target, so those on this worker are stopped and resume elsewhere.
     if (step.hasLatencyTarget()) for (const other of [...worker.runs.values()]) if (other.task?.step.spec.usesIdleCapacity === true) worker.stop(other)
     const startedRun = worker.start(task, Math.max(runNumber, lastRunNumber + 1), step.job.payload ?? '', ticket, isNarrow)
-    capacity.refresh(worker)
+    for (const each of new Set([capacity, lastingCapacity])) each.refresh(worker)
     return startedRun
   }
 
@@ -607,9 +612,9 @@
   private reserveWorkers (candidate: Candidate, round: SchedulingRound, priority: number, wantedSlots: number) {
     const { advice } = this.options
     const { step } = candidate
-    const { capacity, reservedFor } = round
+    const { reservedFor } = round
     let slots = 0
-    for (const worker of capacity.mostFreeFirst()) {
+    for (const worker of capacityFor(step, round).mostFreeFirst()) {
       if (slots >= wantedSlots) return
       if (reservedFor.has(worker) || !this.isEligible(candidate, worker, round) || advice.isRefused(step, worker)) continue
       slots += maxTasksThatFit(step.need, worker.entry.capacity)
@@ -618,6 +623,11 @@
   }
 }
 
+/** Capacity that a step may use in a round. */
+function capacityFor ({ spec }: Step, { capacity, lastingCapacity }: SchedulingRound): RoundCapacity {
+  return spec.longRunning ? lastingCapacity : capacity
+}
+
 /** Returns the first workers that have this many slots in total; all if they have fewer. */
 function takeSlots (workers: readonly WorkerLink[], slotsOf: (worker: WorkerLink) => number, slots: number): readonly WorkerLink[] {
   let total = 0
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -18,6 +18,11 @@
  */
 export type StepObstacle = 'nothing-waits' | 'start-refused' | 'dependency' | 'gang-runs'
 
+/**
+ * Time since its confirmed start for which a run that must be alone keeps lasting tasks off its worker as well, in
+ * milliseconds: a task that crashes its workers mostly does so within a second, and a sound one may run for minutes.
+ */
+const EXCLUSIVE_MS = 2_000
 /** Maximum number of runs of one task whose end isn't known; more can only be of workers that have gone for good. */
 const MAX_OPEN_RUNS_PER_TASK = 8
 
@@ -86,7 +91,9 @@
   checkpoint: string
   /** Whether the task may have crashed a worker before this run. */
   readonly isSuspect: boolean
-  /** Whether nothing else may start beside the run. */
+  /** Monotonic time in milliseconds since which the run is known to run; undefined until its start is confirmed. */
+  private runningSince: number | undefined
+  /** Whether nothing else may start beside the run: lasting tasks only for a while, others for as long as it runs. */
   readonly mustRunAlone: boolean
 
   private constructor (
@@ -144,12 +151,18 @@
     this.isListed = false
   }
 
-  /** Records that the worker has confirmed the start. */
-  markRunning (): void {
+  /** Records that the worker has confirmed the start; `now` is a monotonic time in milliseconds. */
+  markRunning (now: number): void {
     if (this.state === 'starting') this.state = 'running'
+    this.runningSince ??= now
     if (this.task !== undefined) this.task.step.job.hasStarted = true
   }
 
+  /** Whether not even lasting tasks may start beside the run now. */
+  isExclusive (now: number): boolean {
+    return this.mustRunAlone && now - (this.runningSince ?? now) < EXCLUSIVE_MS
+  }
+
   /** Whether the next incarnation of the worker may have the run, should the current one end. */
   mayOutliveIncarnation (now: number): boolean {
     return this.isSent && (!this.isListed || this.unansweredStarts > 0 || now <= this.earlierStartsUntil)
@@ -160,6 +173,7 @@
     this.worker = worker
     if (this.state !== 'stopping') this.state = 'starting'
     this.confirmedAtMs = undefined
+    this.runningSince = undefined
     this.answeredAt = -Infinity
     this.isListed = false
     this.percent = 0
--- a/packages/cell/src/roundCapacity.ts
+++ b/packages/cell/src/roundCapacity.ts
@@ -64,6 +64,7 @@
 
   /** Takes over the free capacity of a worker after a start there. */
   refresh (worker: WorkerLink): void {
+    if (!this.free.has(worker)) return
     if (worker.isStartWindowFull()) this.free.delete(worker)
     else this.free.set(worker, worker.freeCapacity())
   }
--- a/packages/cell/src/trackedRuns.ts
+++ b/packages/cell/src/trackedRuns.ts
@@ -12,7 +12,8 @@
 export class TrackedRuns {
   readonly byKey = new Map<string, Run>()
   private suspectRuns = 0
-  private exclusiveRuns = 0
+  /** Number of runs that must be alone, however long they have run. */
+  private aloneRuns = 0
   private usedCapacity: ResourceVector = NO_RESOURCES
   private runsWithUnknownNeed = 0
 
@@ -39,9 +40,14 @@
     return this.suspectRuns > 0
   }
 
-  /** Whether nothing else may start beside the runs. A run that must be alone but has company keeps nobody out. */
-  haveExclusive (): boolean {
-    return this.exclusiveRuns > 0 && this.exclusiveRuns === this.byKey.size
+  /** Whether there are runs, all of which must be alone. A run that must be alone but has company keeps nobody out. */
+  areAllAlone (): boolean {
+    return this.aloneRuns > 0 && this.aloneRuns === this.byKey.size
+  }
+
+  /** Whether nothing else may start beside the runs now. */
+  haveExclusive (now: number): boolean {
+    return this.areAllAlone() && [...this.byKey.values()].some(run => run.isExclusive(now))
   }
 
   // Commands
@@ -69,7 +75,7 @@
 
   private count (run: Run, change: 1 | -1) {
     this.suspectRuns += change * Number(run.isSuspect)
-    this.exclusiveRuns += change * Number(run.mustRunAlone)
+    this.aloneRuns += change * Number(run.mustRunAlone)
     const need = run.need()
     if (need === undefined) this.runsWithUnknownNeed += change
     else this.usedCapacity = change > 0 ? add(this.usedCapacity, need) : subtract(this.usedCapacity, need)
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -308,9 +308,14 @@
     return this.tracked.haveSuspect()
   }
 
-  /** Whether a run is here beside which nothing else may start. */
-  hasExclusiveRun (): boolean {
-    return this.tracked.haveExclusive()
+  /** Whether runs are here, all of which must be alone, so that nothing but lasting tasks may start beside them. */
+  hasOnlyAloneRuns (): boolean {
+    return this.tracked.areAllAlone()
+  }
+
+  /** Whether a run is here beside which nothing at all may start at this monotonic time in milliseconds. */
+  hasExclusiveRun (now: number): boolean {
+    return this.tracked.haveExclusive(now)
   }
 
   /** Marks a worker that is missing from the registry, so that it gets no new work. */
@@ -526,7 +531,7 @@
     if (!this.tracked.has(run)) return
     if (res.ok) {
       run.confirmedAtMs = res.val
-      run.markRunning()
+      run.markRunning(clock.now())
       hops?.note('confirmed', clock.date().getTime())
       return
     }
@@ -756,7 +761,7 @@
         run.percent = listedRun.percent
         run.progressAt = clock.now()
       }
-      run.markRunning()
+      run.markRunning(clock.now())
       run.isListed = sentAt >= run.answeredAt
       run.confirmedAtMs ??= report.clockMs
     }
--- a/packages/cell/src/workerObstacles.ts
+++ b/packages/cell/src/workerObstacles.ts
@@ -11,7 +11,7 @@
  * - `unknown-runs`: it has runs of jobs that the leader hasn't read
  * - `starts-unconfirmed`: as many starts are under way as it confirms in time
  * - `refused-start`: it refused a start a moment ago
- * - `exclusive-run`: a task is there beside which nothing may start
+ * - `exclusive-run`: a task is there beside which nothing may start, or nothing but lasting tasks some seconds after its start
  * Of the step there:
  * - `other-service`, `label`, `too-small` (for one task even when empty)
  * - `reserved`: kept free for a gang, a task that must run alone, or late work whose turn it is
