--- a/packages/cell/src/hedge.ts
+++ b/packages/cell/src/hedge.ts
@@ -10,8 +10,8 @@
   /** Minimum delay before an unanswered call is sent again, in milliseconds. */
   readonly minOverdueMs: number
   /**
-   * Whether the answers are so large that an overdue one is more likely to wait for others on the link than to be lost.
-   * Then a call is sent again only if one that was sent later is answered, or after several seconds.
+   * Whether the answers are so large that they take long on a narrow link. Then the time after which a call is sent again
+   * in any case grows with the typical response time.
    * @default false
    */
   readonly hasLargeAnswers?: boolean
@@ -36,8 +36,6 @@
 const OVERDUE_FACTOR = 3
 /** Time after which an overdue call is sent again even if others are overdue too; longer than the answers of a slow store. */
 const PATIENCE_MS = 800
-/** The same for large answers. */
-const LARGE_PATIENCE_MS = 2_000
 /** Factors by which each send that isn't refused adjusts the typical time; the estimate settles near the 60th percentile. */
 const TYPICAL_TIME_INCREASE = 1.25
 const TYPICAL_TIME_DECREASE = 1 / 1.15
@@ -119,9 +117,8 @@
   private isAnswerLost (pendingCall: PendingCall, sentCount: number): boolean {
     const { clock, hasLargeAnswers = false } = this.options
     const ageMs = clock.now() - pendingCall.sentAt
-    if (this.lastAnsweredSentAt > pendingCall.sentAt) return true
-    if (hasLargeAnswers) return ageMs >= Math.max(LARGE_PATIENCE_MS, this.overdueMs())
-    if (ageMs >= PATIENCE_MS) return true
+    const patienceMs = hasLargeAnswers ? Math.max(PATIENCE_MS, this.overdueMs()) : PATIENCE_MS
+    if (this.lastAnsweredSentAt > pendingCall.sentAt || ageMs >= patienceMs) return true
     const [oldest] = this.pendingCalls
     return oldest === pendingCall && sentCount <= MAX_EARLY_RETRIES
   }
--- a/packages/cell/src/hedgedStore.ts
+++ b/packages/cell/src/hedgedStore.ts
@@ -6,8 +6,6 @@
 const INITIAL_LATENCY_MS = 50
 /** Minimum delay before an unanswered call is sent again. */
 const MIN_HEDGE_DELAY_MS = 60
-/** The same for a page of rows, so that a later page that arrives first over a shared link is not taken for a sign of a loss. */
-const MIN_PAGE_HEDGE_DELAY_MS = 300
 
 /**
  * Store that hedges its calls: an overdue call is sent again. A transaction must expect the versions of the rows that
@@ -22,7 +20,7 @@
   private constructor (private readonly store: RowStore, clock: Clock) {
     this.writes = Hedge.create({ clock, initialTypicalMs: INITIAL_LATENCY_MS, minOverdueMs: MIN_HEDGE_DELAY_MS })
     this.reads = Hedge.create({ clock, initialTypicalMs: INITIAL_LATENCY_MS, minOverdueMs: MIN_HEDGE_DELAY_MS })
-    this.pageReads = Hedge.create({ clock, initialTypicalMs: INITIAL_LATENCY_MS, minOverdueMs: MIN_PAGE_HEDGE_DELAY_MS, hasLargeAnswers: true })
+    this.pageReads = Hedge.create({ clock, initialTypicalMs: INITIAL_LATENCY_MS, minOverdueMs: MIN_HEDGE_DELAY_MS, hasLargeAnswers: true })
   }
 
   static create (store: RowStore, clock: Clock): HedgedStore {
