--- a/packages/cell/src/__tests__/narrowLink.test.ts
+++ b/packages/cell/src/__tests__/narrowLink.test.ts
@@ -43,6 +43,8 @@
   const link = SharedLink.create(clock, bytesPerSecond)
   const published = { config: createConfig(1, 1) }
   const store = { answers: true }
+  /** Addresses of daemons that tell their version and fail to send the configuration. */
+  const unable = new Set<string>()
   const transfers = { fromPeers: 0, mostFromPeers: 0, fromStore: 0, mostFromStore: 0 }
   const storeClock = () => ({ earliest: clock.now(), latest: clock.now() })
   const inForce = ConfigInForce.create({ storeClock, clock, log: silentLog })
@@ -67,9 +69,10 @@
     transfers.fromStore--
     return hasArrived ? Ok({ config, version: config.version, asOfMs }) : lost
   }
-  const call: PeerClients['call'] = async (_address, _method, req, timeoutMs) => {
+  const call: PeerClients['call'] = async (address, _method, req, timeoutMs) => {
     const answer = await answers.answer(req as ConfigRequest)
     const isTransfer = JSON.stringify(answer).length > TRANSFER_BYTES
+    if (isTransfer && unable.has(address)) return lost
     if (isTransfer) transfers.mostFromPeers = Math.max(transfers.mostFromPeers, ++transfers.fromPeers)
     const hasArrived = await link.transfer(JSON.stringify(answer).length, timeoutMs)
     if (isTransfer) transfers.fromPeers--
@@ -110,7 +113,7 @@
       await sleep(STEP_MS / 2)
     }
   }
-  return { advance, inForce, watch, published, store, transfers, stop: () => abort.abort() }
+  return { advance, inForce, watch, published, store, transfers, unable, stop: () => abort.abort() }
 }
 
 // Guards against LOST (issue 78): four daemons sent the whole configuration at once, each with 400 ms to arrive, so that none did.
@@ -153,3 +156,15 @@
   t.true(await daemon.watch.mayAnswer())
   daemon.stop()
 })
+
+// Guards against LOST (issue 78): a daemon waited for one other daemon that couldn't send the configuration, although others could.
+test('if a daemon that has the latest configuration fails to send it, the next one is asked', async t => {
+  const daemon = createDaemon(LINK_BYTES_PER_SECOND)
+  await daemon.advance(1_000)
+  daemon.store.answers = false
+  for (const address of ['a:1', 'b:1', 'c:1']) daemon.unable.add(address)
+  daemon.published.config = createConfig(2, MANY_QUEUES)
+  await daemon.advance(APPLY_WITHIN_MS)
+  t.is(daemon.inForce.version(), 2)
+  daemon.stop()
+})
