fix(cell): a worker is kept free for a lasting step that has waited for 2 s

Cause: small tasks and tasks of lower priority take each gap on the few allowed workers before it is large enough; no worker was kept free, as a lasting step is neither late nor a gang. Tests before: 'a lasting task of half a worker starts beside small tasks of all priorities (of the highest priority alone) without end' failed, no start within 30 s. Change: KeptWorkers keeps one worker for each lasting step (no gang) that has had waiting tasks for 2 s, from the work of lower priority, and after 6 s from all other work; at most a tenth of the workers, and one, at a time; the longest waiting first, for 15 s while others wait. It is the approved worker (none on which a run has just failed) that will have room first by the estimates and progress of its runs, and stays the same until the step has started, its job has ended, its account is at its limit, or the worker goes, is refused or is filled by lasting runs. If no answer of the policy is known of it, one call asks for it and others at once. Why it works: the gaps of one worker add up until the task fits; the tickets are requested as usual once there is room there, which stays free meanwhile. The test of the cost counted lasting tasks that never start, which they do now and then take their room rightfully; it is replaced by one in which they end and wait again, with 3% in place of 10% as the bound, and each must start.

--- a/packages/cell/src/__tests__/lastingBesideLoad.test.ts
+++ b/packages/cell/src/__tests__/lastingBesideLoad.test.ts
@@ -19,6 +19,8 @@
 const HALF = { milliCores: 4_000, memoryMb: 8_000, accelerators: 0 }
 const SMALL_MS = 1_500
 const LASTING_MS = 1_000_000
+/** Run of a lasting task that ends by itself, in milliseconds. */
+const BRIEF_MS = 300
 const SMALL_TASKS_PER_JOB = 8
 /** Objective of a small job of the highest priority, in milliseconds. */
 const ON_TIME_MS = FIRST.targetLatencyMs + FIRST.slackFactor * SMALL_MS
@@ -43,7 +45,7 @@
 }
 
 /** A cell under a load of small jobs, in multiples of what the cell does, by queue. */
-async function createLoadedCell (load: ReadonlyMap<Queue, number>) {
+async function createLoadedCell (load: ReadonlyMap<Queue, number>, lastingMs = LASTING_MS) {
   const clock = ManualClock.create()
   const lastingJobs = new Set<string>()
   const cell = TestCell.create({
@@ -51,7 +53,7 @@
     queues: QUEUES,
     agents: [createAgent('agent-0', clock, lastingJobs), createAgent('agent-1', clock, lastingJobs)],
     workers: Array.from({ length: WORKERS }, (_, index) => createWorkerEntry(`w${index}`, { capacity: WORKER_CAPACITY })),
-    behaviour: ({ jobId, index }) => ({ durationMs: lastingJobs.has(jobId) ? LASTING_MS : SMALL_MS * (0.5 + (Number.parseInt(jobId, 16) * 7 + index * 23) % 64 / 64), end: 'done' })
+    behaviour: ({ jobId, index }) => ({ durationMs: lastingJobs.has(jobId) ? lastingMs : SMALL_MS * (0.5 + (Number.parseInt(jobId, 16) * 7 + index * 23) % 64 / 64), end: 'done' })
   })
   const daemon = cell.startDaemon('d1')
   await cell.advanceUntil(() => cell.leader() !== undefined)
@@ -101,31 +103,33 @@
 
 for (const [kind, load, withinMs] of loads) {
   // Guards against LOST (issue 78): small tasks took each gap on the few allowed workers before it was large enough, as none was kept free.
-  test.failing(`a lasting task of half a worker starts beside small tasks ${kind} without end`, async t => {
+  test(`a lasting task of half a worker starts beside small tasks ${kind} without end`, async t => {
     const { cell, daemon, play, sendLasting } = await createLoadedCell(load)
     await play(() => false, SETTLED_MS)
     const jobId = sendLasting()
     const waitedMs = await play(() => cell.audit.hasStarted(jobId), PLAYED_MS)
     daemon.kill()
+    t.log(`after ${waitedMs} ms`)
     t.true(waitedMs <= withinMs, `${waitedMs}`)
     t.deepEqual(cell.audit.violations, [])
   })
 }
 
-// Guards against reservations that shut out other work: workers kept free for ten lasting tasks, none of which finds room, cost urgent work little.
+// Guards against reservations that shut out other work: ten lasting tasks that end soon, and so wait again and again for a whole worker, cost urgent work little.
 test('urgent work loses little by the workers that are kept free for lasting tasks', async t => {
-  const endedWith = async (lastingTasks: number) => {
-    const { daemon, play, sendLasting, ended } = await createLoadedCell(new Map([[FIRST, 0.9], [LAST, 0.4]]))
+  const play = async (lastingTasks: number) => {
+    const { cell, daemon, play, sendLasting, ended } = await createLoadedCell(new Map([[FIRST, 0.85], [LAST, 0.4]]), BRIEF_MS)
     await play(() => false, SETTLED_MS)
     const before = ended.onTime
-    for (let count = 0; count < lastingTasks; count++) sendLasting({ need: { ...HALF, milliCores: WORKER_CAPACITY.milliCores } })
+    const jobs = Array.from({ length: lastingTasks }, () => sendLasting({ need: { ...HALF, milliCores: WORKER_CAPACITY.milliCores } }))
     await play(() => false, PLAYED_MS)
     daemon.kill()
-    return ended.onTime - before
+    return { onTime: ended.onTime - before, starts: jobs.map(jobId => cell.audit.startsOf(jobId).length) }
   }
-  const [without, beside] = [await endedWith(0), await endedWith(10)]
-  t.log(`${without} urgent jobs in time without, ${beside} with lasting tasks`)
-  t.true(beside >= 0.9 * without, `${without} and ${beside}`)
+  const [without, beside] = [await play(0), await play(10)]
+  t.log(`${without.onTime} urgent jobs in time without, ${beside.onTime} with lasting tasks, which started ${beside.starts.join(', ')} times`)
+  t.true(beside.onTime >= 0.97 * without.onTime, `${without.onTime} and ${beside.onTime}`)
+  t.true(beside.starts.every(starts => starts > 0))
 })
 
 const LABEL = 'r2'
--- a/packages/cell/src/dispatcher.ts
+++ b/packages/cell/src/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { Candidate, CandidatesOptions, Place } from './candidates.js'
 import type { Job, Run, Step, Task } from './jobs.js'
 import { dueMsOf, isOverdue } from './lateness.js'
+import { KeptWorkers } from './keptWorkers.js'
 import { LeaderStartWindow } from './leaderStartWindow.js'
 import { NO_RESOURCES, fits, subtract, maxTasksThatFit } from './resources.js'
 import { ADMISSION_ORDER } from './room/index.js'
@@ -85,6 +86,8 @@
 const LASTING_RUN_WEIGHT = 1_000
 /** Factor by which the slots that tickets are requested for exceed those that a gang needs: other steps take some meanwhile. */
 const TICKET_SURPLUS = 1.25
+/** What keeps a task off a worker for so short a time that the worker stays kept for it. */
+const PASSING_OBSTACLES: ReadonlySet<WorkerObstacle> = new Set(['starts-unconfirmed', 'refused-start', 'exclusive-run'])
 /** Maximum number of workers named for a step that has one call at a time. */
 const MAX_WORKERS_IN_SINGLE_CALL = 40
 /** Offset between the first workers of two consecutive advice calls. */
@@ -98,6 +101,8 @@
   readonly step: Step
   /** Priority that the queue of another step must have at least to use the worker, as a number. */
   readonly priority: number
+  /** Whether the step itself may use the worker; otherwise it is for some of its tasks only, or for a later round. */
+  readonly isOpenToStep?: boolean
 }
 
 /** What a round would find of a worker for a step. */
@@ -140,6 +145,7 @@
   private now = 0
   private readonly accounts: AccountRules
   private readonly candidates: Candidates
+  private readonly keptWorkers = KeptWorkers.create()
 
   private readonly order: WaitingOrder
   private readonly startWindow: LeaderStartWindow
@@ -161,13 +167,52 @@
     const candidates = this.candidates.findForRound(jobs, this.now)
     const [owed, excess] = splitByShare(candidates)
     this.waitingPriority = Math.min(Infinity, ...owed.map(({ queue }) => queue.priority))
+    this.reservedFor = this.keptForLasting(candidates)
     if (candidates.length === 0) return
-    this.reservedFor = new Map()
     const round: SchedulingRound = { ...this.capacityOf([...this.options.workers()]), reservedFor: this.reservedFor, reservingGangs: 0, owedCalls: NO_OWED_CALLS, areAgentsScarce: false }
     this.placeAll(owed, round)
     if (excess.length > 0) this.placeExcess(excess, owed, round)
   }
 
+  /** Workers that are kept free for lasting steps. A lasting gang is reserved for like any other gang. */
+  private keptForLasting (candidates: readonly Candidate[]): Map<WorkerLink, Reservation> {
+    const lasting = candidates.filter(({ step, waitingCount }) => step.spec.longRunning && !step.spec.gang && waitingCount > 0 && this.accounts.startable(step, 1) > 0)
+    const all = [...this.options.workers()]
+    const waiting = lasting.map(({ step, queue }) => {
+      const mayUse = (worker: WorkerLink) => this.mayKeep(worker, step, queue)
+      return { step, mayUse, workers: () => this.preferenceGroups(step, queue, all.filter(mayUse)) }
+    })
+    const reservedFor = new Map<WorkerLink, Reservation>()
+    for (const { step, worker, isUrgent } of this.keptWorkers.choose(waiting, all.length, this.now)) {
+      const queue = lasting.find(candidate => candidate.step === step)?.queue
+      if (queue === undefined) continue
+      reservedFor.set(worker, { step, priority: isUrgent ? RESERVED_FOR_ONE : queue.priority, isOpenToStep: true })
+      this.askAhead(step, queue, worker, all)
+    }
+    return reservedFor
+  }
+
+  /** Whether a worker may take a task of a lasting step as soon as there is room. */
+  private mayKeep (worker: WorkerLink, step: Step, queue: JobQueue): boolean {
+    const obstacle = this.generalObstacle(worker, this.now, true)
+    return this.options.worker(worker.id) === worker && (obstacle === undefined || PASSING_OBSTACLES.has(obstacle)) &&
+      this.stepObstacleOn(worker, step, queue, undefined) === undefined && !this.options.advice.isRefused(step, worker) && slotsWithinLimit(step, worker) > 0
+  }
+
+  /** Workers that the policy has approved and on which no run has just failed, and then the others. */
+  private preferenceGroups (step: Step, queue: JobQueue, workers: readonly WorkerLink[]): ReadonlyArray<readonly WorkerLink[]> {
+    const isPreferred = (worker: WorkerLink) => !step.avoidedWorkers.isAvoided(worker.id, this.now) && (queue.advice === undefined || this.options.advice.isApproved(step, worker))
+    return [workers.filter(isPreferred), workers.filter(worker => !isPreferred(worker))]
+  }
+
+  /** Asks whether a worker that is kept free is allowed: in a full cell nothing else would, and it might be kept in vain. */
+  private askAhead (step: Step, { advice: policy }: JobQueue, kept: WorkerLink, all: readonly WorkerLink[]) {
+    const { advice } = this.options
+    if (policy === undefined || advice.isAnswered(step, kept) || advice.isPending(step) || !advice.hasFreeAgent(policy, this.now)) return
+    const others = all.filter(worker => worker !== kept && worker.entry.service === kept.entry.service && !advice.isAnswered(step, worker))
+    advice.request(step, policy, [kept, ...others].slice(0, MAX_WORKERS_IN_SINGLE_CALL))
+  }
+
   private placeAll (candidates: readonly Candidate[], round: SchedulingRound) {
     this.placeAlone(candidates, round)
     this.accounts.visitInTurns(candidates, { compareRank: this.candidates.compareRank, hasRoom: ({ step }) => capacityFor(step, round).hasRoomFor(step.need), visit: candidate => this.place(candidate, round) })
@@ -331,7 +376,9 @@
   }
 
   private isEligible ({ step, queue }: Candidate, worker: WorkerLink, { reservedFor }: SchedulingRound): boolean {
-    return this.stepObstacleOn(worker, step, queue, reservedFor.get(worker)) === undefined
+    const reservation = reservedFor.get(worker)
+    const isOwn = reservation?.isOpenToStep === true && reservation.step === step
+    return this.stepObstacleOn(worker, step, queue, isOwn ? undefined : reservation) === undefined
   }
 
   /** Why a step may use a worker neither now nor when it has room. */
--- a/packages/cell/src/workerObstacles.ts
+++ b/packages/cell/src/workerObstacles.ts
@@ -14,7 +14,7 @@
  * - `exclusive-run`: a task is there beside which nothing may start, or nothing but lasting tasks some seconds after its start
  * Of the step there:
  * - `other-service`, `label`, `too-small` (for one task even when empty)
- * - `reserved`: kept free for a gang, a task that must run alone, or late work whose turn it is
+ * - `reserved`: kept free for a gang, a task that must run alone, a lasting task that has waited, or late work whose turn it is
  * - `on-trial`: has been slow or interrupted, and takes no gang and one task at first
  * - `policy-refused`, `no-ticket`: by the placement policy of the queue
  * - `not-empty`: the task must run alone, because workers have crashed under it
