fix(cell): crashes of a whole failure domain or rack are no evidence against the tasks that ran there

Cause: CrashRecord counts each crash of a worker as evidence against what ran there, whatever its cause. Missing invariant: crashes with a common cause are no evidence against a task. Their crashes get a fate of their own, 'outage', also those counted before in the window, stored as crashedInOutage. They don't count but for isExhausted: once a task has two crashes of its own, all crashes decide after which run its starts are limited.

--- a/packages/cell/src/__tests__/outageCrashes.test.ts
+++ b/packages/cell/src/__tests__/outageCrashes.test.ts
@@ -134,7 +134,7 @@
 
 for (const [when, leaderDiesAfterMs] of PLAYS) {
   // Guards against LOST: sound tasks had to run alone, and sound jobs were given up, for the losses of a whole failure domain.
-  test.failing(`outages of a failure domain are not held against sound tasks, ${when}`, async t => {
+  test(`outages of a failure domain are not held against sound tasks, ${when}`, async t => {
     const cell = await createCell()
     const lasting = await fillWithSound(cell)
     await cell.plan.advanceUntil(() => false, 2_000)
@@ -180,6 +180,21 @@
   t.deepEqual(cell.cell.audit.violations, [])
 })
 
+// Guards against BUDGET: tasks of several jobs that each take down a worker at the same moments, again and again, look like an outage of their rack.
+test('jobs that together crash all workers of a rack again and again are given up', async t => {
+  const cell = await createCell(Array.from({ length: WORKERS_PER_DOMAIN }, (_, index) => createWorkerEntry(`w${index}`)))
+  const guilty: string[] = []
+  for (let index = 0; index < WORKERS_PER_DOMAIN; index++) guilty.push(await cell.submitGuilty({ need: { milliCores: 4_000, memoryMb: 1_000, accelerators: 0 } }))
+  await cell.settle(new Set())
+  const states = new Set<unknown>()
+  for (const jobId of guilty) states.add(await cell.stateOf(jobId))
+  cell.stop()
+  t.log([...cell.starts.values()])
+  t.deepEqual([...states], ['failed'])
+  for (const { all } of cell.starts.values()) t.true(all <= MAX_STARTS, `${all} starts of one task`)
+  t.deepEqual(cell.cell.audit.violations, [])
+})
+
 /** Whether the worker has restarted before the start is sent to it, by the name of the case. */
 const STARTS = [['a start that was sent after the next incarnation of its worker had begun', true, 0], ['a start that was sent before its worker crashed', false, 1]] as const
 
--- a/packages/cell/src/__tests__/progressRows.test.ts
+++ b/packages/cell/src/__tests__/progressRows.test.ts
@@ -10,6 +10,8 @@
 const LARGEST_RUN = 9_999_999_999
 const MAX_CRASHES = 5
 const MAX_OTHER_RUNS = 16
+/** Runs that outages have ended; of more, only the first ones are kept as such. */
+const MAX_OUTAGES = 4
 
 interface JobShape {
   readonly steps: readonly StepSpec[]
@@ -37,6 +39,10 @@
 function fill (task: Task, maxAttempts: number, checkpoint: string) {
   const { step } = task
   for (let run = 0; run < Math.min(maxAttempts, 100) - 1; run++) step.recordFailure(task, LARGEST_RUN - run)
+  for (let run = 0; run < MAX_OUTAGES; run++) {
+    step.recordCrash(task, LARGEST_RUN - 2_000 - run, false, 'w')
+    step.excuseCrash(task, LARGEST_RUN - 2_000 - run, 'w')
+  }
   for (let run = 0; run < MAX_CRASHES; run++) step.recordCrash(task, LARGEST_RUN - 1_000 - run, true)
   for (let run = 0; run < MAX_OTHER_RUNS; run++) step.recordStart(task, { number: LARGEST_RUN - run, workerId: 'w'.repeat(40), born: 1_700_000_000_000, startedAtMs: 1_700_000_000_000 })
   task.checkpoint = checkpoint
@@ -84,7 +90,7 @@
       if (range !== undefined && progress !== undefined) restored.restoreRange(range, progress, version++)
       else if (first !== undefined && !('outcome' in first)) restored.restoreFirstRow(first, version++)
     }
-    const known = (ofJob: Job) => tasksOf(ofJob).map(task => task.isDone ? 'done' : [[...task.crashes().runs().all], Math.min(64, task.step.countedTask(task).failedRuns.size)])
+    const known = (ofJob: Job) => tasksOf(ofJob).map(task => task.isDone ? 'done' : [[...task.crashes().runs().all], [...task.crashes().runs().outage], Math.min(64, task.step.countedTask(task).failedRuns.size)])
     t.deepEqual(known(restored), known(job))
   }), { seed: 58, numRuns: 40 })
 })
--- a/packages/cell/src/crashRecord.ts
+++ b/packages/cell/src/crashRecord.ts
@@ -13,20 +13,23 @@
 const MAX_FURTHER_STARTS = 2
 /** Seen crashes without which a task is never given up. */
 const MIN_SEEN_CRASHES = 2
-/** Maximum number of runs without a seen crash that are kept; a lasting task may have any number of them. */
+/** Maximum number of runs without a crash of the task's own that are kept; a lasting task may have any number of them. */
 const MAX_OTHER_RUNS = 16
 
 /**
  * What is known of a run of a task under which a worker has crashed before: `open` until an end or a report of the worker
- * says that the worker has not crashed under it, then `ended`.
+ * says that the worker has not crashed under it, then `ended`. `outage`: its worker has crashed with others, for a common
+ * cause, which is no evidence against the task.
  */
-type RunFate = 'open' | 'ended' | 'crashed' | 'crashed-alone'
+type RunFate = 'open' | 'ended' | 'crashed' | 'crashed-alone' | 'outage'
 
 /** Numbers of runs by what is known of them. */
 export interface CrashedRuns {
-  /** Runs under which a worker has crashed, and those of them that were alone on it. */
+  /** Runs under which a worker has crashed for no other known cause, and those of them that were alone on it. */
   readonly all: readonly number[]
   readonly alone: readonly number[]
+  /** Runs that an outage has ended; only the first ones, which decide from when on starts are limited. */
+  readonly outage: readonly number[]
   /** Later runs under which no crash was seen, as far as they have ended otherwise or not. */
   readonly ended: readonly number[]
   readonly open: readonly number[]
@@ -46,6 +49,7 @@
 
   // Queries
 
+  /** Number of crashes that count against the task. */
   count (): number {
     return this.runsWith('crashed').length + this.aloneCount()
   }
@@ -57,9 +61,25 @@
 
   /** Whether the task may have crashed a worker. */
   isSuspect (): boolean {
+    return this.count() > 0
+  }
+
+  /** Whether a worker has crashed under the task, for any cause, so that its starts are recorded. */
+  hasRecord (): boolean {
     return this.fates.size > 0
   }
 
+  /** Whether a crash under the run counts against the task. */
+  isCharged (run: number): boolean {
+    const fate = this.fates.get(run)
+    return fate === 'crashed' || fate === 'crashed-alone'
+  }
+
+  /** Whether outages have ended as many runs as may count for nothing: a task that crashes its workers may do so at the moments of others. */
+  hasSpentExcuses (): boolean {
+    return this.runsWith('outage').length >= LIMITED_FROM
+  }
+
   mustRunAlone (): boolean {
     return this.count() >= ISOLATED_FROM
   }
@@ -70,9 +90,10 @@
 
   /**
    * Whether the task may not be started again. A run of which no end is known counts as a crash here: its worker may not
-   * be back yet, or have crashed while nobody led.
+   * be back yet, or have crashed while nobody led. So does one that an outage has ended, once the task has crashes of its own.
    */
   isExhausted (): boolean {
+    if (this.isGivenUp()) return true
     if (this.count() < MIN_SEEN_CRASHES) return false
     const crashes = [...this.fates].filter(([, fate]) => fate !== 'ended').map(([run]) => run).sort((a, b) => a - b)
     const limitedAfter = crashes[LIMITED_FROM - 1]
@@ -81,7 +102,7 @@
 
   runs (): CrashedRuns {
     const alone = this.runsWith('crashed-alone')
-    return { all: [...this.runsWith('crashed'), ...alone].sort((a, b) => a - b), alone, ended: this.runsWith('ended'), open: this.runsWith('open') }
+    return { all: [...this.runsWith('crashed'), ...alone].sort((a, b) => a - b), alone, outage: this.runsWith('outage'), ended: this.runsWith('ended'), open: this.runsWith('open') }
   }
 
   // Commands
@@ -92,16 +113,25 @@
     this.fates.set(run, isAlone || this.fates.get(run) === 'crashed-alone' ? 'crashed-alone' : 'crashed')
   }
 
+  /** Records that the crash was of an outage. */
+  excuse (run: number, charge: string): void {
+    if (!this.isCharged(run) || !this.dropCharge(run, charge)) return
+    this.fates.set(run, 'outage')
+    const outage = [...this.runsWith('outage')].sort((a, b) => a - b)
+    for (const later of outage.slice(LIMITED_FROM)) this.fates.set(later, 'ended')
+    this.prune()
+  }
+
   /** Records that the run was not on the worker at the crash, so that no end of it is known. Without another crash, its starts are of no interest. */
   withdraw (run: number, charge: string): void {
     if (!this.isCharged(run) || !this.dropCharge(run, charge)) return
     this.fates.set(run, 'open')
-    if (this.count() === 0) this.clear()
+    if (this.count() + this.runsWith('outage').length === 0) this.clear()
   }
 
   /** Records a start of the task. Before its first crash, starts are of no interest. */
   addStart (run: number): void {
-    if (!this.isSuspect() || this.fates.has(run)) return
+    if (!this.hasRecord() || this.fates.has(run)) return
     this.fates.set(run, 'open')
     this.prune()
   }
@@ -118,8 +148,9 @@
     if (this.fates.get(run) === 'open') this.fates.delete(run)
   }
 
-  restore ({ all, alone, ended, open }: CrashedRuns): void {
+  restore ({ all, alone, outage, ended, open }: CrashedRuns): void {
     for (const run of all) this.add(run, alone.includes(run))
+    for (const run of outage) this.fates.set(run, 'outage')
     for (const run of ended) this.fates.set(run, 'ended')
     for (const run of open) this.fates.set(run, 'open')
   }
@@ -132,16 +163,11 @@
 
   /** Drops the runs that have ended before any that may still be the crash from which on starts are limited, and the oldest beyond the maximum. */
   private prune () {
-    const { all, ended, open } = this.runs()
+    const { all, outage, ended, open } = this.runs()
     const firstOpen = Math.min(Infinity, ...open)
-    if (all.length < LIMITED_FROM) for (const run of ended) if (run < firstOpen) this.fates.delete(run)
+    if (all.length + outage.length < LIMITED_FROM) for (const run of ended) if (run < firstOpen) this.fates.delete(run)
     const others = [...this.runsWith('ended'), ...open].sort((a, b) => a - b)
-    for (const run of others.slice(0, Math.max(0, others.length - MAX_OTHER_RUNS))) this.fates.delete(run)
-  }
-
-  private isCharged (run: number): boolean {
-    const fate = this.fates.get(run)
-    return fate === 'crashed' || fate === 'crashed-alone'
+    for (const run of others.slice(0, Math.max(0, others.length + outage.length - MAX_OTHER_RUNS))) this.fates.delete(run)
   }
 
   /** Returns whether the run is charged with no other crash. */
--- a/packages/cell/src/jobs.ts
+++ b/packages/cell/src/jobs.ts
@@ -199,14 +199,15 @@
   readonly failedRuns = new Set<number>()
   /** Crashes under runs of this task; of a gang, those of its first task count for all. */
   readonly ownCrashes = CrashRecord.create()
-  /** True while a crash under this task isn't stored: a start before that might not be counted by a later leader. */
-  isHeld = false
   /** Monotonic time in milliseconds since which the task has waited for a worker without other work; undefined while it doesn't. */
   waitsAloneSince: number | undefined
   /** Workers on which a run of this task has failed or stalled. */
   readonly avoidedWorkers = AvoidedWorkers.create()
   private readonly activeRuns: Run[] = []
   private open: readonly OpenRun[] = NO_RUNS
+  /** Runs under whose crash an outage may yet be found; they stay among the open runs, so that a successor decides again. */
+  private readonly undecidedRuns = new Set<number>()
+  private holds = 0
 
   private constructor (readonly step: Step, readonly index: number) {}
 
@@ -241,14 +242,19 @@
     return this.step.countedTask(this).ownCrashes
   }
 
-  /** Runs of which no end is known, in the order of their starts: those of this leader, and others that an earlier one has stored. */
+  /** True while the task may not start: a crash under it isn't stored, so that a later leader might not count it, or it would be given up for one that may be of an outage. */
+  get isHeld (): boolean {
+    return this.holds > 0
+  }
+
+  /** Runs of which no end is known, or whose crash isn't decided, in the order of their starts: those of this leader, and others that an earlier one has stored. */
   openRuns (): readonly OpenRun[] {
     return this.open
   }
 
   /** Whether there is anything to store of a task that isn't done. */
   hasState (): boolean {
-    return this.checkpoint !== '' || this.failedRuns.size > 0 || this.open.length > 0 || this.ownCrashes.isSuspect()
+    return this.checkpoint !== '' || this.failedRuns.size > 0 || this.open.length > 0 || this.ownCrashes.hasRecord()
   }
 
   isWaiting (): boolean {
@@ -268,13 +274,34 @@
   }
 
   addOpenRun (run: OpenRun): void {
+    // The run goes on with the next incarnation of its worker.
+    this.undecidedRuns.delete(run.number)
     this.open = [...this.open.filter(({ number }) => number !== run.number), run].slice(-MAX_OPEN_RUNS_PER_TASK)
   }
 
   closeRun (number: number): void {
+    if (this.undecidedRuns.has(number)) return
     this.open = this.open.length === 1 && this.open[0]?.number === number ? NO_RUNS : this.open.filter(run => run.number !== number)
   }
 
+  /** Keeps a run under which a worker has crashed among the open ones until the crash is decided. */
+  keepOpen (number: number): void {
+    this.undecidedRuns.add(number)
+  }
+
+  /** Takes note that it is decided whether the crash under a run counts. */
+  settleRun (number: number): void {
+    if (this.undecidedRuns.delete(number)) this.closeRun(number)
+  }
+
+  hold (): void {
+    this.holds++
+  }
+
+  release (): void {
+    this.holds--
+  }
+
   markDone (): void {
     this.update(() => { this.hasEnded = true })
     if (this.activeRuns.length === 0) this.step.release(this)
@@ -404,7 +431,7 @@
     for (let offset = 0; offset < stored.done.length; offset++) {
       if (stored.done[offset] === '1' && first + offset < this.spec.count) this.markDoneAt(first + offset)
     }
-    const records = [stored.failed, stored.crashed, stored.crashedAlone, stored.endedAfterCrash, stored.openAfterCrash, stored.open, stored.checkpoints]
+    const records = [stored.failed, stored.crashed, stored.crashedAlone, stored.crashedInOutage, stored.endedAfterCrash, stored.openAfterCrash, stored.open, stored.checkpoints]
     const indexes = new Set(records.flatMap(record => Object.keys(record ?? {}).map(Number)))
     for (const index of [...indexes].sort((a, b) => a - b)) {
       const task = this.task(index)
@@ -415,13 +442,13 @@
   private restoreTask (task: Task, stored: StepProgress) {
     const { index } = task
     for (const run of stored.failed?.[index] ?? []) task.failedRuns.add(run)
-    const crashes = { all: stored.crashed?.[index] ?? [], alone: stored.crashedAlone?.[index] ?? [], ended: stored.endedAfterCrash?.[index] ?? [], open: stored.openAfterCrash?.[index] ?? [] }
+    const crashes = { all: stored.crashed?.[index] ?? [], alone: stored.crashedAlone?.[index] ?? [], outage: stored.crashedInOutage?.[index] ?? [], ended: stored.endedAfterCrash?.[index] ?? [], open: stored.openAfterCrash?.[index] ?? [] }
     task.ownCrashes.restore(crashes)
-    this.hasSuspects ||= task.ownCrashes.isSuspect()
+    this.hasSuspects ||= task.ownCrashes.hasRecord()
     for (const [number, workerId, born, startedAtMs] of stored.open?.[index] ?? []) task.addOpenRun({ number, workerId, born, startedAtMs })
     const checkpoint = stored.checkpoints?.[index]
     if (checkpoint !== undefined) this.saveCheckpoint(task, checkpoint)
-    task.lastRunNumber = Math.max(task.lastRunNumber, ...task.failedRuns, ...crashes.all, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
+    task.lastRunNumber = Math.max(task.lastRunNumber, ...task.failedRuns, ...crashes.all, ...crashes.outage, ...crashes.ended, ...crashes.open, ...task.openRuns().map(run => run.number))
   }
 
   /** Whether all steps that this one depends on are done. */
@@ -500,15 +527,21 @@
     return this.spec.gang ? this.task(0) ?? task : task
   }
 
-  /** Records that a worker has crashed under a run of a task. */
+  /** Records that a worker has crashed under a run of a task. Until it is settled, the crash may prove to be of an outage. */
   recordCrash (task: Task, runNumber: number, isAlone: boolean, workerId = ''): void {
-    task.closeRun(runNumber)
+    task.keepOpen(runNumber)
     this.hasSuspects = true
     const { ownCrashes } = this.countedTask(task)
     ownCrashes.add(runNumber, isAlone, chargeOf(task, workerId))
     for (const member of this.spec.gang ? this.knownTasks() : [task]) for (const { number } of member.openRuns()) ownCrashes.addStart(number)
   }
 
+  /** Records that the crash of a worker under a run of a task was of an outage. */
+  excuseCrash (task: Task, runNumber: number, workerId: string): void {
+    task.settleRun(runNumber)
+    this.countedTask(task).ownCrashes.excuse(runNumber, chargeOf(task, workerId))
+  }
+
   /** Records that a run of a task was not yet on a worker when that crashed. */
   withdrawCrash (task: Task, runNumber: number, workerId: string): void {
     this.countedTask(task).ownCrashes.withdraw(runNumber, chargeOf(task, workerId))
@@ -804,6 +837,6 @@
 }
 
 /** Whether a task of the step has run for certain: an open run may not have been sent. */
-function hasBegun ({ done, failed, crashed, checkpoints }: StepProgress): boolean {
-  return done.includes('1') || failed !== undefined || crashed !== undefined || checkpoints !== undefined
+function hasBegun ({ done, failed, crashed, crashedInOutage, checkpoints }: StepProgress): boolean {
+  return done.includes('1') || failed !== undefined || crashed !== undefined || crashedInOutage !== undefined || checkpoints !== undefined
 }
--- a/packages/cell/src/leader.ts
+++ b/packages/cell/src/leader.ts
@@ -29,6 +29,8 @@
 import { JobTable } from './jobTable.js'
 import { LoadReport } from './loadReport.js'
 import { RECORD_LOSS } from './lossRecord.js'
+import { OUTAGE_WINDOW_MS, Outages } from './outages.js'
+import type { Outage } from './outages.js'
 import type { LoopLag } from './loopLag.js'
 import type { CellMetrics } from './metrics.js'
 import { Maintenance } from './maintenance.js'
@@ -114,12 +116,24 @@
   readonly metrics: CellMetrics
 }
 
+/** A crash that counts against the task of a run, unless it proves to be of an outage. */
+interface CrashCharge {
+  readonly task: Task
+  readonly run: number
+  readonly workerId: string
+  /** Unix time of the run's start in milliseconds; undefined if that isn't known. */
+  readonly startedAtMs: number | undefined
+  /** Whether outages had ended as many of the task's runs before as may count for nothing. */
+  readonly hadSpentExcuses: boolean
+}
+
 /** One epoch of leadership: tracks all live jobs, extends the leases of all workers, and decides what runs where. */
 export class Leader implements WorkerEvents {
   private readonly jobs: JobTable
   private readonly memory: JobMemory
   private readonly accounts: CellAccounts
   private readonly workers: WorkerPool
+  private readonly outages: Outages<CrashCharge>
   private readonly earlierJobs: EarlierJobs
   /** Indexed by leader partition. */
   private readonly commitQueues: readonly CommitQueue[]
@@ -175,6 +189,7 @@
     this.workers = WorkerPool.create({
       ...options, startWindow: startWindows.worker, leaderStartWindow, jobsLoaded, predecessorActiveMs: options.mayPredecessorBeActive ? LEASE_TTL_MS : 0, epochVersion: () => this.epochVersion(0), events: this, usage: this.accounts.usage, onChange: () => this.scheduleRound(), log: this.log
     })
+    this.outages = Outages.create<CrashCharge>({ workers: () => this.workers.inService(), clock })
     this.earlierJobs = EarlierJobs.create({ ...options, jobs: this.jobs, workers: this.workers, onEnabled: () => this.scheduleRound(), log: this.log })
     this.maintenance = options.maintenance === undefined
       ? undefined
@@ -430,23 +445,39 @@
     }
   }
 
-  workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void {
+  workerCrashed (worker: WorkerEntry, runs: readonly UnsettledRun[]): void {
     if (this.maintenance?.mayHaveMaintained(worker.id) === true) return
-    const { metrics, epoch } = this.options
+    const { metrics } = this.options
     const isAlone = new Set(runs.map(run => run.task?.step)).size === 1
-    this.log.warn('Worker has crashed.', { worker: worker.id, born: worker.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone })
-    metrics.count('workers_crashed')
-    for (const { task, number, startedAt, lastSeenAt } of runs) {
-      if (task === undefined || task.isDone || task.step.job.outcome !== undefined) continue
-      const crashes = task.crashes()
-      if (lastSeenAt - startedAt > CLEARED_AFTER_MS) crashes.clear()
-      const isFirst = !crashes.isSuspect()
-      task.step.recordCrash(task, number, isAlone, worker.id)
-      // An earlier leader may have died before it stored its latest start.
-      if (isFirst && !this.earlierJobs.isOwn(task.step.job)) crashes.addStart((epoch - 1) * RUNS_PER_EPOCH)
-      if (crashes.isGivenUp()) this.giveUp(task)
+    const charges = runs.flatMap(run => this.charge(worker, run, isAlone) ?? [])
+    for (const outage of this.outages.record({ worker, charges })) this.excuse(outage, true)
+    if (runs.length > 0) {
+      const counted = charges.filter(({ task, run }) => task.crashes().isCharged(run)).length
+      this.log.warn('Worker has crashed.', { worker: worker.id, born: worker.born, runs: runs.map(run => `${formatTaskId(run.id)}#${run.number}`), isAlone, counted, excused: charges.length - counted })
+      metrics.count('workers_crashed')
+    }
+    const isDecided = !this.outages.mayHaveOutage(worker)
+    for (const { task, run } of charges) {
+      if (isDecided) task.settleRun(run)
+      if (task.step.job.outcome !== undefined) continue
+      if (isDecided && task.crashes().isGivenUp()) this.giveUp(task)
       else this.holdUntilStored(task)
     }
+    if (!isDecided) this.decideLater(charges, worker)
+  }
+
+  /** Counts a crash against the task of a run that was on the worker; returns undefined if the task isn't to be started again anyway. */
+  private charge ({ id }: WorkerEntry, { task, number, startedAt, lastSeenAt }: UnsettledRun, isAlone: boolean): CrashCharge | undefined {
+    if (task === undefined || task.isDone || task.step.job.outcome !== undefined) return undefined
+    const startedAtMs = startedAtMsOf(task, number)
+    const crashes = task.crashes()
+    const hadSpentExcuses = crashes.hasSpentExcuses()
+    if (lastSeenAt - startedAt > CLEARED_AFTER_MS) crashes.clear()
+    const isFirst = !crashes.hasRecord()
+    task.step.recordCrash(task, number, isAlone, id)
+    // An earlier leader may have died before it stored its latest start.
+    if (isFirst && !this.earlierJobs.isOwn(task.step.job)) crashes.addStart((this.options.epoch - 1) * RUNS_PER_EPOCH)
+    return { task, run: number, workerId: id, startedAtMs, hadSpentExcuses }
   }
 
   crashWithdrawn (link: WorkerLink, { id, task, number, sentAt }: Run): void {
@@ -587,7 +618,7 @@
         if (!step.hasSuspects) continue
         for (const task of step.knownTasks()) {
           const hasWorked = task.runs.some(run => run.state === 'running' && run.worker.reportedAt() - run.startedAt > CLEARED_AFTER_MS)
-          if (!hasWorked || !task.crashes().isSuspect()) continue
+          if (!hasWorked || !task.crashes().hasRecord()) continue
           task.crashes().clear()
           this.stageChange(task)
         }
@@ -598,23 +629,83 @@
   private giveUp (task: Task) {
     const { job, index } = task.step
     const crashes = task.crashes()
-    const { all: runs, ended: endedRuns, open: openRuns } = crashes.runs()
-    this.log.warn('Job is given up, because workers crash under one of its tasks.', { job: job.id, step: index, task: task.index, crashes: crashes.count(), alone: crashes.aloneCount(), runs, endedRuns, openRuns })
+    const { all: runs, outage: outageRuns, ended: endedRuns, open: openRuns } = crashes.runs()
+    this.log.warn('Job is given up, because workers crash under one of its tasks.', { job: job.id, step: index, task: task.index, crashes: crashes.count(), alone: crashes.aloneCount(), runs, outageRuns, endedRuns, openRuns })
     this.options.metrics.count('jobs_given_up')
     this.endJob(job, 'failed')
   }
 
   /** Keeps a task from being started until the crash under it is stored, so that a later leader counts it. */
   private holdUntilStored (task: Task) {
-    task.isHeld = true
+    task.hold()
     this.stage(task.step.job.rowOf(task), { kind: 'awaited' })
       .catch((err: unknown) => this.log.error('A crash could not be stored.', { task: formatTaskId(task.id()), err }))
       .finally(() => {
-        task.isHeld = false
+        task.release()
         this.scheduleRound()
       })
   }
 
+  /**
+   * Takes the crashes of an outage off the tasks, but for those of jobs that may have caused it. Where most of its workers
+   * had tasks that three outages have ended before, these tasks may be the cause and are not excused again: several tasks
+   * that crash their workers may do so at the same moments, and each may start only twice after its third crash.
+   */
+  private excuse ({ domain, crashes }: Outage<CrashCharge>, isNew: boolean) {
+    const charges = crashes.flatMap(crash => crash.charges)
+    const workerIds = new Set(crashes.map(({ worker }) => worker.id))
+    const mayBeCause = new Map<Job, boolean>()
+    for (const { task: { step: { job } } } of charges) if (!mayBeCause.has(job)) mayBeCause.set(job, this.mayHaveCaused(job, charges, workerIds))
+    const haveSpentCaused = new Set(charges.filter(({ hadSpentExcuses }) => hadSpentExcuses).map(({ workerId }) => workerId)).size > workerIds.size / 2
+    const excused = charges.filter(({ task: { step: { job } }, hadSpentExcuses }) => mayBeCause.get(job) === false && !(haveSpentCaused && hadSpentExcuses))
+    const newlyExcused = excused.filter(({ task, run }) => task.crashes().isCharged(run))
+    for (const { task, run, workerId } of newlyExcused) {
+      task.step.excuseCrash(task, run, workerId)
+      this.stageChange(task)
+    }
+    if (isNew || newlyExcused.length > 0) this.log.warn('Outage of a failure domain.', { domain, workers: [...workerIds], runsExcused: excused.length, runsCounted: charges.length - excused.length, jobsThatMayBeCause: [...mayBeCause].filter(([, isCause]) => isCause).map(([{ id }]) => id) })
+  }
+
+  /**
+   * Whether the tasks of a job alone may have crashed the workers of an outage: it had runs on most of them, and none that
+   * started as early works on elsewhere. Tasks of a job behave alike, so that one that works on speaks for the others.
+   */
+  private mayHaveCaused (job: Job, charges: readonly CrashCharge[], workerIds: ReadonlySet<string>): boolean {
+    const ofJob = charges.filter(({ task }) => task.step.job === job)
+    if (new Set(ofJob.map(({ workerId }) => workerId)).size <= workerIds.size / 2) return false
+    const lastStartedAtMs = Math.max(...ofJob.map(({ startedAtMs = -Infinity }) => startedAtMs))
+    return ![...job.runs()].some(({ task, number, worker, isListed }) => {
+      return task !== undefined && isListed && worker.isAdopted && !workerIds.has(worker.id) && (startedAtMsOf(task, number) ?? Infinity) <= lastStartedAtMs
+    })
+  }
+
+  /**
+   * Decides on the tasks once no outage can be found any more that their crashes belong to; until then, none is given up for
+   * them. A new leader knows only then which runs work on elsewhere.
+   */
+  private decideLater (charges: readonly CrashCharge[], worker?: WorkerEntry) {
+    if (charges.length === 0) return
+    const held = charges.flatMap(({ task }) => task.crashes().isExhausted() ? [task] : [])
+    for (const task of held) task.hold()
+    this.options.clock.after(OUTAGE_WINDOW_MS, () => {
+      if (this.stopping.signal.aborted) return
+      if (worker !== undefined) for (const outage of this.outages.outagesOf(worker)) this.excuse(outage, false)
+      // Not stored for itself: a successor that finds such a run among the open ones counts it as this leader has.
+      for (const { task, run } of charges) task.settleRun(run)
+      for (const task of held) {
+        task.release()
+        if (!task.isDone && task.step.job.outcome === undefined && task.crashes().isGivenUp()) this.giveUp(task)
+      }
+      if (held.length > 0) this.scheduleRound()
+    })
+  }
+
+  /** Crashes that the previous leader had not decided on when it ended. */
+  private undecidedCharges (): readonly CrashCharge[] {
+    return [...this.jobs.live()].flatMap(job => [...job.openRuns()]).filter(({ task, run }) => task.crashes().isCharged(run.number))
+      .map(({ task, run }) => ({ task, run: run.number, workerId: run.workerId, startedAtMs: run.startedAtMs, hadSpentExcuses: task.crashes().hasSpentExcuses() }))
+  }
+
   /** A gang can't work while one of its tasks is missing: stops its other runs before they time out waiting for that task. */
   private stopGang (run: Run) {
     const step = run.task?.step
@@ -787,6 +878,7 @@
     }
     if (signal.aborted) return
     this.workers.addEarlierRuns([...earlierRunsOf(this.jobs.live(), clock)])
+    this.decideLater(this.undecidedCharges())
     for (const job of this.jobs.live()) for (const row of job.unconvertedRows()) this.commitQueueOf(job)?.enqueue(row)
     this.isLoaded = true
     for (const apply of this.deferredNotifications.splice(0)) apply()
@@ -938,3 +1030,7 @@
     }
   }
 }
+
+function startedAtMsOf (task: Task, runNumber: number): number | undefined {
+  return task.openRuns().find(({ number }) => number === runNumber)?.startedAtMs
+}
--- a/packages/cell/src/progressRows.ts
+++ b/packages/cell/src/progressRows.ts
@@ -79,15 +79,16 @@
 }
 
 function mandatoryProgress ({ done, tasks }: RowTasks): StepProgress {
-  const suspects = tasks.filter(task => task.ownCrashes.isSuspect())
+  const suspects = tasks.filter(task => task.ownCrashes.hasRecord())
   const failed = entriesOf(tasks, task => [...task.failedRuns].slice(-MAX_STORED_FAILURES), runs => runs.length > 0)
   if (suspects.length === 0) return { done, ...(failed === undefined ? {} : { failed }) }
   const runsOf = (list: 'all' | 'alone' | 'ended' | 'open') => Object.fromEntries(suspects.map(task => [task.index, task.ownCrashes.runs()[list]]))
-  return { done, ...(failed === undefined ? {} : { failed }), crashed: runsOf('all'), crashedAlone: runsOf('alone'), endedAfterCrash: runsOf('ended'), openAfterCrash: runsOf('open') }
+  const inOutage = entriesOf(suspects, task => task.ownCrashes.runs().outage, runs => runs.length > 0)
+  return { done, ...(failed === undefined ? {} : { failed }), crashed: runsOf('all'), crashedAlone: runsOf('alone'), ...(inOutage === undefined ? {} : { crashedInOutage: inOutage }), endedAfterCrash: runsOf('ended'), openAfterCrash: runsOf('open') }
 }
 
 function mandatoryBytes ({ done, tasks }: RowTasks): number {
-  return tasks.reduce((total, { failedRuns, ownCrashes }) => total + (ownCrashes.isSuspect() ? TASK_BYTES : 0) + (failedRuns.size === 0 ? 0 : ENTRY_BYTES + NUMBER_BYTES * Math.min(failedRuns.size, MAX_STORED_FAILURES)), STEP_BYTES + done.length)
+  return tasks.reduce((total, { failedRuns, ownCrashes }) => total + (ownCrashes.hasRecord() ? TASK_BYTES : 0) + (failedRuns.size === 0 ? 0 : ENTRY_BYTES + NUMBER_BYTES * Math.min(failedRuns.size, MAX_STORED_FAILURES)), STEP_BYTES + done.length)
 }
 
 /** Returns undefined if no entry is to be kept. */
--- a/packages/cell/src/storedProgress.ts
+++ b/packages/cell/src/storedProgress.ts
@@ -11,6 +11,8 @@
   /** Numbers of the runs of each task under which a worker has crashed, and of those that were alone on it. */
   readonly crashed?: Readonly<Record<string, readonly number[]>>
   readonly crashedAlone?: Readonly<Record<string, readonly number[]>>
+  /** Numbers of the runs of each task that an outage has ended; missing in rows of earlier versions. */
+  readonly crashedInOutage?: Readonly<Record<string, readonly number[]>>
   /** Numbers of the later runs of such a task under which no crash was seen: those that have ended, and those of which no end is known. */
   readonly endedAfterCrash?: Readonly<Record<string, readonly number[]>>
   readonly openAfterCrash?: Readonly<Record<string, readonly number[]>>
@@ -92,8 +94,8 @@
 }
 
 function isStepProgress (value: unknown): value is StepProgress {
-  const { done, failed, crashed, crashedAlone, endedAfterCrash, openAfterCrash, open, checkpoints } = recordOf(value)
-  return isString(done) && [failed, crashed, crashedAlone, endedAfterCrash, openAfterCrash].every(runs => isRecordOf(runs, numbers => isListOf(numbers, isCount))) &&
+  const { done, failed, crashed, crashedAlone, crashedInOutage, endedAfterCrash, openAfterCrash, open, checkpoints } = recordOf(value)
+  return isString(done) && [failed, crashed, crashedAlone, crashedInOutage, endedAfterCrash, openAfterCrash].every(runs => isRecordOf(runs, numbers => isListOf(numbers, isCount))) &&
     isRecordOf(open, runs => isListOf(runs, isOpenRun)) && isRecordOf(checkpoints, isString)
 }
 
--- a/packages/cell/src/workerLink.ts
+++ b/packages/cell/src/workerLink.ts
@@ -72,8 +72,8 @@
   runFinished (link: WorkerLink, finishedRun: FinishedRun, run: Run | undefined): Promise<void>
   /** A run is certainly not running any more, but the worker did not list it as finished. */
   runLost (link: WorkerLink, run: Run, reason: LossReason): void
-  /** An incarnation of a worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before. */
-  workerCrashed (worker: Pick<WorkerEntry, 'id' | 'born'>, runs: readonly UnsettledRun[]): void
+  /** An incarnation of a worker has crashed, without having announced that it leaves. `runs`: those that it may have had, also if they were lost before; there may be none. */
+  workerCrashed (worker: WorkerEntry, runs: readonly UnsettledRun[]): void
   /** A start that was sent before the crash of the former incarnation was known was sent after the present one had begun: the crashed one never had it. */
   crashWithdrawn (link: WorkerLink, run: Run): void
   /** The incarnation of the worker that may have had these runs is up and doesn't list them, or has left as announced: it has not crashed under them. */
@@ -405,9 +405,8 @@
     const { events } = this.options
     const runs = [...this.trackedRuns(), ...this.unsettledRuns]
     this.unsettledRuns = []
-    if (runs.length === 0) return
-    if (this.mayHaveLeft()) events.runsSettled(runs)
-    else events.workerCrashed(this.entry, runs)
+    if (!this.mayHaveLeft()) events.workerCrashed(this.entry, runs)
+    else if (runs.length > 0) events.runsSettled(runs)
   }
 
   private trackedRuns (): readonly UnsettledRun[] {
--- a/packages/cell/src/workerPool.ts
+++ b/packages/cell/src/workerPool.ts
@@ -2,12 +2,13 @@
 import type { Log } from '@citronnotch/base/logger'
 import { Stopwatch } from '@citronnotch/base/stopwatch'
 import { supervise } from '@citronnotch/base/supervise'
-import { MAX_CALL_DELAY_MS, READY_PERCENT, REGISTRY_POLL_MS, REGISTRY_RETRY_OLD_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
+import { HEARTBEAT_OVERDUE_MS, HEARTBEAT_WAIT_MS, MAX_CALL_DELAY_MS, READY_PERCENT, REGISTRY_POLL_MS, REGISTRY_RETRY_OLD_MS, TOKENS_PER_EPOCH, TOO_OLD_FRACTION, WORKER_RETRY_MS } from './constants.js'
 import type { Directory, RowStore, WorkerClients } from './ports.js'
 import type { RunUsage } from './accounts/index.js'
 import type { LeaderStartWindow } from './leaderStartWindow.js'
 import { NO_RESOURCES, add } from './resources.js'
 import { Roster } from './roster.js'
+import type { MemberWorker } from './outages.js'
 import type { RosterMember } from './roster.js'
 import type { StartWindowLimits } from './startWindow.js'
 import { formatTaskId } from './types.js'
@@ -24,6 +25,9 @@
 /** Time after which the roster records when the leases of an unreachable worker expire; shorter outages are frequent. */
 const UNREACHABLE_MS = 500
 
+/** Time without contact up to which a worker may be back under its id, in milliseconds: longer than a restart takes. */
+const MAY_BE_BACK_MS = 10_000
+
 /** Maximum number of unusable workers that are logged, as another writer may add ever new ones. */
 const MAX_UNUSABLE_LOGGED = 1_000
 /** Maximum number of vanished workers that are remembered. */
@@ -131,6 +135,13 @@
     return this.links.values()
   }
 
+  /** Registered workers that don't drain, and that answer or may be back soon. */
+  inService (): readonly MemberWorker[] {
+    const answeredBefore = this.options.clock.now() - HEARTBEAT_WAIT_MS - HEARTBEAT_OVERDUE_MS
+    return [...this.links.values()].filter(link => link.entry.state === 'ready' && link.unreachableMs() <= MAY_BE_BACK_MS)
+      .map(link => ({ id: link.id, zone: link.entry.zone, labels: link.entry.labels, isSilent: !link.isAdopted || link.reportedAt() < answeredBefore }))
+  }
+
   get (id: string): WorkerLink | undefined {
     return this.links.get(id)
   }
@@ -375,21 +386,22 @@
     else link.expectStrayLease(this.fromStoreTimeMs(recordedMs))
   }
 
-  /** Gives the runs of earlier leaders to the link of their worker's incarnation; if a later one is listed, the worker has crashed under them or left. */
+  /** Gives the runs of earlier leaders to the link of their worker's incarnation; if a later one is listed, the worker has crashed under them, or without any, or left. */
   private settleEarlierRuns (link: WorkerLink) {
     const { id, born } = link.entry
     const runs = this.earlierRuns.get(id) ?? []
-    if (runs.length === 0) return
+    const member = this.roster.memberOfEarlierLeaders(id)
     this.earlierRuns.delete(id)
     const later = runs.filter(run => run.born > born)
     if (later.length > 0) this.earlierRuns.set(id, later)
     link.addUnsettledRuns(runs.filter(run => run.born === born))
-    for (const endedBorn of new Set(runs.map(run => run.born).filter(runBorn => runBorn < born))) {
-      const member = this.roster.memberOfEarlierLeaders(id)
+    // A restart under this leader is reported by the link.
+    const knownBorns = [...runs.map(run => run.born), ...member === undefined || this.lastTokens.has(id) ? [] : [member.born]]
+    for (const endedBorn of new Set(knownBorns.filter(knownBorn => knownBorn < born))) {
       const hasAnnouncedLeave = member?.born === endedBorn && member.jobs !== undefined && member.lapsesAtMs === undefined
       const ended = runs.filter(run => run.born === endedBorn)
       if (hasAnnouncedLeave) this.options.events.runsSettled(ended)
-      else this.options.events.workerCrashed({ id, born: endedBorn }, ended)
+      else this.options.events.workerCrashed({ ...link.entry, born: endedBorn }, ended)
     }
   }
 
