fix(cell): rounds search for a worker to keep free for some of the lasting steps only

A leader runs up to 100 rounds a second.

Cause: each round searched for a worker for each step that had none, and a search looks at all workers and their runs. Where lasting runs take too much of each worker, no search succeeds, so that the limit of kept workers never ends them.

Evidence: the new test failed before with 1,802,000 looks of 40,000 allowed.

Change: searches may look at 20 workers per millisecond, and 800 at once; steps that were searched for in vain, or have had a turn, go after the others.

--- a/packages/cell/src/__tests__/roundCost.test.ts
+++ b/packages/cell/src/__tests__/roundCost.test.ts
@@ -37,8 +37,8 @@
   return job
 }
 
-/** Creates a cell with waiting steps, in which the given numbers of workers and agents are free, and counts the looks of one round. */
-async function countLooksOfRound ({ freeWorkers, freeAgents, step = {}, accounts = 0 }: { readonly freeWorkers: number, readonly freeAgents: number, readonly step?: Partial<StepSpec>, readonly accounts?: number }) {
+/** Creates a cell with waiting steps, in which the given numbers of workers and agents are free, and counts the looks of one round; `afterMs` after an earlier one, if given. */
+async function countLooksOfRound ({ freeWorkers, freeAgents, step = {}, accounts = 0, afterMs }: { readonly freeWorkers: number, readonly freeAgents: number, readonly step?: Partial<StepSpec>, readonly accounts?: number, readonly afterMs?: number }) {
   const clock = ManualClock.create()
   let clockReadings = 0
   const readClock = clock.now.bind(clock)
@@ -48,12 +48,13 @@
   }
   const looks = { count: 0 }
   const queue = createQueue({ advice: POLICY, slackFactor: 1_000_000 })
-  const occupying = createJob(1, { count: WORKERS, need: CAPACITY })
+  const occupying = createJob(1, { count: WORKERS, need: CAPACITY, longRunning: step.longRunning === true })
   const links = createSilentLinks({ count: WORKERS, capacity: CAPACITY, clock }).map((link, index) => {
     const task = occupying.task({ jobId: occupying.id, occurrence: 0, step: 0, index })
     if (index >= freeWorkers && task !== undefined) link.start(task, 1, '', '')
     return countLooks(link, looks)
   })
+  const linksById = new Map(links.map(link => [link.id, link]))
   const calls: string[] = []
   const agents = Array.from({ length: AGENTS }, (_, index): AdviceAgent => countLooks({
     name: `agent-${index}`,
@@ -66,7 +67,7 @@
   const listed = Array.from({ length: accounts }, (_, index) => createAccount(`account-${index}`, { weight: 2, limit: CAPACITY }))
   const cellAccounts = CellAccounts.create({ terms: AccountTerms.create(() => accounts === 0 ? undefined : listed), overage: 0.1, burstJobs: 0, workers: () => links, recordOf: () => undefined })
   const dispatcher = Dispatcher.create({
-    epoch: 1, accounts: cellAccounts, workers: () => links, worker: () => undefined, queue: () => queue, advice, useObstacle: () => undefined, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, isProcessorOverloaded: () => false, clock, onExhausted: () => {}, onStart: () => {}
+    epoch: 1, accounts: cellAccounts, workers: () => links, worker: id => linksById.get(id), queue: () => queue, advice, useObstacle: () => undefined, isSuspect: () => false, requestPayload: () => {}, isProcessorFull: () => false, isProcessorOverloaded: () => false, clock, onExhausted: () => {}, onStart: () => {}
   })
   // Long calls keep all agents busy except those that stay free.
   for (let busy = 0; busy < AGENTS - freeAgents; busy++) {
@@ -75,6 +76,10 @@
   }
   const jobs = Array.from({ length: WAITING_STEPS }, (_, index) => createJob(100 + index, { count: 3, ...step }, listed[index % accounts]?.name))
   for (const job of jobs) cellAccounts.jobAdded(job)
+  if (afterMs !== undefined) {
+    dispatcher.runRound(jobs)
+    await clock.advance(afterMs)
+  }
   calls.length = 0
   looks.count = 0
   clockReadings = 0
@@ -99,6 +104,13 @@
   t.true(looks <= LIMIT, `${looks} looks, at most ${LIMIT} are allowed`)
 })
 
+// Guards against SHORT (issue 78): each round looked for a worker to keep free for each lasting step that waits, which took it 0.2 s in a cell full of lasting tasks.
+test('backlog of lasting steps in a cell full of lasting tasks: a scheduling round does not look at each worker for each waiting step', async t => {
+  const { looks, started } = await countLooksOfRound({ freeWorkers: 0, freeAgents: 0, step: { longRunning: true }, afterMs: 3_000 })
+  t.is(started, 0)
+  t.true(looks <= LIMIT, `${looks} looks, at most ${LIMIT} are allowed`)
+})
+
 // Guards against SHORT: with slow placement advice, each waiting step looked at all agents and all workers in each round.
 test('backlog behind busy advice agents: a scheduling round does not look at each agent or worker for each waiting step', async t => {
   const { looks, calls } = await countLooksOfRound({ freeWorkers: WORKERS, freeAgents: 0 })
--- a/packages/cell/src/keptWorkers.ts
+++ b/packages/cell/src/keptWorkers.ts
@@ -14,6 +14,9 @@
 const MAX_KEPT_MS = 15_000
 /** Time for which a run is expected to take its room if nothing is known of its duration, in milliseconds. */
 const UNKNOWN_DURATION_MS = 10_000
+/** Workers that searches may look at in a millisecond, and at most at once; a search looks at all of them, several times a few microseconds each. */
+const LOOKS_PER_MS = 20
+const MAX_LOOKS = 800
 
 /** A lasting step that waits, and the workers that it may use once they have room. */
 export interface WaitingLastingStep {
@@ -47,6 +50,11 @@
   private readonly kept = new Map<Step, Keeping>()
   /** Monotonic times in milliseconds at which the latest turns of steps ended. */
   private readonly turnEndedAt = new WeakMap<Step, number>()
+  /** Monotonic times in milliseconds at which no worker was found for steps. */
+  private readonly searchedAt = new WeakMap<Step, number>()
+  /** Workers that searches may look at now, as of the monotonic time `looksAt`; negative after a search of more than that. */
+  private looks = MAX_LOOKS
+  private looksAt = -Infinity
 
   private constructor () {}
 
@@ -60,13 +68,21 @@
     const patient = waiting.filter(({ step }) => this.waitedMs(step, now) >= LASTING_PATIENCE_MS)
     this.endTurns(patient, now)
     const limit = Math.max(MIN_KEPT_WORKERS, Math.floor(KEPT_FRACTION * total))
-    for (const { step, workers } of this.inOrder(patient, now)) {
-      if (this.kept.size >= limit) break
-      if (this.kept.has(step)) continue
+    this.looks = Math.min(MAX_LOOKS, this.looks + LOOKS_PER_MS * (now - this.looksAt))
+    this.looksAt = now
+    if (this.kept.size < limit && this.looks > 0) this.search(this.inOrder(patient, now), total, limit, now)
+    return [...this.kept].map(([step, { worker }]) => ({ step, worker, isUrgent: this.waitedMs(step, now) >= URGENT_AFTER_MS }))
+  }
+
+  /** Chooses workers for some of these steps; rounds are so frequent that each can't search for all of them. */
+  private search (steps: readonly WaitingLastingStep[], total: number, limit: number, now: number) {
+    for (const { step, workers } of steps) {
+      if (this.kept.size >= limit || this.looks <= 0) return
+      this.looks -= total
       const worker = this.firstFree(step, workers(), now)
-      if (worker !== undefined) this.kept.set(step, { worker, since: now })
+      if (worker === undefined) this.searchedAt.set(step, now)
+      else this.kept.set(step, { worker, since: now })
     }
-    return [...this.kept].map(([step, { worker }]) => ({ step, worker, isUrgent: this.waitedMs(step, now) >= URGENT_AFTER_MS }))
   }
 
   private waitedMs (step: Step, now: number): number {
@@ -84,10 +100,12 @@
     }
   }
 
-  /** Those that have had no turn first, the longest waiting of them first; then the others in the order of their latest turns. */
+  /** Those without a worker: first those that have had neither a turn nor a search in vain, the longest waiting of them first; then the others in the order of the latest of these. */
   private inOrder (patient: readonly WaitingLastingStep[], now: number): readonly WaitingLastingStep[] {
-    const endedAt = (step: Step) => this.turnEndedAt.get(step) ?? 0
-    return [...patient].sort(({ step: a }, { step: b }) => endedAt(a) - endedAt(b) || this.waitedMs(b, now) - this.waitedMs(a, now))
+    return patient.filter(({ step }) => !this.kept.has(step))
+      .map(waiting => ({ waiting, triedAt: Math.max(this.turnEndedAt.get(waiting.step) ?? 0, this.searchedAt.get(waiting.step) ?? 0), waitedMs: this.waitedMs(waiting.step, now) }))
+      .sort((a, b) => a.triedAt - b.triedAt || b.waitedMs - a.waitedMs)
+      .map(({ waiting }) => waiting)
   }
 
   /** The worker of the first group with any that will have room for a task, by when it has room; undefined if none will. */
