fix(cell): a lasting task beside a run that must be alone lets no other task in

Small tasks started beside a run that must be alone as soon as a lasting task had started there, and the next crash of the worker was held against each of them.

Cause: a run that must be alone keeps others out only while it has no company, and the lasting task counted as company.

Evidence: the test failed before with "with a lasting task"; the half without the lasting task passed.

Change: lasting runs that were added while nothing but such runs were there are counted apart, until no run that must be alone is left. A run that must be alone and started beside others keeps nobody out, as before.

--- a/packages/cell/src/__tests__/lastingBesideLoad.test.ts
+++ b/packages/cell/src/__tests__/lastingBesideLoad.test.ts
@@ -176,7 +176,7 @@
 })
 
 // Guards against crashes that are held against sound tasks: the first lasting task beside a run that must be alone let all other work in beside it.
-test.failing('no other task starts beside a run that must be alone, with or without a lasting task there', async t => {
+test('no other task starts beside a run that must be alone, with or without a lasting task there', async t => {
   for (const isLastingBeside of [false, true]) {
     const { cell, plan, submit, isRunning, areAllRunning } = await createCellWithSuspects(t, LONG_MS)
     const lasting = isLastingBeside ? await submit({ longRunning: true }) : undefined
--- a/packages/cell/src/trackedRuns.ts
+++ b/packages/cell/src/trackedRuns.ts
@@ -14,6 +14,8 @@
   private suspectRuns = 0
   /** Number of runs that must be alone, however long they have run. */
   private aloneRuns = 0
+  /** Lasting runs that started beside nothing but runs that must be alone, and other lasting ones that did. */
+  private readonly lastingCompany = new Set<Run>()
   private usedCapacity: ResourceVector = NO_RESOURCES
   private runsWithUnknownNeed = 0
 
@@ -40,9 +42,12 @@
     return this.suspectRuns > 0
   }
 
-  /** Whether there are runs, all of which must be alone. A run that must be alone but has company keeps nobody out. */
+  /**
+   * Whether there are runs, all of which must be alone but for lasting ones that started later. A run that must be alone
+   * but has other company, or has started beside others, keeps nobody out.
+   */
   areAllAlone (): boolean {
-    return this.aloneRuns > 0 && this.aloneRuns === this.byKey.size
+    return this.aloneRuns > 0 && this.aloneRuns + this.lastingCompany.size === this.byKey.size
   }
 
   /** Whether nothing else may start beside the runs now. */
@@ -53,6 +58,7 @@
   // Commands
 
   add (run: Run): void {
+    if (!run.mustRunAlone && run.task?.step.spec.longRunning === true && this.areAllAlone()) this.lastingCompany.add(run)
     this.byKey.set(runKeyOf(run.id, run.number), run)
     this.count(run, 1)
     this.usage.add(run)
@@ -62,6 +68,8 @@
   remove (run: Run): boolean {
     if (!this.byKey.delete(runKeyOf(run.id, run.number))) return false
     this.count(run, -1)
+    this.lastingCompany.delete(run)
+    if (this.aloneRuns === 0) this.lastingCompany.clear()
     this.usage.remove(run)
     return true
   }
