--- a/packages/cell/src/hedgedStore.ts
+++ b/packages/cell/src/hedgedStore.ts
@@ -32,8 +32,9 @@
   }
 
   range (query: RangeQuery, timeoutMs: number): ReturnType<RowStore['range']> {
-    const { to, limit = 1 } = query
-    return (to === undefined && limit > 1 ? this.pageReads : this.reads).call(() => this.store.range(query, timeoutMs))
+    // Only reads of a whole partition have no upper key; all others are of a few rows.
+    const isPage = query.to === undefined && (query.limit ?? 1) > 1
+    return (isPage ? this.pageReads : this.reads).call(() => this.store.range(query, timeoutMs))
   }
 
   clockMs (): ReturnType<RowStore['clockMs']> {
--- a/packages/cell/src/keptWorkers.ts
+++ b/packages/cell/src/keptWorkers.ts
@@ -14,9 +14,9 @@
 const MAX_KEPT_MS = 15_000
 /** Time for which a run is expected to take its room if nothing is known of its duration, in milliseconds. */
 const UNKNOWN_DURATION_MS = 10_000
-/** Workers that searches may look at in a millisecond, and at most at once; a search looks at all of them, several times a few microseconds each. */
-const LOOKS_PER_MS = 20
-const MAX_LOOKS = 800
+/** Number of workers that searches may examine per millisecond of elapsed time, and at most at once: each search examines all workers, for some microseconds each. */
+const EXAMINED_PER_MS = 20
+const MAX_EXAMINED = 800
 
 /** A lasting step that waits, and the workers that it may use once they have room. */
 export interface WaitingLastingStep {
@@ -52,9 +52,9 @@
   private readonly turnEndedAt = new WeakMap<Step, number>()
   /** Monotonic times in milliseconds at which no worker was found for steps. */
   private readonly searchedAt = new WeakMap<Step, number>()
-  /** Workers that searches may look at now, as of the monotonic time `looksAt`; negative after a search of more than that. */
-  private looks = MAX_LOOKS
-  private looksAt = -Infinity
+  /** Number of workers that searches may examine, as of the monotonic time `budgetAt`; negative after a search of more than that. */
+  private searchBudget = MAX_EXAMINED
+  private budgetAt = -Infinity
 
   private constructor () {}
 
@@ -68,17 +68,17 @@
     const patient = waiting.filter(({ step }) => this.waitedMs(step, now) >= LASTING_PATIENCE_MS)
     this.endTurns(patient, now)
     const limit = Math.max(MIN_KEPT_WORKERS, Math.floor(KEPT_FRACTION * total))
-    this.looks = Math.min(MAX_LOOKS, this.looks + LOOKS_PER_MS * (now - this.looksAt))
-    this.looksAt = now
-    if (this.kept.size < limit && this.looks > 0) this.search(this.inOrder(patient, now), total, limit, now)
+    this.searchBudget = Math.min(MAX_EXAMINED, this.searchBudget + EXAMINED_PER_MS * (now - this.budgetAt))
+    this.budgetAt = now
+    if (this.kept.size < limit && this.searchBudget > 0) this.search(this.inOrder(patient, now), total, limit, now)
     return [...this.kept].map(([step, { worker }]) => ({ step, worker, isUrgent: this.waitedMs(step, now) >= URGENT_AFTER_MS }))
   }
 
   /** Chooses workers for some of these steps; rounds are so frequent that each can't search for all of them. */
   private search (steps: readonly WaitingLastingStep[], total: number, limit: number, now: number) {
     for (const { step, workers } of steps) {
-      if (this.kept.size >= limit || this.looks <= 0) return
-      this.looks -= total
+      if (this.kept.size >= limit || this.searchBudget <= 0) return
+      this.searchBudget -= total
       const worker = this.firstFree(step, workers(), now)
       if (worker === undefined) this.searchedAt.set(step, now)
       else this.kept.set(step, { worker, since: now })
